--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/**/*.test.js'],
+  timeout: '4m',
+  concurrency: 4,
+  workerThreads: false,
+};
--- /dev/null
+++ b/packages/bench/bin/soak.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/soak-main.js';
--- /dev/null
+++ b/packages/controller/src/index.ts
@@ -0,0 +1,2 @@
+/** Fleet decisions: pools, host moves, maintenance waves and job placement. */
+export { buildController } from './container.js';
--- /dev/null
+++ b/packages/core/src/control/index.ts
@@ -0,0 +1,51 @@
+/** What a controller decides as time passes. Every decision is a record that the fold may reject. */
+import type { Step } from '../effect.js';
+import { isLapsed } from '../membership/contact.js';
+import { isRegistered } from '../membership/index.js';
+import type { State } from '../state.js';
+import { advanceHost, selectDrainingHostIds } from './hosts.js';
+import { checkpointOnDrain, placeJobs } from './jobs.js';
+import { claimPools, removeSilentMembers, selectOwnPools } from './members.js';
+import { forgetProposals } from './propose.js';
+import { advanceWaves } from './waves.js';
+
+function mayDecide(state: State): boolean {
+  return state.identity.role === 'controller' && isRegistered(state) && !isLapsed(state) && !state.stopping;
+}
+
+/** Hosts of a pool for which there may be something to do. */
+function selectOpenHostIds(state: State, pool: string): readonly string[] {
+  const view = state.fold.fleet.pools.get(pool);
+  if (view === undefined) return [];
+  const differing = [...view.hostIds].filter((hostId) => {
+    const sighting = state.control.sightings.get(hostId);
+    return sighting !== undefined && sighting.presence !== state.fold.fleet.hosts.get(hostId)?.presence;
+  });
+  return [...new Set([...view.absentHostIds, ...differing])];
+}
+
+function* advanceHosts(state: State, ownPools: ReadonlyMap<string, number>): Step<State> {
+  let current = state;
+  for (const [pool, epoch] of ownPools) {
+    for (const hostId of selectOpenHostIds(current, pool)) {
+      const host = current.fold.fleet.hosts.get(hostId);
+      if (host !== undefined) current = yield* advanceHost(current, host, epoch);
+    }
+  }
+  return current;
+}
+
+/** Lets time pass for a controller. */
+export function* tickControl(state: State): Step<State> {
+  if (!mayDecide(state)) return state;
+  const fresh = forgetProposals(state);
+  const removed = yield* removeSilentMembers(fresh);
+  const claimed = yield* claimPools(removed);
+  const ownPools = selectOwnPools(claimed);
+  const hostIds = selectDrainingHostIds(claimed, ownPools);
+  if (hostIds.length > 0) yield { kind: 'read-usage', hostIds };
+  const advanced = yield* advanceHosts(claimed, ownPools);
+  const waved = yield* advanceWaves(advanced, ownPools);
+  yield* checkpointOnDrain(waved, ownPools);
+  return yield* placeJobs(waved, ownPools);
+}
--- /dev/null
+++ b/packages/core/src/dispatch/dispatch-state.ts
@@ -0,0 +1,133 @@
+/** What the dispatcher of a pool keeps: which slots are in use, by whom, and who waits. */
+import type { CapabilityNeed, SlotRequest, WorkClass } from '@baobabdeck/types';
+import {
+  PersistentList,
+  PersistentMap,
+  PersistentOrderedMap,
+  PersistentOrderedSet,
+  PersistentSet,
+} from '../persistent.js';
+
+/** A slot in use. */
+export interface Grant {
+  readonly slotRequestId: string;
+  /** The gateway that uses the slot. */
+  readonly holder: string;
+  readonly hostId: string;
+  readonly caller: string;
+  readonly workKind: string;
+  readonly workClass: WorkClass;
+  readonly longWorkThresholdMilliseconds: number;
+  readonly grantedAt: Date;
+  /** Since when nobody can tell whether the work still runs; null while its holder is heard. */
+  readonly unsettledSince: Date | null;
+  /** When an unsettled slot is taken to be free without word from the platform. */
+  readonly settleBy: Date;
+}
+
+/** How a host has answered lately. */
+export interface HostHealth {
+  readonly consecutiveFailures: number;
+  readonly ejections: number;
+  /** Until when the host gets no work; null when it is not ejected. */
+  readonly ejectedUntil: Date | null;
+  /** Back on trial: one slot until it answers well. */
+  readonly probing: boolean;
+}
+
+/** A host's slots as the dispatcher sees them. */
+export interface HostLoad {
+  readonly hardware: string;
+  /** In service and not shown as failed or leaving. */
+  readonly routable: boolean;
+  readonly busy: number;
+  /** Slots that may be used at once; fewer than configured while the host refuses work. */
+  readonly slotLimit: number;
+  readonly health: HostHealth;
+}
+
+/** Hosts by their number of free slots; index 0 stays empty. */
+export type FreeBuckets = PersistentList<PersistentOrderedSet<string>>;
+
+/** A request that waits for a slot. */
+export interface WaitingRequest {
+  readonly request: SlotRequest;
+  readonly holder: string;
+  readonly lane: string;
+  readonly arrivedAt: Date;
+  readonly deadlineAt: Date;
+}
+
+/** Requests with the same needs and class, fair between their callers. */
+export interface Lane {
+  readonly isLong: boolean;
+  readonly needs: readonly CapabilityNeed[];
+  /** Callers in the order of their turns, each with its requests, oldest first. */
+  readonly callers: PersistentOrderedMap<string, PersistentList<string>>;
+}
+
+/** What was seen of one kind of work. */
+export interface WorkKindRecord {
+  /** Moving share of runs that were longer than the threshold, 0 to 1; null before a whole run was seen. */
+  readonly longShare: number | null;
+  /** Hosts on which the kind failed the last time that it ran there. */
+  readonly failingHostIds: PersistentSet<string>;
+}
+
+/** The dispatcher's view of one pool. */
+export interface PoolDispatch {
+  readonly pool: string;
+  readonly viewOffset: number;
+  /** Gateways whose holdings are not known yet. */
+  readonly awaiting: PersistentSet<string>;
+  /** False until the holdings of every gateway were heard once: nothing is granted before. */
+  readonly ready: boolean;
+  readonly grants: PersistentMap<string, Grant>;
+  readonly hosts: PersistentMap<string, HostLoad>;
+  readonly free: PersistentMap<string, FreeBuckets>;
+  readonly freeSlots: number;
+  readonly totalSlots: number;
+  /** Slots in use by work that is not known to be short. */
+  readonly longBusy: number;
+  readonly unsettledCount: number;
+  readonly ejectedCount: number;
+  readonly waiting: PersistentMap<string, WaitingRequest>;
+  readonly lanes: PersistentOrderedMap<string, Lane>;
+  /** Short work started since the last long work. */
+  readonly shortStartsInRow: number;
+  readonly workKinds: PersistentMap<string, WorkKindRecord>;
+}
+
+/** A view without hosts, holdings or requests. */
+export function emptyPoolDispatch(
+  pool: string,
+  viewOffset: number,
+  awaiting: PersistentSet<string>,
+): PoolDispatch {
+  return {
+    pool,
+    viewOffset,
+    awaiting,
+    ready: awaiting.size === 0,
+    grants: PersistentMap(),
+    hosts: PersistentMap(),
+    free: PersistentMap(),
+    freeSlots: 0,
+    totalSlots: 0,
+    longBusy: 0,
+    unsettledCount: 0,
+    ejectedCount: 0,
+    waiting: PersistentMap(),
+    lanes: PersistentOrderedMap(),
+    shortStartsInRow: 0,
+    workKinds: PersistentMap(),
+  };
+}
+
+/** The health of a host that nothing is known against. */
+export const GOOD_HEALTH: HostHealth = {
+  consecutiveFailures: 0,
+  ejections: 0,
+  ejectedUntil: null,
+  probing: false,
+};
--- /dev/null
+++ b/packages/core/src/fold/fold-state.ts
@@ -0,0 +1,226 @@
+/** State that follows from the log alone: equal at the same offset in every process. */
+import type { ResultName } from '@baobabdeck/errors';
+import type {
+  DataCentreSection,
+  DrainPurpose,
+  HardwareSection,
+  HostPresence,
+  JobEnd,
+  JobRequest,
+  KeyOutcome,
+  PoolSection,
+  ProcessIdentity,
+  RackSection,
+  ServiceSection,
+  TeamSection,
+} from '@baobabdeck/types';
+import {
+  PersistentList,
+  PersistentMap,
+  PersistentOrderedMap,
+  PersistentOrderedSet,
+  PersistentSet,
+} from '../persistent.js';
+
+/** The configuration in force. */
+export interface ConfigurationState {
+  /** Publications accepted so far. */
+  readonly version: number;
+  /** Offset of the record that the version came with; -1 before any. */
+  readonly offset: number;
+  readonly dataCentres: PersistentMap<string, DataCentreSection>;
+  readonly hardware: PersistentMap<string, HardwareSection>;
+  readonly pools: PersistentMap<string, PoolSection>;
+  readonly services: PersistentMap<string, ServiceSection>;
+  readonly racks: PersistentMap<string, RackSection>;
+  readonly teams: PersistentMap<string, TeamSection>;
+}
+
+/** What a host that is out of service is out for. */
+export interface DrainPermit {
+  readonly purpose: DrainPurpose;
+  readonly waveId: string | null;
+  readonly destinationPool: string | null;
+  readonly permitOffset: number;
+  readonly permittedAt: Date;
+}
+
+/** What a host is doing for its pool. */
+export type HostDuty =
+  | { readonly kind: 'in-service' }
+  | { readonly kind: 'draining'; readonly permit: DrainPermit }
+  | { readonly kind: 'drained'; readonly permit: DrainPermit; readonly drainedAt: Date };
+
+/** A host. It belongs to exactly one pool. */
+export interface Host {
+  readonly hostId: string;
+  readonly address: string;
+  readonly rack: string;
+  readonly hardware: string;
+  readonly pool: string;
+  readonly duty: HostDuty;
+  readonly presence: HostPresence;
+  /** Removed from the configuration; forgotten once it is out of service. */
+  readonly retired: boolean;
+}
+
+/** Who may decide for a pool. A command with another epoch is rejected. */
+export interface PoolControl {
+  readonly processId: string;
+  readonly epoch: number;
+}
+
+/** What the fold knows of a pool beyond its configuration. */
+export interface PoolState {
+  readonly hostIds: PersistentSet<string>;
+  /** Hosts that count against the budget, for whatever reason. */
+  readonly absentHostIds: PersistentSet<string>;
+  readonly control: PoolControl | null;
+}
+
+/** A process that takes part. */
+export interface Member {
+  readonly identity: ProcessIdentity;
+  readonly registeredAtOffset: number;
+}
+
+/** How far a wave has come with one host. */
+export type WaveHostProgress =
+  | { readonly kind: 'pending' }
+  | { readonly kind: 'out'; readonly since: Date }
+  | { readonly kind: 'done'; readonly at: Date }
+  | { readonly kind: 'skipped'; readonly reason: string };
+
+/** A maintenance wave. */
+export interface Wave {
+  readonly waveId: string;
+  readonly state: 'running' | 'paused' | 'finished';
+  readonly reason: string;
+  readonly startedAt: Date;
+  readonly finishedAt: Date | null;
+  readonly hosts: PersistentOrderedMap<string, WaveHostProgress>;
+  readonly pendingCount: number;
+  readonly outCount: number;
+}
+
+/** Where a job is. */
+export type JobStatus =
+  | { readonly kind: 'waiting'; readonly since: Date }
+  | { readonly kind: 'placed'; readonly hostId: string; readonly leaseId: string; readonly at: Date }
+  | { readonly kind: 'ended'; readonly end: JobEnd; readonly at: Date };
+
+/** A job with its status. */
+export interface Job {
+  readonly request: JobRequest;
+  readonly status: JobStatus;
+  readonly placements: number;
+}
+
+/** Resources that jobs have taken. */
+export interface Allocation {
+  readonly cores: number;
+  readonly accelerators: number;
+  readonly memoryGigabytes: number;
+}
+
+/** One decision, kept to explain it. */
+export interface HistoryEntry {
+  readonly offset: number;
+  readonly at: Date;
+  readonly issuer: string;
+  readonly text: string;
+}
+
+/** The verdict on a command. */
+export interface Verdict {
+  readonly offset: number;
+  readonly accepted: boolean;
+  readonly result: ResultName | null;
+  readonly detail: string;
+}
+
+/** Everything folded from the stream `fleet`. */
+export interface FleetState {
+  readonly nextOffset: number;
+  readonly configuration: ConfigurationState;
+  readonly hosts: PersistentMap<string, Host>;
+  readonly pools: PersistentMap<string, PoolState>;
+  readonly members: PersistentMap<string, Member>;
+  /** Offset of the last change among the gateways. */
+  readonly gatewayViewOffset: number;
+  readonly waves: PersistentMap<string, Wave>;
+  readonly jobs: PersistentMap<string, Job>;
+  readonly waitingJobs: PersistentOrderedSet<string>;
+  readonly hostAllocations: PersistentMap<string, Allocation>;
+  readonly teamAllocations: PersistentMap<string, Allocation>;
+  /** Verdicts by command id, oldest first, bounded. */
+  readonly verdicts: PersistentOrderedMap<string, Verdict>;
+  /** Commands decided before this offset may have been forgotten and are rejected. */
+  readonly verdictsSinceOffset: number;
+  readonly history: PersistentMap<string, PersistentList<HistoryEntry>>;
+}
+
+/** A claimed idempotency key. */
+export interface KeyState {
+  readonly fingerprint: string;
+  readonly requestId: string;
+  readonly processId: string;
+  readonly incarnation: string;
+  readonly claimedAt: Date;
+  readonly madeAt: Date | null;
+  readonly outcome: KeyOutcome | null;
+}
+
+/** Everything folded from the stream `keys`. */
+export interface KeysState {
+  readonly nextOffset: number;
+  /** Keys that carry their time, by hash, oldest claim first. They are forgotten after a while. */
+  readonly timedKeys: PersistentOrderedMap<string, KeyState>;
+  /** Keys that carry no time, by hash. They are never forgotten. */
+  readonly untimedKeys: PersistentMap<string, KeyState>;
+  /** Keys made at or before this time are rejected, for they may have been forgotten. */
+  readonly forgottenThrough: Date;
+}
+
+/** State that follows from the log alone. */
+export interface FoldState {
+  readonly fleet: FleetState;
+  readonly keys: KeysState;
+}
+
+/** The fold before the first record. */
+export function emptyFoldState(): FoldState {
+  return {
+    fleet: {
+      nextOffset: 0,
+      configuration: {
+        version: 0,
+        offset: -1,
+        dataCentres: PersistentMap(),
+        hardware: PersistentMap(),
+        pools: PersistentMap(),
+        services: PersistentMap(),
+        racks: PersistentMap(),
+        teams: PersistentMap(),
+      },
+      hosts: PersistentMap(),
+      pools: PersistentMap(),
+      members: PersistentMap(),
+      gatewayViewOffset: -1,
+      waves: PersistentMap(),
+      jobs: PersistentMap(),
+      waitingJobs: PersistentOrderedSet(),
+      hostAllocations: PersistentMap(),
+      teamAllocations: PersistentMap(),
+      verdicts: PersistentOrderedMap(),
+      verdictsSinceOffset: 0,
+      history: PersistentMap(),
+    },
+    keys: {
+      nextOffset: 0,
+      timedKeys: PersistentOrderedMap(),
+      untimedKeys: PersistentMap(),
+      forgottenThrough: new Date(0),
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/invariants/fault.ts
@@ -0,0 +1,28 @@
+/** Names of what must always hold. */
+import type { Step } from '../effect.js';
+
+/** What must always hold, by name; docs/INVARIANTS.md tells where each is checked. */
+export type InvariantName =
+  | 'pool-within-budget'
+  | 'host-in-one-pool'
+  | 'host-index-agrees'
+  | 'slots-within-limit'
+  | 'slot-index-agrees'
+  | 'non-repeatable-at-most-once'
+  | 'not-run-is-true'
+  | 'leaving-target-gets-no-work'
+  | 'configuration-never-reverts'
+  | 'offsets-never-step-back';
+
+/** Something that must always hold and does not. */
+export interface InvariantFault {
+  readonly invariant: InvariantName;
+  readonly detail: string;
+}
+
+/** Yields a logged decision for each fault. */
+export function* reportFaults(faults: readonly InvariantFault[]): Step<void> {
+  for (const { invariant, detail } of faults) {
+    yield { kind: 'log', decision: 'invariantViolated', fields: { invariant, detail } };
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/index.ts
@@ -0,0 +1,161 @@
+/** Heartbeats between the processes, and the records by which they join and are removed. */
+import { addMilliseconds, millisecondsBetween, type PeerMessage, type RecordBody } from '@baobabdeck/types';
+import type { Step } from '../effect.js';
+import type { Member } from '../fold/fold-state.js';
+import { PersistentMap } from '../persistent.js';
+import { makeRecord, type State } from '../state.js';
+import { isLapsed, noteContact } from './contact.js';
+
+/** Heartbeats whose sending time is kept, to know the age of an echo. */
+const HEARTBEATS_REMEMBERED = 64;
+
+/** Time after which a record that was not read back is sent again. */
+const RECORD_RETRY_MILLISECONDS = 3_000;
+
+/** Records that go to a peer at once when it is behind. */
+const RECORDS_PER_PUSH = 100;
+
+type Heartbeat = Extract<PeerMessage, { readonly kind: 'heartbeat' }>;
+
+/** The other processes that take part. */
+export function selectPeers(state: State): readonly Member[] {
+  return [...state.fold.fleet.members.values()].filter(
+    (member) => member.identity.processId !== state.identity.processId,
+  );
+}
+
+/** Whether this very run of the process takes part. */
+export function isRegistered(state: State): boolean {
+  const member = state.fold.fleet.members.get(state.identity.processId);
+  return member !== undefined && member.identity.incarnation === state.identity.incarnation;
+}
+
+function countDrainingInFlight(state: State): Heartbeat['drainingInFlight'] {
+  const counts = new Map<string, number>();
+  for (const slot of state.requests.heldSlots.values()) {
+    const duty = state.fold.fleet.hosts.get(slot.hostId)?.duty.kind;
+    if (duty !== undefined && duty !== 'in-service') {
+      counts.set(slot.hostId, (counts.get(slot.hostId) ?? 0) + 1);
+    }
+  }
+  return [...counts].map(([hostId, count]) => ({ hostId, count }));
+}
+
+function* sendHeartbeats(state: State): Step<State> {
+  const sequence = state.membership.heartbeatSequence + 1;
+  const drainingInFlight = countDrainingInFlight(state);
+  for (const { identity } of selectPeers(state)) {
+    const echo = state.membership.peers.get(identity.processId)?.lastSequence ?? 0;
+    const message: Heartbeat = {
+      kind: 'heartbeat',
+      sequence,
+      echo,
+      fleetOffset: state.fold.fleet.nextOffset,
+      configurationVersion: state.fold.fleet.configuration.version,
+      drainingInFlight,
+    };
+    yield { kind: 'send', to: identity.processId, message };
+  }
+  const sentAt = state.membership.sentAt.set(sequence, state.now).remove(sequence - HEARTBEATS_REMEMBERED);
+  const nextHeartbeatAt = addMilliseconds(state.now, state.parameters.heartbeatIntervalMilliseconds);
+  return {
+    ...state,
+    membership: { ...state.membership, heartbeatSequence: sequence, sentAt, nextHeartbeatAt },
+  };
+}
+
+function* pushRecords(state: State, to: string, fromOffset: number): Step<void> {
+  const recent = state.recentRecords.get('fleet');
+  if (recent === undefined) return;
+  const records = recent.filter((record) => record.offset >= fromOffset).take(RECORDS_PER_PUSH);
+  if (records.isEmpty() || records.first()?.offset !== fromOffset) return;
+  yield {
+    kind: 'send',
+    to,
+    message: { kind: 'records-pushed', stream: 'fleet', records: records.toArray() },
+  };
+}
+
+/** A heartbeat came in: it tells how far its sender has folded and proves how fresh our own word was. */
+export function* handleHeartbeat(
+  state: State,
+  from: string,
+  incarnation: string,
+  message: Heartbeat,
+): Step<State> {
+  const known = state.membership.peers.get(from);
+  const peers = state.membership.peers.set(from, {
+    incarnation,
+    lastHeardAt: state.now,
+    lastSequence: Math.max(message.sequence, known?.incarnation === incarnation ? known.lastSequence : 0),
+    fleetOffset: message.fleetOffset,
+    configurationVersion: message.configurationVersion,
+    drainingInFlight: PersistentMap(message.drainingInFlight.map((entry) => [entry.hostId, entry.count])),
+  });
+  const heard: State = { ...state, membership: { ...state.membership, peers } };
+  const own = state.fold.fleet.nextOffset;
+  if (message.fleetOffset < own) yield* pushRecords(heard, from, message.fleetOffset);
+  const echoedAt = state.membership.sentAt.get(message.echo);
+  // A peer that is ahead proves that this process is behind, not that it is up to date.
+  return echoedAt !== undefined && message.fleetOffset <= own ? noteContact(heard, echoedAt) : heard;
+}
+
+/** Yields a record for the stream `fleet`. */
+export function* appendFleetRecord(state: State, body: RecordBody): Step<State> {
+  const [next, record] = makeRecord(state, body, state.fold.fleet.nextOffset);
+  yield { kind: 'append', stream: 'fleet', record };
+  return next;
+}
+
+function mayRegister(state: State): boolean {
+  if (state.stopping || isRegistered(state)) return false;
+  const pendingSince = state.membership.registrationPendingSince;
+  return pendingSince === null || millisecondsBetween(pendingSince, state.now) > RECORD_RETRY_MILLISECONDS;
+}
+
+function* register(state: State): Step<State> {
+  if (!mayRegister(state)) return state;
+  const sent = yield* appendFleetRecord(state, { kind: 'process-registered', identity: state.identity });
+  return { ...sent, membership: { ...sent.membership, registrationPendingSince: state.now } };
+}
+
+function* noteLapse(state: State): Step<State> {
+  const lapsed = isLapsed(state);
+  if (lapsed === state.membership.lapsed) return state;
+  const fields = { contact: state.membership.lastContactAt?.toISOString() ?? null };
+  yield { kind: 'log', decision: lapsed ? 'processLapsed' : 'processRecovered', fields };
+  return { ...state, membership: { ...state.membership, lapsed } };
+}
+
+/** Lets time pass: registers this process, sends heartbeats, notices a lapse. */
+export function* tickMembership(state: State): Step<State> {
+  const noted = yield* noteLapse(state);
+  const registered = yield* register(noted);
+  const { nextHeartbeatAt } = registered.membership;
+  return nextHeartbeatAt === null || nextHeartbeatAt <= state.now
+    ? yield* sendHeartbeats(registered)
+    : registered;
+}
+
+/** When a member was last heard, or when it was first expected. */
+export function selectLastHeard(state: State, member: Member): Date | null {
+  const peer = state.membership.peers.get(member.identity.processId);
+  const expected = state.membership.expectedSince.get(member.identity.processId) ?? null;
+  if (peer === undefined || peer.incarnation !== member.identity.incarnation) return expected;
+  return expected === null || peer.lastHeardAt > expected ? peer.lastHeardAt : expected;
+}
+
+/** Whether a member was silent for longer than `milliseconds`. */
+export function isSilent(state: State, member: Member, milliseconds: number): boolean {
+  const heard = selectLastHeard(state, member);
+  return heard !== null && millisecondsBetween(heard, state.now) > milliseconds;
+}
+
+/** Notes from when on the members are expected to be heard. */
+export function expectMembers(state: State): State {
+  const { members } = state.fold.fleet;
+  const expectedSince = members.map(
+    (_, processId) => state.membership.expectedSince.get(processId) ?? state.now,
+  );
+  return { ...state, membership: { ...state.membership, expectedSince } };
+}
--- /dev/null
+++ b/packages/core/src/records.ts
@@ -0,0 +1,111 @@
+/** Records of the log as they come in: folded in order, once, with what follows from them. */
+import type { StoredRecord } from '@baobabdeck/types';
+import { deliver } from './deliver.js';
+import { refreshHosts, refreshPools, refreshView } from './dispatch/view.js';
+import type { Step } from './effect.js';
+import type { EventOf } from './event.js';
+import { foldFleetRecord, type FleetStep } from './fold/index.js';
+import { foldKeysRecord } from './fold/keys.js';
+import { noteContact } from './membership/contact.js';
+import { expectMembers } from './membership/index.js';
+import { PersistentList } from './persistent.js';
+import { handleEndedKeys } from './requests/follow.js';
+import { handleClaimVerdicts } from './requests/index.js';
+import { forgetRecord } from './requests/keys.js';
+import type { State } from './state.js';
+
+/** Records that are kept for peers that are behind. */
+const RECENT_RECORDS = 500;
+
+/** Gateways whose work may go on unheard after a record: removed by another process, or restarted. */
+function selectLost(before: State, { record }: StoredRecord): ReadonlySet<string> {
+  if (record === null) return new Set();
+  if (record.body.kind === 'process-removed' && record.issuer !== record.body.processId) {
+    return new Set([record.body.processId]);
+  }
+  if (record.body.kind !== 'process-registered') return new Set();
+  const { processId, incarnation } = record.body.identity;
+  const known = before.fold.fleet.members.get(processId);
+  return known !== undefined && known.identity.incarnation !== incarnation ? new Set([processId]) : new Set();
+}
+
+function* announce(before: State, step: FleetStep, stored: StoredRecord): Step<void> {
+  const { version, offset } = step.fleet.configuration;
+  if (version !== before.fold.fleet.configuration.version) {
+    yield { kind: 'log', decision: 'configurationInForce', fields: { version, offset } };
+  }
+  if (step.failure !== null && stored.record !== null) {
+    const fields = {
+      id: stored.record.id,
+      issuer: stored.record.issuer,
+      code: step.failure.code,
+      detail: step.failure.detail,
+    };
+    yield { kind: 'log', decision: 'commandRejected', fields };
+  }
+  if (stored.record === null) {
+    yield { kind: 'log', decision: 'recordUnreadable', fields: { offset: stored.offset } };
+  }
+  const body = stored.record?.body;
+  if (body?.kind === 'host-drain-requested' && step.verdict?.accepted) {
+    yield {
+      kind: 'log',
+      decision: 'drainPermitted',
+      fields: { host: body.hostId, purpose: body.purpose, offset: stored.offset },
+    };
+  }
+}
+
+function* followFleetStep(before: State, state: State, step: FleetStep, stored: StoredRecord): Step<State> {
+  const earlier = before.fold.fleet;
+  const { fleet } = state.fold;
+  const viewChanged = fleet.gatewayViewOffset !== earlier.gatewayViewOffset;
+  const poolsChanged = fleet.configuration.pools !== earlier.configuration.pools;
+  const expecting = fleet.members === earlier.members ? state : expectMembers(state);
+  const viewed =
+    viewChanged || poolsChanged ? yield* refreshView(expecting, selectLost(before, stored)) : expecting;
+  return poolsChanged ? refreshPools(viewed) : refreshHosts(viewed, step.changedHostIds);
+}
+
+function* foldFleet(state: State, stored: StoredRecord): Step<State> {
+  const step = foldFleetRecord(state.fold.fleet, stored);
+  yield* announce(state, step, stored);
+  const folded: State = { ...state, fold: { ...state.fold, fleet: step.fleet } };
+  return yield* followFleetStep(state, folded, step, stored);
+}
+
+function* foldKeys(state: State, stored: StoredRecord): Step<State> {
+  const step = foldKeysRecord(state.fold.keys, stored);
+  const folded = forgetRecord({ ...state, fold: { ...state.fold, keys: step.keys } }, stored);
+  const judged = yield* handleClaimVerdicts(folded, step.verdicts, deliver);
+  return yield* handleEndedKeys(judged, step.ended, deliver);
+}
+
+function remember(state: State, stored: StoredRecord): State {
+  const recent = (state.recentRecords.get('fleet') ?? PersistentList<StoredRecord>()).push(stored);
+  const kept = recent.size > RECENT_RECORDS ? recent.shift() : recent;
+  return { ...state, recentRecords: state.recentRecords.set('fleet', kept) };
+}
+
+/** Folds records. One that was folded before is passed over; a gap is noticed and nothing behind it folded. */
+export function* handleRecordsRead(state: State, event: EventOf<'records-read'>): Step<State> {
+  let current = state;
+  for (const stored of event.records) {
+    const { nextOffset } = current.fold[event.stream];
+    if (stored.offset < nextOffset) continue;
+    if (stored.offset > nextOffset) {
+      yield {
+        kind: 'log',
+        decision: 'recordGap',
+        fields: { stream: event.stream, expected: nextOffset, found: stored.offset },
+      };
+      return current;
+    }
+    current =
+      event.stream === 'fleet'
+        ? yield* foldFleet(remember(current, stored), stored)
+        : yield* foldKeys(current, stored);
+  }
+  const proof = event.stream === 'fleet' ? event.readStartedAt : null;
+  return proof === null ? current : noteContact(current, proof);
+}
--- /dev/null
+++ b/packages/core/src/reduce.ts
@@ -0,0 +1,106 @@
+/** The root reducer: one event in, effects out, and the next state. */
+import { handleHostList, handleUsage } from './control/hosts.js';
+import { tickControl } from './control/index.js';
+import { handleTasks } from './control/jobs.js';
+import { deliver, handlePeerLinked, handlePeerMessage } from './deliver.js';
+import { applyUsage, tickDispatch } from './dispatch/index.js';
+import type { Step } from './effect.js';
+import type { Event } from './event.js';
+import { findTransitionFaults } from './invariants/check-state.js';
+import { reportFaults } from './invariants/fault.js';
+import { appendFleetRecord, isRegistered, tickMembership } from './membership/index.js';
+import { handleRecordsRead } from './records.js';
+import {
+  handleAttemptCompleted,
+  handleAttemptFailed,
+  handleAttemptResponded,
+  handleCallerLeft,
+  handleDeadline,
+  handleRequestArrived,
+  handleSilence,
+  tickRequests,
+} from './requests/index.js';
+import { flushKeys, handleAppendSettled, KEY_BATCH_TIMER } from './requests/keys.js';
+import type { State } from './state.js';
+
+function* handleTick(state: State): Step<State> {
+  const alive = yield* tickMembership(state);
+  const served = yield* tickDispatch(alive, deliver);
+  const asked = yield* tickRequests(served, deliver);
+  return yield* tickControl(asked);
+}
+
+function* handleTimer(state: State, timerId: string): Step<State> {
+  if (timerId === KEY_BATCH_TIMER) return yield* flushKeys(state);
+  const slash = timerId.indexOf('/');
+  const subject = timerId.slice(slash + 1);
+  return timerId.startsWith('silence/')
+    ? yield* handleSilence(state, subject, deliver)
+    : yield* handleDeadline(state, subject, deliver);
+}
+
+/** Takes this process out of the members once its last request is over. */
+function* leave(state: State): Step<State> {
+  if (!isRegistered(state)) return state;
+  const { processId, incarnation } = state.identity;
+  return yield* appendFleetRecord(state, { kind: 'process-removed', processId, incarnation });
+}
+
+function* handle(state: State, event: Event): Step<State> {
+  switch (event.kind) {
+    case 'ticked':
+      return yield* handleTick(state);
+    case 'timer-fired':
+      return yield* handleTimer(state, event.timerId);
+    case 'records-read':
+      return yield* handleRecordsRead(state, event);
+    case 'append-settled':
+      return yield* handleAppendSettled(state, event.recordId, event.outcome === 'stored');
+    case 'request-arrived':
+      return yield* handleRequestArrived(state, event, deliver);
+    case 'caller-left':
+      return yield* handleCallerLeft(state, event.requestId, deliver);
+    case 'attempt-responded':
+      return yield* handleAttemptResponded(state, event);
+    case 'attempt-completed':
+      return yield* handleAttemptCompleted(state, event, deliver);
+    case 'attempt-failed':
+      return yield* handleAttemptFailed(state, event, deliver);
+    case 'peer-linked':
+      return handlePeerLinked(state, event.processId);
+    case 'peer-message-received':
+      if (event.message.kind === 'records-pushed') {
+        const { stream, records } = event.message;
+        return yield* handleRecordsRead(state, {
+          kind: 'records-read',
+          at: event.at,
+          stream,
+          records,
+          readStartedAt: null,
+        });
+      }
+      return yield* handlePeerMessage(state, event.from, event.incarnation, event.message);
+    case 'host-list-read':
+      return handleHostList(state, event);
+    case 'usage-read':
+      return yield* applyUsage(handleUsage(state, event), event.asOf, event.usage, deliver);
+    case 'tasks-read':
+      return yield* handleTasks(state, event);
+    case 'stop-requested':
+      return { ...state, stopping: true };
+    case 'leave-requested':
+      return yield* leave(state);
+    default:
+      return state;
+  }
+}
+
+/**
+ * Reduces one event. Pure: equal states and events give equal effects and states. What must always hold is
+ * checked on the step as a whole; a fault is yielded as a logged decision.
+ */
+export function* reduce(before: State, event: Event): Step<State> {
+  const after = yield* handle({ ...before, now: event.at }, event);
+  yield* reportFaults(findTransitionFaults(before, after));
+  return after;
+}
--- /dev/null
+++ b/packages/core/src/requests/keys.ts
@@ -0,0 +1,114 @@
+/** Claims idempotency keys through the log before their work may run, and records how it ended. */
+import {
+  addMilliseconds,
+  type KeyClaim,
+  type KeyOutcome,
+  type RecordBody,
+  type StoredRecord,
+} from '@baobabdeck/types';
+import type { Effect, Step } from '../effect.js';
+import { makeRecord, type State } from '../state.js';
+import type { KeyBatch, KeyEnd } from './requests-state.js';
+
+/** Time between two records of one gateway: it bounds the appends, whatever the load. */
+export const KEY_BATCH_MILLISECONDS = 25;
+
+/** Claims or ends in one record. */
+const KEYS_PER_RECORD = 200;
+
+/** The timer of the next record. */
+export const KEY_BATCH_TIMER = 'key-batch';
+
+function setBatch(state: State, keyBatch: KeyBatch): State {
+  return { ...state, requests: { ...state.requests, keyBatch } };
+}
+
+function* armTimer(state: State): Step<State> {
+  if (state.requests.keyBatch.timerSet) return state;
+  yield {
+    kind: 'set-timer',
+    timerId: KEY_BATCH_TIMER,
+    at: addMilliseconds(state.now, KEY_BATCH_MILLISECONDS),
+  };
+  return setBatch(state, { ...state.requests.keyBatch, timerSet: true });
+}
+
+/** Adds a claim to the next record. */
+export function* addClaim(state: State, claim: KeyClaim): Step<State> {
+  const batch = state.requests.keyBatch;
+  return yield* armTimer(setBatch(state, { ...batch, claims: batch.claims.push(claim) }));
+}
+
+/** Adds the end of claimed work to the next record. */
+export function* addEnd(state: State, end: KeyEnd): Step<State> {
+  const batch = state.requests.keyBatch;
+  return yield* armTimer(setBatch(state, { ...batch, ends: batch.ends.push(end) }));
+}
+
+/** Records how a request's work ended, where it holds a key. */
+export function* recordOutcome(
+  state: State,
+  requestId: string,
+  keyHash: string | null,
+  outcome: KeyOutcome,
+): Step<State> {
+  return keyHash === null ? state : yield* addEnd(state, { keyHash, requestId, outcome });
+}
+
+function* appendKeys(state: State, body: RecordBody): Step<State> {
+  const [next, record] = makeRecord(state, body, state.fold.keys.nextOffset);
+  const effect: Effect = { kind: 'append', stream: 'keys', record };
+  yield effect;
+  const batch = next.requests.keyBatch;
+  return setBatch(next, { ...batch, inFlight: batch.inFlight.set(record.id, record) });
+}
+
+function* flushClaims(state: State): Step<State> {
+  const batch = state.requests.keyBatch;
+  const claims = batch.claims.take(KEYS_PER_RECORD).toArray();
+  if (claims.length === 0) return state;
+  const { processId, incarnation } = state.identity;
+  const body: RecordBody = {
+    kind: 'keys-claimed',
+    processId,
+    incarnation,
+    claims,
+    memoryMilliseconds: state.parameters.keyMemoryMilliseconds,
+    untimedLimit: state.parameters.untimedKeyLimit,
+  };
+  return yield* appendKeys(setBatch(state, { ...batch, claims: batch.claims.skip(KEYS_PER_RECORD) }), body);
+}
+
+function* flushEnds(state: State): Step<State> {
+  const batch = state.requests.keyBatch;
+  const ends = batch.ends.take(KEYS_PER_RECORD).toArray();
+  if (ends.length === 0) return state;
+  return yield* appendKeys(setBatch(state, { ...batch, ends: batch.ends.skip(KEYS_PER_RECORD) }), {
+    kind: 'keys-ended',
+    ends,
+  });
+}
+
+/** Sends what was gathered. */
+export function* flushKeys(state: State): Step<State> {
+  const idle = setBatch(state, { ...state.requests.keyBatch, timerSet: false });
+  const claimed = yield* flushClaims(idle);
+  const ended = yield* flushEnds(claimed);
+  const left = ended.requests.keyBatch;
+  return left.claims.isEmpty() && left.ends.isEmpty() ? ended : yield* armTimer(ended);
+}
+
+/** An append ended: what the log did not certainly take is sent again under the same id. */
+export function* handleAppendSettled(state: State, recordId: string, stored: boolean): Step<State> {
+  const record = state.requests.keyBatch.inFlight.get(recordId);
+  if (stored || record === undefined) return state;
+  yield { kind: 'append', stream: 'keys', record };
+  return state;
+}
+
+/** A record was read back: it need not be sent again. */
+export function forgetRecord(state: State, { record }: StoredRecord): State {
+  const batch = state.requests.keyBatch;
+  if (record === null || !batch.inFlight.has(record.id)) return state;
+  return setBatch(state, { ...batch, inFlight: batch.inFlight.remove(record.id) });
+}
--- /dev/null
+++ b/packages/core/src/requests/release-slot.ts
@@ -0,0 +1,31 @@
+/** Gives slots back to their dispatcher. */
+import { millisecondsBetween, type AttemptOutcome, type PeerMessage } from '@baobabdeck/types';
+import type { Step } from '../effect.js';
+import type { State } from '../state.js';
+
+/** Sends a message to a process, or handles it here when the process is this one. */
+export type Deliver = (state: State, to: string, message: PeerMessage) => Step<State>;
+
+/** Gives a slot back that this gateway uses; without effect for one that it does not use. */
+export function* releaseSlot(
+  state: State,
+  slotRequestId: string,
+  outcome: AttemptOutcome,
+  deliver: Deliver,
+): Step<State> {
+  const slot = state.requests.heldSlots.get(slotRequestId);
+  if (slot === undefined) return state;
+  const heldSlots = state.requests.heldSlots.remove(slotRequestId);
+  const released: State = { ...state, requests: { ...state.requests, heldSlots } };
+  const dispatcher = state.dispatchers.get(slot.pool);
+  if (dispatcher === undefined) return released;
+  const runMilliseconds = Math.max(0, millisecondsBetween(slot.startedAt, state.now));
+  const message = {
+    kind: 'slot-released',
+    pool: slot.pool,
+    slotRequestId,
+    outcome,
+    runMilliseconds,
+  } as const;
+  return yield* deliver(released, dispatcher, message);
+}
--- /dev/null
+++ b/packages/core/src/selectors.ts
@@ -0,0 +1,112 @@
+/** Derived values for programs and operators. */
+import { millisecondsBetween, type StreamName } from '@baobabdeck/types';
+import { isLapsed } from './membership/contact.js';
+import { isRegistered, selectPeers } from './membership/index.js';
+import { pickByRendezvous } from './routing/rendezvous.js';
+import type { State } from './state.js';
+
+/** Whether the balancer may send new requests here, and why not. */
+export interface Readiness {
+  readonly ready: boolean;
+  readonly reason: string;
+}
+
+/** Readiness of a process. */
+export function selectReadiness(state: State): Readiness {
+  if (state.stopping) return { ready: false, reason: 'stopping' };
+  if (state.fold.fleet.configuration.version === 0) {
+    return { ready: false, reason: 'no configuration is in force' };
+  }
+  if (!isRegistered(state)) return { ready: false, reason: 'not registered in the log yet' };
+  if (isLapsed(state)) return { ready: false, reason: 'heard neither the log nor a peer lately' };
+  return { ready: true, reason: 'ready' };
+}
+
+/** One peer as seen from a process. */
+export interface PeerSummary {
+  readonly processId: string;
+  readonly role: string;
+  readonly silentMilliseconds: number | null;
+  readonly fleetOffset: number | null;
+  readonly configurationVersion: number | null;
+}
+
+/** The state of a process in short, as its admin port shows it. */
+export interface StatusSummary {
+  readonly processId: string;
+  readonly incarnation: string;
+  readonly role: string;
+  readonly readiness: Readiness;
+  readonly configurationVersion: number;
+  readonly fleetOffset: number;
+  readonly keysOffset: number;
+  readonly keysRemembered: number;
+  readonly requestsInProgress: number;
+  readonly pools: readonly PoolSlots[];
+  readonly peers: readonly PeerSummary[];
+}
+
+/** Slots of a pool that a process dispatches. */
+export interface PoolSlots {
+  readonly pool: string;
+  readonly ready: boolean;
+  readonly totalSlots: number;
+  readonly freeSlots: number;
+  readonly longBusy: number;
+  readonly unsettled: number;
+  readonly waiting: number;
+  readonly ejected: number;
+}
+
+function summarizePools(state: State): readonly PoolSlots[] {
+  return [...state.dispatch.values()].map((view) => ({
+    pool: view.pool,
+    ready: view.ready,
+    totalSlots: view.totalSlots,
+    freeSlots: view.freeSlots,
+    longBusy: view.longBusy,
+    unsettled: view.unsettledCount,
+    waiting: view.waiting.size,
+    ejected: view.ejectedCount,
+  }));
+}
+
+function summarizePeers(state: State): readonly PeerSummary[] {
+  return selectPeers(state).map(({ identity }) => {
+    const peer = state.membership.peers.get(identity.processId);
+    return {
+      processId: identity.processId,
+      role: identity.role,
+      silentMilliseconds: peer === undefined ? null : millisecondsBetween(peer.lastHeardAt, state.now),
+      fleetOffset: peer?.fleetOffset ?? null,
+      configurationVersion: peer?.configurationVersion ?? null,
+    };
+  });
+}
+
+/** A process's state in short. */
+export function selectStatus(state: State): StatusSummary {
+  return {
+    processId: state.identity.processId,
+    incarnation: state.identity.incarnation,
+    role: state.identity.role,
+    readiness: selectReadiness(state),
+    configurationVersion: state.fold.fleet.configuration.version,
+    fleetOffset: state.fold.fleet.nextOffset,
+    keysOffset: state.fold.keys.nextOffset,
+    keysRemembered: state.fold.keys.timedKeys.size + state.fold.keys.untimedKeys.size,
+    requestsInProgress: state.requests.byId.size,
+    pools: summarizePools(state),
+    peers: summarizePeers(state),
+  };
+}
+
+/** The process that writes the next snapshot of a stream, or null where none takes part. */
+export function selectSnapshotWriter(state: State, stream: StreamName): string | null {
+  const role = stream === 'fleet' ? 'controller' : 'gateway';
+  const members = [...state.fold.fleet.members.values()].filter((member) => member.identity.role === role);
+  return pickByRendezvous(
+    `snapshot/${stream}`,
+    members.map((member) => member.identity.processId),
+  );
+}
--- /dev/null
+++ b/packages/gateway/bin/baobabdeck-gateway.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/packages/local-system/src/index.ts
@@ -0,0 +1,4 @@
+/** Runs the whole system as plain processes on loopback. */
+export * from './launch.js';
+export * from './layout.js';
+export * from './system.js';
--- /dev/null
+++ b/packages/observability/src/admin-server.ts
@@ -0,0 +1,64 @@
+/** The admin port: what balancer, operators and Prometheus ask a process. */
+import { createServer } from 'node:http';
+import Koa from 'koa';
+import type { Registry } from 'prom-client';
+
+/** What the admin server asks of its process. */
+export interface AdminQueries {
+  readonly readiness: () => { readonly ready: boolean; readonly reason: string };
+  readonly status: () => unknown;
+  /** A subject explained, or null; the path is `/explain/<kind>/<name>`. */
+  readonly explain: (kind: string, name: string) => unknown;
+  readonly registry: Registry;
+}
+
+/** A listening admin server. */
+export interface AdminServer {
+  readonly port: number;
+  readonly close: () => void;
+}
+
+const UNAVAILABLE = 503;
+const NOT_FOUND = 404;
+
+async function answer(ctx: Koa.Context, queries: AdminQueries): Promise<void> {
+  const [, section, kind, ...rest] = ctx.path.split('/');
+  if (ctx.path === '/health') {
+    ctx.body = { alive: true };
+  } else if (ctx.path === '/ready') {
+    const readiness = queries.readiness();
+    if (!readiness.ready) ctx.status = UNAVAILABLE;
+    ctx.body = readiness;
+  } else if (ctx.path === '/metrics') {
+    ctx.type = queries.registry.contentType;
+    ctx.body = await queries.registry.metrics();
+  } else if (ctx.path === '/status') {
+    ctx.body = queries.status();
+  } else if (section === 'explain' && kind !== undefined) {
+    const explanation = queries.explain(kind, decodeURIComponent(rest.join('/')));
+    if (explanation === null) ctx.status = NOT_FOUND;
+    ctx.body = explanation ?? { error: `Nothing is known of ${kind} '${rest.join('/')}'` };
+  } else {
+    ctx.status = NOT_FOUND;
+    ctx.body = { error: 'Expected /health, /ready, /metrics, /status or /explain/<kind>/<name>' };
+  }
+}
+
+/** Listens on the admin port. Rejects when the port is taken. */
+export async function listenForAdmin(ip: string, port: number, queries: AdminQueries): Promise<AdminServer> {
+  const application = new Koa();
+  application.use((ctx) => answer(ctx, queries));
+  const server = createServer(application.callback());
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/observability/src/metrics.ts
@@ -0,0 +1,71 @@
+/** Metrics of a process, for Prometheus. docs/ALERTS.md tells when to act on them. */
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+/** Upper bounds in seconds for waiting times and run times. */
+const DURATION_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60];
+
+/** Upper bounds in seconds for one step of the reducer. */
+const STEP_BUCKETS = [0.000_01, 0.000_05, 0.000_1, 0.000_5, 0.001, 0.005, 0.01, 0.05];
+
+/** The metrics that the programs write. */
+export interface Metrics {
+  readonly registry: Registry;
+  readonly answers: Counter<'service' | 'result'>;
+  readonly attempts: Counter<'result'>;
+  readonly requestSeconds: Histogram<'service'>;
+  readonly waitSeconds: Histogram<'service'>;
+  readonly openRequests: Gauge;
+  readonly reduceSeconds: Histogram<'event'>;
+  readonly appends: Counter<'stream' | 'result'>;
+  readonly peerMessages: Counter<'direction' | 'kind'>;
+  readonly invariantViolations: Counter<'invariant'>;
+  readonly configurationVersion: Gauge;
+  readonly foldedOffset: Gauge<'stream'>;
+  readonly ready: Gauge;
+  readonly decisions: Counter<'decision'>;
+}
+
+/** Creates the metrics of one process, in a registry of its own. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  collectDefaultMetrics({ register: registry });
+  const counter = <L extends string>(name: string, help: string, labelNames: L[]): Counter<L> =>
+    new Counter({ name: `baobabdeck_${name}`, help, labelNames, registers });
+  const gauge = <L extends string>(name: string, help: string, labelNames: L[]): Gauge<L> =>
+    new Gauge({ name: `baobabdeck_${name}`, help, labelNames, registers });
+  const histogram = <L extends string>(
+    name: string,
+    help: string,
+    labelNames: L[],
+    buckets: number[],
+  ): Histogram<L> => new Histogram({ name: `baobabdeck_${name}`, help, labelNames, buckets, registers });
+  return {
+    registry,
+    answers: counter('answers_total', 'Answers to callers by service and result', ['service', 'result']),
+    attempts: counter('attempts_total', 'Attempts at targets by result', ['result']),
+    requestSeconds: histogram(
+      'request_seconds',
+      'Time from request to whole answer',
+      ['service'],
+      DURATION_BUCKETS,
+    ),
+    waitSeconds: histogram(
+      'wait_seconds',
+      'Time from request to the start of its first attempt',
+      ['service'],
+      DURATION_BUCKETS,
+    ),
+    openRequests: gauge('open_requests', 'Requests in progress', []),
+    reduceSeconds: histogram('reduce_seconds', 'Time of one step of the reducer', ['event'], STEP_BUCKETS),
+    appends: counter('appends_total', 'Appends to the log by stream and result', ['stream', 'result']),
+    peerMessages: counter('peer_messages_total', 'Messages between processes', ['direction', 'kind']),
+    invariantViolations: counter('invariant_violations_total', 'Violations of what must always hold', [
+      'invariant',
+    ]),
+    configurationVersion: gauge('configuration_version', 'Version of the configuration in force', []),
+    foldedOffset: gauge('folded_offset', 'Next offset to fold', ['stream']),
+    ready: gauge('ready', '1 when the balancer may send requests', []),
+    decisions: counter('decisions_total', 'Logged decisions by name', ['decision']),
+  };
+}
--- /dev/null
+++ b/packages/peer-protocol/src/server.ts
@@ -0,0 +1,89 @@
+/** Takes the connections of peers. */
+import { createServer, type Server, type Socket } from 'node:net';
+import type { PeerMessage } from '@baobabdeck/types';
+import { createFrameReader } from './codec.js';
+import { readHello, type Hello } from './hello.js';
+import { isPeerMessage } from './message-shape.js';
+
+/** What a server does with what comes in. */
+export interface PeerServerHandlers {
+  readonly onLinked: (from: Hello) => void;
+  /** Returns false when the message cannot be worked with: the connection is closed then. */
+  readonly onMessage: (from: Hello, message: PeerMessage) => boolean;
+  readonly onFault: (remote: string, reason: string) => void;
+}
+
+/** Time without a byte after which a connection is taken for dead. */
+const SILENCE_MILLISECONDS = 10_000;
+
+function serveConnection(socket: Socket, current: Map<string, Socket>, handlers: PeerServerHandlers): void {
+  const read = createFrameReader();
+  const remote = `${socket.remoteAddress ?? 'unknown'}:${socket.remotePort ?? 0}`;
+  let from: Hello | null = null;
+  const reject = (reason: string): void => {
+    handlers.onFault(remote, reason);
+    socket.destroy();
+  };
+  const greet = (content: unknown): void => {
+    const hello = readHello(content);
+    if (typeof hello === 'string') {
+      reject(hello);
+      return;
+    }
+    from = hello;
+    // What an older connection of the same process still holds is out of date.
+    current.get(hello.processId)?.destroy();
+    current.set(hello.processId, socket);
+    handlers.onLinked(hello);
+  };
+  const take = (content: unknown): void => {
+    if (socket.destroyed) return;
+    if (from === null) greet(content);
+    else if (!isPeerMessage(content)) reject('a frame holds no known message');
+    else if (!handlers.onMessage(from, content)) reject('a message could not be worked with');
+  };
+  socket.setNoDelay(true);
+  socket.setTimeout(SILENCE_MILLISECONDS, () => socket.destroy());
+  socket.on('error', () => socket.destroy());
+  socket.on('data', (chunk: Buffer) => {
+    const { contents, fault } = read(chunk);
+    contents.forEach(take);
+    if (fault !== null && !socket.destroyed) reject(`frame ${fault}`);
+  });
+  socket.on('close', () => {
+    if (from !== null && current.get(from.processId) === socket) current.delete(from.processId);
+  });
+}
+
+/** A listening server. */
+export interface PeerServer {
+  readonly port: number;
+  readonly close: () => void;
+}
+
+/** Listens for peers. Rejects when the port is taken. */
+export async function listenForPeers(
+  ip: string,
+  port: number,
+  handlers: PeerServerHandlers,
+): Promise<PeerServer> {
+  const current = new Map<string, Socket>();
+  const sockets = new Set<Socket>();
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    serveConnection(socket, current, handlers);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform-stub/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-in for the platform. */
+export { startPlatformStub, type PlatformStub } from './server.js';
--- /dev/null
+++ b/packages/process/src/event-loop.ts
@@ -0,0 +1,93 @@
+/** Runs the reducer: one event at a time, its effects after its state. */
+import { performance } from 'node:perf_hooks';
+import { reduce, type Effect, type Event, type State } from '@baobabdeck/core';
+import type { Metrics, WriteEvent } from '@baobabdeck/observability';
+import type { Clock } from '@baobabdeck/types';
+
+/** An event without its time, which the loop adds. */
+export type EventBody = Event extends infer E ? (E extends Event ? Omit<E, 'at'> : never) : never;
+
+/** Carries out one effect; log effects are carried out by the loop itself. */
+export type PerformEffect = (effect: Effect) => void;
+
+/** The running reducer. */
+export interface EventLoop {
+  readonly state: () => State;
+  /** Reduces an event. Returns false when the event could not be worked with: nothing has changed then. */
+  readonly dispatch: (event: EventBody) => boolean;
+  /** Sets what carries effects out. Effects that come before are lost, so this comes first. */
+  readonly attach: (perform: PerformEffect) => void;
+}
+
+/** What a loop needs. */
+export interface EventLoopParts {
+  readonly initial: State;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly writeEvent: WriteEvent;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Creates the loop of a process. */
+export function createEventLoop({ initial, clock, metrics, writeEvent }: EventLoopParts): EventLoop {
+  let state = initial;
+  let perform: PerformEffect = () => undefined;
+  const queue: EventBody[] = [];
+  let busy = false;
+
+  const logDecision = (effect: Extract<Effect, { readonly kind: 'log' }>): void => {
+    metrics.decisions.inc({ decision: effect.decision });
+    if (effect.decision === 'invariantViolated') {
+      metrics.invariantViolations.inc({ invariant: String(effect.fields.invariant) });
+    }
+    writeEvent(effect.decision, effect.fields);
+  };
+
+  const step = (event: EventBody): boolean => {
+    const startedAt = performance.now();
+    const effects: Effect[] = [];
+    try {
+      const steps = reduce(state, { ...event, at: clock.now() });
+      let result = steps.next();
+      while (!result.done) {
+        effects.push(result.value);
+        result = steps.next();
+      }
+      state = result.value;
+    } catch (error) {
+      // The state is as it was before the event, and no effect of it was carried out.
+      writeEvent('unexpectedError', { kind: event.kind, err: error });
+      return false;
+    }
+    metrics.reduceSeconds.observe(
+      { event: event.kind },
+      (performance.now() - startedAt) / MILLISECONDS_PER_SECOND,
+    );
+    effects.forEach((effect) => (effect.kind === 'log' ? logDecision(effect) : perform(effect)));
+    return true;
+  };
+
+  const dispatch = (event: EventBody): boolean => {
+    if (busy) {
+      queue.push(event);
+      return true;
+    }
+    busy = true;
+    try {
+      const understood = step(event);
+      for (let next = queue.shift(); next !== undefined; next = queue.shift()) step(next);
+      return understood;
+    } finally {
+      busy = false;
+    }
+  };
+
+  return {
+    state: () => state,
+    dispatch,
+    attach: (performEffect) => {
+      perform = performEffect;
+    },
+  };
+}
--- /dev/null
+++ b/packages/process/src/index.ts
@@ -0,0 +1,6 @@
+/** What the gateway and the controller share. */
+export * from './bootstrap.js';
+export * from './event-loop.js';
+export * from './ports.js';
+export * from './program.js';
+export * from './runtime.js';
--- /dev/null
+++ b/packages/process/src/platform-effects.ts
@@ -0,0 +1,91 @@
+/** Carries out effects on the platform, and asks it for hosts and tasks. */
+import type { Effect } from '@baobabdeck/core';
+import type { Result } from '@baobabdeck/errors';
+import type { WriteEvent } from '@baobabdeck/observability';
+import type { Platform } from '@baobabdeck/platform';
+import type { EventBody } from './event-loop.js';
+
+/** Time between two looks at the host list and the tasks. */
+const POLL_MILLISECONDS = 1_000;
+
+/** What the effects need. */
+export interface PlatformEffectParts {
+  readonly platform: Platform;
+  readonly writeEvent: WriteEvent;
+  readonly dispatch: (event: EventBody) => boolean;
+  readonly isController: boolean;
+}
+
+/** Effects on the platform. */
+export interface PlatformEffects {
+  /** Carries out an effect; false for one that does not concern the platform. */
+  readonly perform: (effect: Effect) => boolean;
+  /** Looks at the platform when it is time to. */
+  readonly poll: () => void;
+}
+
+/** Creates the effects of a process. */
+export function createPlatformEffects({
+  platform,
+  writeEvent,
+  dispatch,
+  isController,
+}: PlatformEffectParts): PlatformEffects {
+  let usageInFlight = false;
+  let pollInFlight = false;
+  let nextPollAt = 0;
+
+  const report = async (call: string, result: Promise<Result<unknown>>): Promise<void> => {
+    const settled = await result;
+    if (!settled.ok) writeEvent('platformCallFailed', { call, detail: settled.failure.detail });
+  };
+
+  const readUsage = async (hostIds: readonly string[]): Promise<void> => {
+    if (usageInFlight) return;
+    usageInFlight = true;
+    const usage = await platform.readUsage(hostIds);
+    usageInFlight = false;
+    if (usage.ok) dispatch({ kind: 'usage-read', asOf: usage.value.asOf, usage: usage.value.usage });
+  };
+
+  const pollOnce = async (): Promise<void> => {
+    const hosts = await platform.listHosts();
+    if (hosts.ok) dispatch({ kind: 'host-list-read', asOf: hosts.value.asOf, hosts: hosts.value.hosts });
+    const tasks = await platform.listTasks();
+    if (tasks.ok) dispatch({ kind: 'tasks-read', tasks: tasks.value });
+  };
+
+  const perform = (effect: Effect): boolean => {
+    switch (effect.kind) {
+      case 'read-usage':
+        void readUsage(effect.hostIds);
+        return true;
+      case 'reboot-host':
+        void report('reboot', platform.rebootHost(effect.hostId));
+        return true;
+      case 'start-task':
+        void report('start task', platform.startTask(effect.hostId, effect.leaseId, effect.job));
+        return true;
+      case 'checkpoint-task':
+        void report('checkpoint task', platform.checkpointTask(effect.leaseId));
+        return true;
+      case 'stop-task':
+        void report('stop task', platform.stopTask(effect.leaseId));
+        return true;
+      default:
+        return false;
+    }
+  };
+
+  const poll = (): void => {
+    const now = performance.now();
+    if (!isController || pollInFlight || now < nextPollAt) return;
+    pollInFlight = true;
+    nextPollAt = now + POLL_MILLISECONDS;
+    void pollOnce().finally(() => {
+      pollInFlight = false;
+    });
+  };
+
+  return { perform, poll };
+}
--- /dev/null
+++ b/packages/settings/src/check-references.ts
@@ -0,0 +1,122 @@
+/** Faults between sections: names without a section, hosts listed twice, budgets that no pool can keep. */
+import { faultOf, type SettingsFault } from './fault.js';
+import type { FleetFile } from './schema.js';
+
+interface Reference {
+  readonly place: string;
+  readonly name: string;
+  readonly kind: 'pools' | 'hardware' | 'data-centres';
+}
+
+function listReferences(fleet: FleetFile): readonly Reference[] {
+  const ofServices = Object.entries(fleet.services).map(([name, service]): Reference => ({
+    place: `services.${name}.pool`,
+    name: service.pool,
+    kind: 'pools',
+  }));
+  const ofRacks = Object.entries(fleet.racks).flatMap(([name, rack]): readonly Reference[] => [
+    { place: `racks.${name}.pool`, name: rack.pool, kind: 'pools' },
+    { place: `racks.${name}.hardware`, name: rack.hardware, kind: 'hardware' },
+    { place: `racks.${name}.data-centre`, name: rack['data-centre'], kind: 'data-centres' },
+  ]);
+  return [...ofServices, ...ofRacks];
+}
+
+function findMissing(fleet: FleetFile, file: string): readonly SettingsFault[] {
+  return listReferences(fleet)
+    .filter((reference) => !(reference.name in fleet[reference.kind]))
+    .map((reference) =>
+      faultOf(
+        'missingReference',
+        file,
+        reference.place,
+        `'${reference.name}' is not one of the ${reference.kind}`,
+        `Add [${reference.kind}.${reference.name}] or correct the name`,
+      ),
+    );
+}
+
+interface PlacedHost {
+  readonly place: string;
+  readonly id: string;
+  readonly address: string;
+  readonly pool: string;
+}
+
+function listHosts(fleet: FleetFile): readonly PlacedHost[] {
+  return Object.entries(fleet.racks).flatMap(([name, rack]) =>
+    rack.hosts.map((host, index) => ({ ...host, place: `racks.${name}.hosts.${index}`, pool: rack.pool })),
+  );
+}
+
+function findRepeated(
+  hosts: readonly PlacedHost[],
+  key: 'id' | 'address',
+  file: string,
+): readonly SettingsFault[] {
+  const firstPlaces = new Map<string, string>();
+  return hosts.flatMap((host) => {
+    const earlier = firstPlaces.get(host[key]);
+    if (earlier === undefined) {
+      firstPlaces.set(host[key], host.place);
+      return [];
+    }
+    const detail = `The host ${key} '${host[key]}' stands already at ${earlier}`;
+    return [
+      faultOf(
+        'duplicateHost',
+        file,
+        `${host.place}.${key}`,
+        detail,
+        'A host belongs to one rack and one pool',
+      ),
+    ];
+  });
+}
+
+function findBudgetFaults(
+  fleet: FleetFile,
+  hosts: readonly PlacedHost[],
+  file: string,
+): readonly SettingsFault[] {
+  return Object.entries(fleet.pools).flatMap(([name, pool]) => {
+    const size = hosts.filter((host) => host.pool === name).length;
+    const budget = pool['maximum-absent-hosts'];
+    const reserve = pool['failure-reserve-hosts'];
+    const faults: SettingsFault[] = [];
+    if (budget > 0 && budget >= size) {
+      faults.push(
+        faultOf(
+          'budgetLargerThanPool',
+          file,
+          `pools.${name}.maximum-absent-hosts`,
+          `Expected fewer than the pool's ${size} hosts, found ${budget}`,
+          'Lower the budget or add hosts',
+        ),
+      );
+    }
+    if (reserve > budget) {
+      faults.push(
+        faultOf(
+          'budgetLargerThanPool',
+          file,
+          `pools.${name}.failure-reserve-hosts`,
+          `Expected at most maximum-absent-hosts, ${budget}, found ${reserve}`,
+          'The reserve is a part of the budget',
+        ),
+      );
+    }
+    return faults;
+  });
+}
+
+/** Every fault between the sections of a fleet file. */
+export function checkReferences(fleet: FleetFile, file: string): readonly SettingsFault[] {
+  const hosts = listHosts(fleet);
+  return [
+    ...findMissing(fleet, file),
+    ...findRepeated(hosts, 'id', file),
+    ...findRepeated(hosts, 'address', file),
+    ...findBudgetFaults(fleet, hosts, file),
+  ];
+}
--- /dev/null
+++ b/packages/settings/src/parse-document.ts
@@ -0,0 +1,32 @@
+/** Turns the text of a TOML file into plain data. */
+import { parse, TomlError } from 'smol-toml';
+import { faultOf, type SettingsFault } from './fault.js';
+
+/** A table of a TOML document. */
+export type TomlTable = Readonly<Record<string, unknown>>;
+
+/** The text of a file and the name that faults give it. */
+export interface SettingsText {
+  readonly file: string;
+  readonly text: string;
+}
+
+/** A document, or the faults that stand in its place. */
+export type Checked<T> =
+  | { readonly ok: true; readonly value: T }
+  | { readonly ok: false; readonly faults: readonly SettingsFault[] };
+
+/** Parses one TOML document. */
+export function parseDocument({ file, text }: SettingsText): Checked<TomlTable> {
+  try {
+    return { ok: true, value: parse(text) };
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const place = `line ${error.line}, column ${error.column}`;
+    const [reason = 'Invalid TOML'] = error.message.split('\n');
+    return {
+      ok: false,
+      faults: [faultOf('malformedToml', file, place, reason, 'Mend the syntax at this place')],
+    };
+  }
+}
--- /dev/null
+++ b/packages/test-tools/src/index.ts
@@ -0,0 +1,1 @@
+export * from './describe.js';
--- /dev/null
+++ b/packages/types/src/peer-message.ts
@@ -0,0 +1,97 @@
+/** Messages between the processes of the system. */
+import type { StoredRecord, StreamName } from './record.js';
+import type { CapabilityNeed, TargetAddress } from './request.js';
+
+/** A slot that a gateway asks the pool's dispatcher for. */
+export interface SlotRequest {
+  readonly slotRequestId: string;
+  readonly pool: string;
+  readonly caller: string;
+  readonly workKind: string;
+  readonly needs: readonly CapabilityNeed[];
+  readonly repeatable: boolean;
+  /** The caller's word on how long the work runs; it may be wrong. */
+  readonly hint: 'short' | 'long' | null;
+  readonly longWorkThresholdMilliseconds: number;
+  /** Time that is left to the caller when the message is sent. */
+  readonly remainingMilliseconds: number;
+  /** A target that already failed this request; another is preferred. */
+  readonly avoidHostId: string | null;
+}
+
+/** A slot in use, as its holder reports it to a new dispatcher. */
+export interface SlotHolding {
+  readonly slotRequestId: string;
+  readonly hostId: string;
+  readonly caller: string;
+  readonly workKind: string;
+  readonly longWorkThresholdMilliseconds: number;
+  readonly remainingMilliseconds: number;
+}
+
+/** A slot that a former dispatcher kept in use because its work may still run. */
+export interface UnsettledSlot {
+  readonly slotRequestId: string;
+  readonly hostId: string;
+  /** Time until which the slot stays in use without word from the platform. */
+  readonly settleInMilliseconds: number;
+}
+
+/** How an attempt ended, as the dispatcher needs to know it. */
+export type AttemptOutcome = 'succeeded' | 'failed' | 'refused' | 'abandoned' | 'unused';
+
+/** What one process says to another. */
+export type PeerMessage =
+  | {
+      readonly kind: 'heartbeat';
+      readonly sequence: number;
+      /** The last sequence heard from the receiver; 0 before any. */
+      readonly echo: number;
+      readonly fleetOffset: number;
+      readonly configurationVersion: number;
+      /** Hosts with work of the sender in progress, and how much; only hosts that are draining are listed. */
+      readonly drainingInFlight: readonly { readonly hostId: string; readonly count: number }[];
+    }
+  | { readonly kind: 'slot-requested'; readonly request: SlotRequest }
+  | { readonly kind: 'slot-cancelled'; readonly pool: string; readonly slotRequestId: string }
+  | {
+      readonly kind: 'slot-granted';
+      readonly pool: string;
+      readonly slotRequestId: string;
+      readonly target: TargetAddress;
+    }
+  | {
+      readonly kind: 'slot-refused';
+      readonly pool: string;
+      readonly slotRequestId: string;
+      readonly reason: 'queue-full';
+    }
+  | {
+      readonly kind: 'slot-released';
+      readonly pool: string;
+      readonly slotRequestId: string;
+      readonly outcome: AttemptOutcome;
+      readonly runMilliseconds: number;
+    }
+  | { readonly kind: 'holdings-requested'; readonly pool: string; readonly viewOffset: number }
+  | {
+      readonly kind: 'holdings-reported';
+      readonly pool: string;
+      readonly viewOffset: number;
+      readonly holdings: readonly SlotHolding[];
+      readonly unsettled: readonly UnsettledSlot[];
+    }
+  | { readonly kind: 'answer-requested'; readonly keyHash: string; readonly requestId: string }
+  | { readonly kind: 'answer-found'; readonly requestId: string; readonly answer: HeldAnswer | null }
+  | {
+      readonly kind: 'records-pushed';
+      readonly stream: StreamName;
+      readonly records: readonly StoredRecord[];
+    };
+
+/** A whole answer that is kept for a repeat of the same work. */
+export interface HeldAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+}
