Keep slots within their limits through every race that was found

Found one by one: a stale copy of a waiting request overwrote that it had started, so it was started again (work that may run once ran up to 3 times); slots of a lost dispatcher were counted beside those that survivors reported; slots given up while the dispatcher changed were forgotten; a usage report taken while work was on its way freed the slot of other work; settled slots came back over a new link.

Change: what is done for one request reads the next one anew; a dispatcher that takes over counts unknown slots only after every gateway has reported; gateways remember what they gave up and report it; usage proves a slot free only against work that is certain to have been there; checks of the fold run for each record. Ruled out: the emulator let a paused process poll the log; that was mended too.

--- a/packages/core/src/deliver.ts
+++ b/packages/core/src/deliver.ts
@@ -71,7 +71,12 @@
 /** A new link to a peer: what the old one carried may be lost. */
 export function handlePeerLinked(state: State, processId: string): State {
   const member = state.fold.fleet.members.get(processId);
-  if (member === undefined || member.identity.role !== 'gateway' || selectLastHeard(state, member) === null) {
+  if (
+    member === undefined ||
+    processId === state.identity.processId ||
+    member.identity.role !== 'gateway' ||
+    selectLastHeard(state, member) === null
+  ) {
     return state;
   }
   return awaitHoldings(state, processId);
--- a/packages/core/src/dispatch/dispatch-state.ts
+++ b/packages/core/src/dispatch/dispatch-state.ts
@@ -21,8 +21,8 @@
   readonly grantedAt: Date;
   /** Since when nobody can tell whether the work still runs; null while its holder is heard. */
   readonly unsettledSince: Date | null;
-  /** When an unsettled slot is taken to be free without word from the platform. */
-  readonly settleBy: Date;
+  /** When an unsettled slot is taken to be free without word from the platform; null while its holder is heard. */
+  readonly settleBy: Date | null;
 }
 
 /** How a host has answered lately. */
@@ -80,6 +80,8 @@
   readonly viewOffset: number;
   /** Gateways whose holdings are not known yet. */
   readonly awaiting: PersistentSet<string>;
+  /** Gateways that were lost before they told what they use. */
+  readonly lostUnheard: PersistentSet<string>;
   /** False until the holdings of every gateway were heard once: nothing is granted before. */
   readonly ready: boolean;
   readonly grants: PersistentMap<string, Grant>;
@@ -108,7 +110,8 @@
     pool,
     viewOffset,
     awaiting,
-    ready: awaiting.size === 0,
+    lostUnheard: PersistentSet(),
+    ready: false,
     grants: PersistentMap(),
     hosts: PersistentMap(),
     free: PersistentMap(),
@@ -131,3 +134,10 @@
   ejectedUntil: null,
   probing: false,
 };
+
+/** A slot whose work may still run although nobody hears of it. */
+export interface UnsettledRecord {
+  readonly slotRequestId: string;
+  readonly hostId: string;
+  readonly settleBy: Date;
+}
--- a/packages/core/src/dispatch/health.ts
+++ b/packages/core/src/dispatch/health.ts
@@ -101,7 +101,9 @@
   slotsPerHost: number,
   now: Date,
 ): Step<PoolDispatch> {
-  if (outcome === 'failed') return yield* noteFailure(dispatch, hostId, workKind, now);
+  if (outcome === 'failed' || outcome === 'broken') {
+    return yield* noteFailure(dispatch, hostId, workKind, now);
+  }
   if (outcome === 'succeeded') return yield* noteSuccess(dispatch, hostId, workKind, slotsPerHost);
   if (outcome !== 'refused') return dispatch;
   return updateHostLoad(dispatch, hostId, (load) => ({
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -12,7 +12,7 @@
 import { isLapsed } from '../membership/contact.js';
 import type { State } from '../state.js';
 import { chooseTarget } from './choose-target.js';
-import type { Grant, PoolDispatch, WaitingRequest } from './dispatch-state.js';
+import type { Grant, PoolDispatch, UnsettledRecord, WaitingRequest } from './dispatch-state.js';
 import {
   addGrant,
   reclassifyOverdue,
@@ -24,14 +24,12 @@
 } from './grants.js';
 import { endEjections, noteOutcome } from './health.js';
 import { enqueue, removeWaiting, rotate, selectHead, selectLaneOrder } from './queue.js';
+import { becomeReady, dropSurplusUnsettled, grantOfUnsettled } from './unknown-slots.js';
 import { classify, learnRun } from './work-kinds.js';
 
 /** Requests that may wait for one pool at its dispatcher. */
 const MAXIMUM_WAITING_PER_POOL = 10_000;
 
-/** Time after a request's deadline until which its slot stays in use when nobody hears of the work. */
-const UNSETTLED_GRACE_MILLISECONDS = 1_000;
-
 type Deliver = (state: State, to: string, message: PeerMessage) => Step<State>;
 
 /** The state with a changed view of a pool. */
@@ -77,7 +75,7 @@
     longWorkThresholdMilliseconds: request.longWorkThresholdMilliseconds,
     grantedAt: state.now,
     unsettledSince: null,
-    settleBy: addMilliseconds(entry.deadlineAt, UNSETTLED_GRACE_MILLISECONDS),
+    settleBy: null,
   };
 }
 
@@ -155,9 +153,9 @@
   outcome: AttemptOutcome,
   runMilliseconds: number,
 ): Step<PoolDispatch> {
-  if (outcome === 'abandoned') return unsettleGrant(dispatch, grant, state.now);
   const slotsPerHost = state.fold.fleet.configuration.pools.get(dispatch.pool)?.slotsPerHost ?? 1;
-  const freed = removeGrant(dispatch, grant);
+  const mayRunOn = outcome === 'abandoned' || outcome === 'broken';
+  const freed = mayRunOn ? unsettleGrant(dispatch, grant, state.now) : removeGrant(dispatch, grant);
   const wasLong = runMilliseconds > grant.longWorkThresholdMilliseconds;
   const learned = outcome === 'succeeded' ? learnRun(freed, grant.workKind, wasLong) : freed;
   return yield* noteOutcome(learned, grant.hostId, grant.workKind, outcome, slotsPerHost, state.now);
@@ -178,28 +176,21 @@
 }
 
 function grantOfHolding(state: State, holder: string, holding: SlotHolding): Grant {
-  const deadlineAt = addMilliseconds(state.now, holding.remainingMilliseconds);
   return {
     ...holding,
     holder,
     workClass: 'unproven',
     grantedAt: state.now,
     unsettledSince: null,
-    settleBy: addMilliseconds(deadlineAt, UNSETTLED_GRACE_MILLISECONDS),
+    settleBy: null,
   };
 }
 
-function grantOfUnsettled(state: State, holder: string, slot: UnsettledSlot): Grant {
+function recordOf(state: State, slot: UnsettledSlot): UnsettledRecord {
+  const { slotRequestId, hostId } = slot;
   return {
-    slotRequestId: slot.slotRequestId,
-    hostId: slot.hostId,
-    holder,
-    caller: '',
-    workKind: '',
-    workClass: 'unproven',
-    longWorkThresholdMilliseconds: 0,
-    grantedAt: state.now,
-    unsettledSince: state.now,
+    slotRequestId,
+    hostId,
     settleBy: addMilliseconds(state.now, slot.settleInMilliseconds),
   };
 }
@@ -209,12 +200,17 @@
   dispatch: PoolDispatch,
   holder: string,
   holdings: readonly SlotHolding[],
+  givenUp: ReadonlySet<string>,
 ): PoolDispatch {
   const reported = new Set(holdings.map((holding) => holding.slotRequestId));
   const lost = [...dispatch.grants.values()].filter(
     (grant) => grant.holder === holder && grant.unsettledSince === null && !reported.has(grant.slotRequestId),
   );
-  const cleaned = lost.reduce(removeGrant, dispatch);
+  const cleaned = lost.reduce(
+    (view, grant) =>
+      givenUp.has(grant.slotRequestId) ? unsettleGrant(view, grant, state.now) : removeGrant(view, grant),
+    dispatch,
+  );
   return holdings
     .filter((holding) => !cleaned.grants.has(holding.slotRequestId))
     .reduce((view, holding) => addGrant(view, grantOfHolding(state, holder, holding)), cleaned);
@@ -231,11 +227,17 @@
   if (dispatch === undefined || !dispatch.awaiting.has(holder)) return state;
   if (message.viewOffset < dispatch.viewOffset) return state;
   const awaiting = dispatch.awaiting.remove(holder);
-  const reconciled = reconcile(state, dispatch, holder, message.holdings);
-  const inherited = message.unsettled
-    .filter((slot) => !reconciled.grants.has(slot.slotRequestId))
-    .reduce((view, slot) => addGrant(view, grantOfUnsettled(state, holder, slot)), reconciled);
-  const known = setDispatch(state, { ...inherited, awaiting, ready: dispatch.ready || awaiting.isEmpty() });
+  const givenUp = new Set(message.unsettled.map((slot) => slot.slotRequestId));
+  const reconciled = reconcile(state, dispatch, holder, message.holdings, givenUp);
+  // A dispatcher that was ready before has settled what the former one left.
+  const left = dispatch.ready ? [] : message.unsettled;
+  const inherited = left.reduce(
+    (view, slot) => addGrant(view, grantOfUnsettled(recordOf(state, slot), holder, state.now)),
+    reconciled,
+  );
+  const slotsPerHost = state.fold.fleet.configuration.pools.get(message.pool)?.slotsPerHost ?? 1;
+  const counted = dropSurplusUnsettled(inherited, slotsPerHost);
+  const known = setDispatch(state, becomeReady({ ...counted, awaiting }, state.now));
   return yield* serveWaiting(known, message.pool, deliver);
 }
 
@@ -262,7 +264,9 @@
 export function* tickDispatch(state: State, deliver: Deliver): Step<State> {
   let current = state;
   const unsettled = new Set<string>();
-  for (const [pool, dispatch] of state.dispatch) {
+  for (const pool of state.dispatch.keys()) {
+    const dispatch = current.dispatch.get(pool);
+    if (dispatch === undefined) continue;
     yield* requestHoldings(dispatch);
     const settled = settleByTime(dispatch, state.now);
     const aged = endEjections(reclassifyOverdue(settled, state.now), state.now);
--- a/packages/core/src/dispatch/view.ts
+++ b/packages/core/src/dispatch/view.ts
@@ -1,8 +1,7 @@
 /** Keeps the dispatchers in step with the fold: who hands out which pool's slots, on which hosts. */
-import { addMilliseconds } from '@baobabdeck/types';
 import type { Step } from '../effect.js';
 import type { FleetState, Host } from '../fold/fold-state.js';
-import { PersistentMap, PersistentSet } from '../persistent.js';
+import { PersistentSet } from '../persistent.js';
 import type { State } from '../state.js';
 import { assignDispatchers, selectGatewayIds } from './assign-dispatchers.js';
 import {
@@ -15,9 +14,8 @@
 import { addGrant, unsettleGrant } from './grants.js';
 import { setHostLoad } from './host-load.js';
 import { removeWaiting } from './queue.js';
-
-/** Time until which slots that a lost dispatcher may have handed out stay in use without word from the platform. */
-const LOST_DISPATCHER_SETTLE_MILLISECONDS = 30_000;
+import { becomeReady, dropSurplusUnsettled, grantOfUnsettled } from './unknown-slots.js';
+import { recordsOfDispatch, rememberUnsettled, selectUnsettledRecords } from './unsettled-records.js';
 
 /** Whether new work may go to a host. */
 export function isRoutable(host: Host): boolean {
@@ -73,32 +71,17 @@
       longWorkThresholdMilliseconds: request?.longWorkThresholdMilliseconds ?? 0,
       grantedAt: slot.startedAt,
       unsettledSince: null,
-      settleBy: request?.deadlineAt ?? state.now,
+      settleBy: null,
     };
     return addGrant(view, grant);
   }, dispatch);
 }
 
-/** Takes every slot of the pool as in use that the lost dispatcher may have handed out to itself. */
-function fillForLostDispatcher(state: State, dispatch: PoolDispatch, lostId: string): PoolDispatch {
-  return dispatch.hosts.reduce((view, load, hostId) => {
-    const unknown = Math.max(0, load.slotLimit - load.busy);
-    return Array.from({ length: unknown }, (_, index) => index).reduce((filled, index) => {
-      const grant: Grant = {
-        slotRequestId: `lost/${lostId}/${dispatch.viewOffset}/${hostId}/${index}`,
-        holder: lostId,
-        hostId,
-        caller: '',
-        workKind: '',
-        workClass: 'unproven',
-        longWorkThresholdMilliseconds: 0,
-        grantedAt: state.now,
-        unsettledSince: state.now,
-        settleBy: addMilliseconds(state.now, LOST_DISPATCHER_SETTLE_MILLISECONDS),
-      };
-      return addGrant(filled, grant);
-    }, view);
-  }, dispatch);
+function ownUnsettled(state: State, dispatch: PoolDispatch): PoolDispatch {
+  return selectUnsettledRecords(state, dispatch.pool).reduce(
+    (view, record) => addGrant(view, grantOfUnsettled(record, state.identity.processId, state.now)),
+    dispatch,
+  );
 }
 
 function startDispatch(state: State, pool: string, lostId: string | null): PoolDispatch {
@@ -107,8 +90,10 @@
   const empty = emptyPoolDispatch(pool, fleet.gatewayViewOffset, PersistentSet(others));
   const hostIds = fleet.pools.get(pool)?.hostIds ?? PersistentSet<string>();
   const hosts = hostIds.reduce((view: PoolDispatch, hostId) => refreshHost(fleet, view, hostId), empty);
-  const own = ownHoldings(state, hosts);
-  return lostId === null ? own : fillForLostDispatcher(state, own, lostId);
+  const slotsPerHost = fleet.configuration.pools.get(pool)?.slotsPerHost ?? 1;
+  const own = dropSurplusUnsettled(ownUnsettled(state, ownHoldings(state, hosts)), slotsPerHost);
+  const lostUnheard = lostId === null ? own.lostUnheard : own.lostUnheard.add(lostId);
+  return becomeReady({ ...own, lostUnheard }, state.now);
 }
 
 /** Gateways whose work may go on although nobody hears of it: removed by others, or restarted. */
@@ -129,19 +114,15 @@
   );
   const restarted = [...lost].filter((id) => members.has(id) && id !== state.identity.processId);
   const awaiting = cleaned.awaiting.filter((holder) => members.has(holder)).union(restarted);
-  return { ...cleaned, awaiting, ready: cleaned.ready || awaiting.isEmpty() };
+  const unheard = [...lost].filter((id) => cleaned.awaiting.has(id));
+  return becomeReady({ ...cleaned, awaiting, lostUnheard: cleaned.lostUnheard.union(unheard) }, state.now);
 }
 
-function selectHandedOver(
-  state: State,
-  mine: readonly string[],
-): Iterable<readonly [string, readonly Grant[]]> {
-  return [...state.dispatch.values()]
+/** Remembers what the dispatchers that end here leave in unknown use. */
+function handOver(state: State, mine: readonly string[]): State {
+  return state.dispatch
     .filter((view) => !mine.includes(view.pool))
-    .map(
-      (view) =>
-        [view.pool, [...view.grants.values()].filter((grant) => grant.unsettledSince !== null)] as const,
-    );
+    .reduce((current, view) => rememberUnsettled(current, view.pool, recordsOfDispatch(view)), state);
 }
 
 function isRegistered(state: State): boolean {
@@ -159,7 +140,6 @@
   const mine = isRegistered(state)
     ? [...dispatchers.keys()].filter((pool) => dispatchers.get(pool) === self)
     : [];
-  const formerUnsettled = state.formerUnsettled.merge(PersistentMap(selectHandedOver(state, mine)));
   const kept = state.dispatch
     .filter((view) => mine.includes(view.pool))
     .map((view) => dropHolders(state, view, lost));
@@ -177,5 +157,5 @@
       yield { kind: 'log', decision: 'dispatcherChanged', fields: { pool, before, dispatcher } };
     }
   }
-  return { ...state, dispatchers, dispatch, formerUnsettled };
+  return { ...handOver(state, mine), dispatchers, dispatch };
 }
--- a/packages/core/src/invariants/check-state.ts
+++ b/packages/core/src/invariants/check-state.ts
@@ -150,13 +150,14 @@
   return faults;
 }
 
-/** Faults that a step brought into the state. */
+/** Faults that one record brought into the fleet. */
+export function findFoldFaults(before: FleetState, after: FleetState): readonly InvariantFault[] {
+  return checkPools(before, after);
+}
+
+/** Faults that a step brought into the state, beside those of its records. */
 export function findTransitionFaults(before: State, after: State): readonly InvariantFault[] {
-  return [
-    ...checkOffsets(before, after),
-    ...checkPools(before.fold.fleet, after.fold.fleet),
-    ...checkDispatch(before, after),
-  ];
+  return [...checkOffsets(before, after), ...checkDispatch(before, after)];
 }
 
 /** Faults of a whole state, index by index; for tests and for a look now and then. */
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -6,6 +6,8 @@
 import type { EventOf } from './event.js';
 import { foldFleetRecord, type FleetStep } from './fold/index.js';
 import { foldKeysRecord } from './fold/keys.js';
+import { findFoldFaults } from './invariants/check-state.js';
+import { reportFaults } from './invariants/fault.js';
 import { noteContact } from './membership/contact.js';
 import { expectMembers } from './membership/index.js';
 import { PersistentList } from './persistent.js';
@@ -70,6 +72,7 @@
 function* foldFleet(state: State, stored: StoredRecord): Step<State> {
   const step = foldFleetRecord(state.fold.fleet, stored);
   yield* announce(state, step, stored);
+  yield* reportFaults(findFoldFaults(state.fold.fleet, step.fleet));
   const folded: State = { ...state, fold: { ...state.fold, fleet: step.fleet } };
   return yield* followFleetStep(state, folded, step, stored);
 }
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -347,7 +347,8 @@
   if (request === undefined || request.phase.kind !== 'running') {
     return yield* releaseSlot(state, attemptId, 'abandoned', deliver);
   }
-  const released = yield* releaseSlot(state, attemptId, 'failed', deliver);
+  const outcome: AttemptOutcome = stage === 'before-sending' ? 'failed' : 'broken';
+  const released = yield* releaseSlot(state, attemptId, outcome, deliver);
   if (stage === 'after-response') return yield* breakOff(released, request, deliver);
   const { hostId } = request.phase.target;
   const mayHaveRun = request.mayHaveRun || stage === 'after-sending';
@@ -420,7 +421,10 @@
 export function* tickRequests(state: State, deliver: Deliver): Step<State> {
   let current = state;
   const followers: RequestState[] = [];
-  for (const request of state.requests.byId.values()) {
+  for (const requestId of state.requests.byId.keys()) {
+    // What was done for one request may have changed those that come after it.
+    const request = current.requests.byId.get(requestId);
+    if (request === undefined) continue;
     const { phase } = request;
     if (phase.kind === 'claiming' && phase.giveUpAt <= state.now) {
       current = yield* giveUpClaim(current, request, deliver);
--- a/packages/core/src/requests/release-slot.ts
+++ b/packages/core/src/requests/release-slot.ts
@@ -1,5 +1,6 @@
 /** Gives slots back to their dispatcher. */
 import { millisecondsBetween, type AttemptOutcome, type PeerMessage } from '@baobabdeck/types';
+import { recordOfHeldSlot, rememberUnsettled } from '../dispatch/unsettled-records.js';
 import type { Step } from '../effect.js';
 import type { State } from '../state.js';
 
@@ -16,7 +17,9 @@
   const slot = state.requests.heldSlots.get(slotRequestId);
   if (slot === undefined) return state;
   const heldSlots = state.requests.heldSlots.remove(slotRequestId);
-  const released: State = { ...state, requests: { ...state.requests, heldSlots } };
+  const mayRunOn = outcome === 'abandoned' || outcome === 'broken';
+  const remembered = mayRunOn ? rememberUnsettled(state, slot.pool, [recordOfHeldSlot(state, slot)]) : state;
+  const released: State = { ...remembered, requests: { ...remembered.requests, heldSlots } };
   const dispatcher = state.dispatchers.get(slot.pool);
   if (dispatcher === undefined) return released;
   const runMilliseconds = Math.max(0, millisecondsBetween(slot.startedAt, state.now));
--- a/packages/core/src/requests/report-holdings.ts
+++ b/packages/core/src/requests/report-holdings.ts
@@ -1,5 +1,6 @@
 /** Tells a dispatcher which of its pool's slots this gateway uses. */
 import { millisecondsBetween, type SlotHolding, type UnsettledSlot } from '@baobabdeck/types';
+import { selectUnsettledRecords } from '../dispatch/unsettled-records.js';
 import type { Step } from '../effect.js';
 import type { State } from '../state.js';
 import { askAgain } from './ask-slot.js';
@@ -14,20 +15,15 @@
     caller: request?.description.caller ?? '',
     workKind: request?.description.workKind ?? '',
     longWorkThresholdMilliseconds: request?.longWorkThresholdMilliseconds ?? 0,
-    remainingMilliseconds:
-      request === undefined ? 0 : Math.max(0, millisecondsBetween(state.now, request.deadlineAt)),
   };
 }
 
 function selectUnsettled(state: State, pool: string): readonly UnsettledSlot[] {
-  const former = state.formerUnsettled.get(pool) ?? [];
-  return former
-    .filter((grant) => grant.settleBy > state.now)
-    .map((grant) => ({
-      slotRequestId: grant.slotRequestId,
-      hostId: grant.hostId,
-      settleInMilliseconds: millisecondsBetween(state.now, grant.settleBy),
-    }));
+  return selectUnsettledRecords(state, pool).map(({ slotRequestId, hostId, settleBy }) => ({
+    slotRequestId,
+    hostId,
+    settleInMilliseconds: millisecondsBetween(state.now, settleBy),
+  }));
 }
 
 /** Answers a dispatcher that this gateway, too, takes for the pool's, and asks it for what still waits. */
@@ -50,10 +46,10 @@
     holdings,
     unsettled: selectUnsettled(state, pool),
   });
-  for (const request of state.requests.byId.values()) {
-    if (request.pool === pool && request.phase.kind === 'waiting') {
-      current = yield* askAgain(current, request, deliver);
-    }
+  for (const requestId of state.requests.byId.keys()) {
+    // An answer to one question may have changed the requests that come after it.
+    const request = current.requests.byId.get(requestId);
+    if (request?.pool === pool) current = yield* askAgain(current, request, deliver);
   }
   return current;
 }
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -2,7 +2,7 @@
 import type { LogRecord, ProcessIdentity, RecordBody, StoredRecord, StreamName } from '@baobabdeck/types';
 import type { ControlState } from './control/control-state.js';
 import { emptyControlState } from './control/control-state.js';
-import type { Grant, PoolDispatch } from './dispatch/dispatch-state.js';
+import type { PoolDispatch, UnsettledRecord } from './dispatch/dispatch-state.js';
 import { assignDispatchers } from './dispatch/assign-dispatchers.js';
 import type { FoldState } from './fold/fold-state.js';
 import type { MembershipState } from './membership/membership-state.js';
@@ -29,8 +29,8 @@
   readonly dispatch: PersistentMap<string, PoolDispatch>;
   /** The dispatcher of each pool; follows from the fold. */
   readonly dispatchers: PersistentMap<string, string>;
-  /** Slots in unknown use of pools that this process dispatched before, for their next dispatchers. */
-  readonly formerUnsettled: PersistentMap<string, readonly Grant[]>;
+  /** Slots in unknown use, by pool, that the pool's next dispatcher has to be told of. */
+  readonly unsettledSlots: PersistentMap<string, readonly UnsettledRecord[]>;
   readonly control: ControlState;
   readonly stopping: boolean;
 }
@@ -53,7 +53,7 @@
     requests: emptyRequestsState(),
     dispatch: PersistentMap(),
     dispatchers: assignDispatchers(fold.fleet),
-    formerUnsettled: PersistentMap(),
+    unsettledSlots: PersistentMap(),
     control: emptyControlState(),
     stopping: false,
   };
--- a/packages/emulator/src/emulator.ts
+++ b/packages/emulator/src/emulator.ts
@@ -88,6 +88,8 @@
   readonly partition: (group: ReadonlySet<string> | null) => void;
   /** Cuts a process off the log. */
   readonly cutFromLog: (processId: string, cut: boolean) => void;
+  /** Whether a caller still waits. */
+  readonly isOpen: (requestId: string) => boolean;
   readonly answers: ReadonlyMap<string, CallerAnswer>;
   /** How often each piece of work started at any host. */
   readonly runs: ReadonlyMap<string, number>;
@@ -325,7 +327,8 @@
     const { processId } = process.identity;
     let sentAt = schedule.now();
     let round = 0;
-    const finish = (mine: number): void => {
+    const finish = (mine: number): void => process.whenRunning(() => read(mine));
+    const read = (mine: number): void => {
       if (mine !== round || !process.isAlive()) return;
       round += 1;
       const next = round;
@@ -366,6 +369,7 @@
 
   const link = (process: VirtualProcess): void => {
     processes.forEach((other) => {
+      if (other === process) return;
       other.dispatch({ kind: 'peer-linked', processId: process.identity.processId });
       process.dispatch({ kind: 'peer-linked', processId: other.identity.processId });
     });
@@ -464,6 +468,7 @@
       if (cut) cutOff.add(processId);
       else cutOff.delete(processId);
     },
+    isOpen: (requestId) => callers.has(requestId),
     answers,
     runs: counter.runs,
     violations,
--- a/packages/emulator/src/virtual-host.ts
+++ b/packages/emulator/src/virtual-host.ts
@@ -22,6 +22,8 @@
   readonly submit: (work: HostWork) => void;
   readonly running: () => number;
   readonly mostRunning: () => number;
+  /** The most work that waited inside the host at once, beyond its slots. */
+  readonly mostQueued: () => number;
   /** Pieces of work that were running when a planned reboot came. */
   readonly cutByReboot: () => number;
   /** Loses everything that runs and answers nothing until `boot`. */
@@ -44,6 +46,7 @@
   const waiting: HostWork[] = [];
   let running = 0;
   let most = 0;
+  let mostQueued = 0;
   let cut = 0;
   let life = 0;
   let up = true;
@@ -75,12 +78,14 @@
         work.onDone('failed');
       } else if (running >= slots) {
         waiting.push(work);
+        mostQueued = Math.max(mostQueued, waiting.length);
       } else {
         begin(work);
       }
     },
     running: () => running,
     mostRunning: () => most,
+    mostQueued: () => mostQueued,
     cutByReboot: () => cut,
     stop: (planned) => {
       if (planned) cut += running;
--- a/packages/emulator/src/virtual-process.ts
+++ b/packages/emulator/src/virtual-process.ts
@@ -24,6 +24,8 @@
   readonly identity: ProcessIdentity;
   readonly state: () => State;
   readonly dispatch: (event: EventBody) => void;
+  /** Runs at once, or when the process goes on after a pause. */
+  readonly whenRunning: (run: () => void) => void;
   readonly isAlive: () => boolean;
   readonly kill: () => void;
   /** Stops the process as a signal would; what comes meanwhile waits. */
@@ -64,7 +66,7 @@
   const step = (body: EventBody): void => {
     const before = state;
     const effects: Effect[] = [];
-    const steps = reduce(before, { ...body, at: dateAt(schedule.now()) } as Event);
+    const steps = reduce(before, { ...body, at: dateAt(schedule.now()) });
     for (let next = steps.next(); ; next = steps.next()) {
       if (next.done) {
         state = next.value;
@@ -114,6 +116,10 @@
     identity,
     state: () => state,
     dispatch,
+    whenRunning: (run) => {
+      if (paused) backlog.push(run);
+      else run();
+    },
     isAlive: () => alive,
     kill: () => {
       alive = false;
--- a/packages/types/src/peer-message.ts
+++ b/packages/types/src/peer-message.ts
@@ -26,7 +26,6 @@
   readonly caller: string;
   readonly workKind: string;
   readonly longWorkThresholdMilliseconds: number;
-  readonly remainingMilliseconds: number;
 }
 
 /** A slot that a former dispatcher kept in use because its work may still run. */
@@ -38,7 +37,15 @@
 }
 
 /** How an attempt ended, as the dispatcher needs to know it. */
-export type AttemptOutcome = 'succeeded' | 'failed' | 'refused' | 'abandoned' | 'unused';
+export type AttemptOutcome =
+  | 'succeeded'
+  | 'failed'
+  /** The connection broke: the work may still run. */
+  | 'broken'
+  | 'refused'
+  /** Given up by its gateway: the work may still run. */
+  | 'abandoned'
+  | 'unused';
 
 /** What one process says to another. */
 export type PeerMessage =
