--- a/packages/core/src/selectors.ts
+++ b/packages/core/src/selectors.ts
@@ -1,5 +1,6 @@
 /** Derived values for programs and operators. */
 import { millisecondsBetween, type StreamName } from '@baobabdeck/types';
+import { selectBudgetUse, type BudgetUse } from './fold/budget.js';
 import { isLapsed } from './membership/contact.js';
 import { isRegistered, selectPeers } from './membership/index.js';
 import { pickByRendezvous } from './routing/rendezvous.js';
@@ -42,7 +43,10 @@
   readonly keysOffset: number;
   readonly keysRemembered: number;
   readonly requestsInProgress: number;
+  /** Slots of the pools that this process hands out. */
   readonly pools: readonly PoolSlots[];
+  /** Use of every pool's availability budget. */
+  readonly budgets: readonly (BudgetUse & { readonly pool: string })[];
   readonly peers: readonly PeerSummary[];
 }
 
@@ -97,6 +101,10 @@
     keysRemembered: state.fold.keys.timedKeys.size + state.fold.keys.untimedKeys.size,
     requestsInProgress: state.requests.byId.size,
     pools: summarizePools(state),
+    budgets: [...state.fold.fleet.pools.keys()].map((pool) => ({
+      pool,
+      ...selectBudgetUse(state.fold.fleet, pool),
+    })),
     peers: summarizePeers(state),
   };
 }
