--- a/packages/core/src/deliver.ts
+++ b/packages/core/src/deliver.ts
@@ -10,6 +10,7 @@
 import type { Step } from './effect.js';
 import { handleHeartbeat, selectLastHeard } from './membership/index.js';
 import { handleAnswerFound, handleAnswerRequested } from './requests/follow.js';
+import { takeOverAnswers } from './requests/heirs.js';
 import { handleSlotGranted, handleSlotRefused } from './requests/index.js';
 import { reportHoldings } from './requests/report-holdings.js';
 import type { State } from './state.js';
@@ -44,6 +45,8 @@
       return yield* reportHoldings(state, from, message.pool, message.viewOffset, deliver);
     case 'holdings-reported':
       return yield* handleHoldingsReported(state, from, message, deliver);
+    case 'answers-handed-over':
+      return takeOverAnswers(state, message.answers);
     case 'answer-requested':
       return yield* handleAnswerRequested(state, from, message.keyHash, message.requestId);
     case 'answer-found':
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -20,6 +20,7 @@
   handleSilence,
   tickRequests,
 } from './requests/index.js';
+import { handOverAnswers } from './requests/heirs.js';
 import { flushKeys, handleAppendSettled, KEY_BATCH_TIMER } from './requests/keys.js';
 import type { State } from './state.js';
 
@@ -42,6 +43,7 @@
 /** Takes this process out of the members once its last request is over. */
 function* leave(state: State): Step<State> {
   if (!isRegistered(state)) return state;
+  yield* handOverAnswers(state);
   const { processId, incarnation } = state.identity;
   return yield* appendFleetRecord(state, { kind: 'process-removed', processId, incarnation });
 }
--- a/packages/core/src/requests/follow.ts
+++ b/packages/core/src/requests/follow.ts
@@ -1,18 +1,19 @@
 /** Repeats of work that another request has claimed: they wait for its answer. */
-import type { HeldAnswer } from '@baobabdeck/types';
+import { millisecondsBetween, type HeldAnswer } from '@baobabdeck/types';
 import type { Step } from '../effect.js';
 import type { KeyState } from '../fold/fold-state.js';
 import { selectKey, type EndedKey } from '../fold/keys.js';
 import { PersistentList, PersistentSet } from '../persistent.js';
 import type { State } from '../state.js';
 import { startClaim } from './claim.js';
+import { addHeldAnswer, selectHeir } from './heirs.js';
 import { endRequest, refuse } from './refuse.js';
 import type { Deliver } from './release-slot.js';
 import { setRequest } from './request-table.js';
 import type { RemoteFollower, RequestState } from './requests-state.js';
 
-/** Answers that are held for repeats. */
-const ANSWERS_HELD = 1_000;
+/** Time after which nobody expects word of work whose holder is gone. */
+const LAST_WORD_MILLISECONDS = 3_000;
 
 function* replay(state: State, request: RequestState, answer: HeldAnswer, deliver: Deliver): Step<State> {
   yield { kind: 'replay-answer', requestId: request.description.requestId, answer };
@@ -50,28 +51,65 @@
   return member === undefined || member.identity.incarnation !== holder.incarnation;
 }
 
-function* askHolder(state: State, request: RequestState, holder: KeyState): Step<State> {
+function* askProcess(state: State, request: RequestState, holder: KeyState, processId: string): Step<State> {
   const { requestId, keyHash } = request.description;
   const phase = {
     kind: 'following',
     holderRequestId: holder.requestId,
-    holderProcessId: holder.processId,
+    holderProcessId: processId,
     askedAt: state.now,
+    goneSince: null,
   } as const;
   yield {
     kind: 'send',
-    to: holder.processId,
+    to: processId,
     message: { kind: 'answer-requested', keyHash: keyHash ?? '', requestId },
   };
   return setRequest(state, { ...request, phase });
 }
 
+/**
+ * Waits for the end of work whose holder is gone. The record of the end may be on its way: the two streams
+ * of the log are read apart from one another.
+ */
+function* awaitLastWord(
+  state: State,
+  request: RequestState,
+  holder: KeyState,
+  deliver: Deliver,
+): Step<State> {
+  const goneSince = request.phase.kind === 'following' ? (request.phase.goneSince ?? state.now) : state.now;
+  if (millisecondsBetween(goneSince, state.now) >= LAST_WORD_MILLISECONDS) {
+    return yield* refuseEnded(state, request, holder, deliver);
+  }
+  const phase = {
+    kind: 'following',
+    holderRequestId: holder.requestId,
+    holderProcessId: holder.processId,
+    askedAt: state.now,
+    goneSince,
+  } as const;
+  return setRequest(state, { ...request, phase });
+}
+
+/** A holder that is gone may have handed its answers over. */
+function* followGone(state: State, request: RequestState, holder: KeyState, deliver: Deliver): Step<State> {
+  if (holder.outcome === null) return yield* awaitLastWord(state, request, holder, deliver);
+  const heir = selectHeir(state, holder.processId);
+  if (heir === null) return yield* refuseEnded(state, request, holder, deliver);
+  if (heir !== state.identity.processId) return yield* askProcess(state, request, holder, heir);
+  const answer = selectHeldAnswer(state, request.description.keyHash ?? '', holder.requestId);
+  if (answer !== null) return yield* replay(state, request, answer, deliver);
+  return yield* refuseEnded(state, request, holder, deliver);
+}
+
 function followLocally(state: State, request: RequestState, holder: KeyState): State {
   const phase = {
     kind: 'following',
     holderRequestId: holder.requestId,
     holderProcessId: holder.processId,
     askedAt: state.now,
+    goneSince: null,
   } as const;
   const followers = state.requests.localFollowers.get(holder.requestId) ?? PersistentSet<string>();
   const localFollowers = state.requests.localFollowers.set(
@@ -103,10 +141,9 @@
     if (state.requests.byId.has(holder.requestId)) return followLocally(state, request, holder);
     return yield* refuseEnded(state, request, holder, deliver);
   }
-  if (holder.outcome === 'unknown' || isHolderGone(state, holder)) {
-    return yield* refuseEnded(state, request, holder, deliver);
-  }
-  return yield* askHolder(state, request, holder);
+  if (holder.outcome === 'unknown') return yield* refuseEnded(state, request, holder, deliver);
+  if (isHolderGone(state, holder)) return yield* followGone(state, request, holder, deliver);
+  return yield* askProcess(state, request, holder, holder.processId);
 }
 
 /** Another gateway asks for the answer of work that this one did. */
@@ -161,12 +198,9 @@
 ): Step<State> {
   const { keyHash, requestId } = request.description;
   if (keyHash === null) return state;
-  const added =
-    answer === null
-      ? state.requests.heldAnswers
-      : state.requests.heldAnswers.set(keyHash, { requestId, answer });
-  const heldAnswers = added.size > ANSWERS_HELD ? added.rest().toOrderedMap() : added;
-  const held: State = { ...state, requests: { ...state.requests, heldAnswers } };
+  const requests =
+    answer === null ? state.requests : addHeldAnswer(state.requests, keyHash, { requestId, answer });
+  const held: State = { ...state, requests };
   return yield* tellFollowers(held, requestId, answer, deliver);
 }
 
--- a/packages/core/src/requests/requests-state.ts
+++ b/packages/core/src/requests/requests-state.ts
@@ -33,6 +33,8 @@
       readonly holderRequestId: string;
       readonly holderProcessId: string;
       readonly askedAt: Date;
+      /** Since when the holder is known to be gone without word of how its work ended. */
+      readonly goneSince: Date | null;
     };
 
 /** A request in progress. */
--- a/packages/core/src/selectors.ts
+++ b/packages/core/src/selectors.ts
@@ -109,6 +109,12 @@
   };
 }
 
+/** Whether the keys of a gateway's requests still wait to be recorded. */
+export function hasUnrecordedKeys(state: State): boolean {
+  const { claims, ends, inFlight } = state.requests.keyBatch;
+  return !claims.isEmpty() || !ends.isEmpty() || !inFlight.isEmpty();
+}
+
 /** The process that writes the next snapshot of a stream, or null where none takes part. */
 export function selectSnapshotWriter(state: State, stream: StreamName): string | null {
   const role = stream === 'fleet' ? 'controller' : 'gateway';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { Effect } from '@baobabdeck/core';
+import { hasUnrecordedKeys, type Effect } from '@baobabdeck/core';
 import { failureOf, type Failure } from '@baobabdeck/errors';
 import type { Metrics, TracedSpan, Tracing, WriteEvent } from '@baobabdeck/observability';
 import { startRuntime, type Runtime } from '@baobabdeck/process';
@@ -22,6 +22,9 @@
 const READINESS_NOTICE_MILLISECONDS = 1_500;
 
 const STOP_POLL_MILLISECONDS = 20;
+
+/** Time that a stopping gateway waits for the log to take the outcomes of its keys. */
+const RECORD_WAIT_MILLISECONDS = 3_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Bytes kept for another attempt before the service's setting is known. */
@@ -282,6 +285,9 @@
     callers.stopAccepting();
     const giveUpAt = performance.now() + settings['drain-timeout-ms'];
     while (exchanges.size > 0 && performance.now() < giveUpAt) await sleep(STOP_POLL_MILLISECONDS);
+    const recordBy = Math.min(giveUpAt, performance.now() + RECORD_WAIT_MILLISECONDS);
+    while (hasUnrecordedKeys(runtime.state()) && performance.now() < recordBy)
+      {await sleep(STOP_POLL_MILLISECONDS);}
     await runtime.close();
     callers.close();
     await pools.close();
--- a/packages/local-system/src/system.ts
+++ b/packages/local-system/src/system.ts
@@ -17,8 +17,8 @@
   readonly rules?: Partial<ServiceRules>;
   /** Settings of the processes, by their keys. */
   readonly settings?: Readonly<Record<string, string>>;
-  /** Changes a target's address before it is published, as to that of a proxy before it. */
-  readonly publishedAddress?: (hostId: string, address: string) => string;
+  /** The address that is published for a target instead of its own, as that of a proxy before its port. */
+  readonly publishedAddress?: (hostId: string, port: number) => Promise<string>;
 }
 
 /** A system that runs. */
@@ -95,12 +95,10 @@
   const stubs = await Promise.all(hostIds.map((hostId) => startTargetStub(hostId, SLOTS_PER_HOST)));
   const targets = new Map(stubs.map((stub) => [stub.hostId, stub]));
   const own = Object.fromEntries(stubs.map((stub) => [stub.hostId, `127.0.0.1:${stub.port}`]));
-  const published = Object.fromEntries(
-    Object.entries(own).map(([hostId, address]) => [
-      hostId,
-      options.publishedAddress?.(hostId, address) ?? address,
-    ]),
-  );
+  const published: Record<string, string> = { ...own };
+  for (const { hostId, port } of options.publishedAddress === undefined ? [] : stubs) {
+    published[hostId] = (await options.publishedAddress?.(hostId, port)) ?? `127.0.0.1:${port}`;
+  }
   const setPresence = (hostId: string, presence: string): Promise<void> =>
     post(`${platformUrl}/stub/hosts`, [{ hostId, address: own[hostId], presence }]);
   await post(
--- a/packages/peer-protocol/src/message-shape.ts
+++ b/packages/peer-protocol/src/message-shape.ts
@@ -18,6 +18,7 @@
   'slot-released': { pool: 'string', slotRequestId: 'string', outcome: 'string', runMilliseconds: 'number' },
   'holdings-requested': { pool: 'string', viewOffset: 'number' },
   'holdings-reported': { pool: 'string', viewOffset: 'number', holdings: 'array', unsettled: 'array' },
+  'answers-handed-over': { answers: 'array' },
   'answer-requested': { keyHash: 'string', requestId: 'string' },
   'answer-found': { requestId: 'string', answer: 'object-or-null' },
   'records-pushed': { stream: 'string', records: 'array' },
--- a/packages/types/src/peer-message.ts
+++ b/packages/types/src/peer-message.ts
@@ -88,6 +88,8 @@
       readonly holdings: readonly SlotHolding[];
       readonly unsettled: readonly UnsettledSlot[];
     }
+  /** The answers that a gateway which leaves held, for its heir. */
+  | { readonly kind: 'answers-handed-over'; readonly answers: readonly HandedOverAnswer[] }
   | { readonly kind: 'answer-requested'; readonly keyHash: string; readonly requestId: string }
   | { readonly kind: 'answer-found'; readonly requestId: string; readonly answer: HeldAnswer | null }
   | {
@@ -96,6 +98,13 @@
       readonly records: readonly StoredRecord[];
     };
 
+/** An answer that another gateway holds from now on. */
+export interface HandedOverAnswer {
+  readonly keyHash: string;
+  readonly requestId: string;
+  readonly answer: HeldAnswer;
+}
+
 /** A whole answer that is kept for a repeat of the same work. */
 export interface HeldAnswer {
   readonly status: number;
