Prove silent, cut and senseless connections behind the proxy

Cause: the first form of these tests let the target itself misbehave; what loses track of connections lies between the two ends.

Change: each target is published at the address of a small TCP proxy that can go silent, cut answers, answer garbage or reset.

Measured: repeatable work was answered with 200 in every case; work that may not be repeated ended with 1006 or 1008 and ran: unknown, or with a broken message.

Conclusion: no half answer passed as whole.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -286,8 +286,9 @@
     const giveUpAt = performance.now() + settings['drain-timeout-ms'];
     while (exchanges.size > 0 && performance.now() < giveUpAt) await sleep(STOP_POLL_MILLISECONDS);
     const recordBy = Math.min(giveUpAt, performance.now() + RECORD_WAIT_MILLISECONDS);
-    while (hasUnrecordedKeys(runtime.state()) && performance.now() < recordBy)
-      {await sleep(STOP_POLL_MILLISECONDS);}
+    while (hasUnrecordedKeys(runtime.state()) && performance.now() < recordBy) {
+      await sleep(STOP_POLL_MILLISECONDS);
+    }
     await runtime.close();
     callers.close();
     await pools.close();
--- a/packages/local-system/src/__tests__/faults.test.ts
+++ b/packages/local-system/src/__tests__/faults.test.ts
@@ -4,7 +4,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import type { ExecutionContext } from 'ava';
 import { startFaultProxy, type FaultProxy } from '../fault-proxy.js';
-import type { PoolLayout } from '../layout.js';
+import type { PoolLayout, ServiceRules } from '../layout.js';
 import { isReady, startSystem, waitUntil, type LocalSystem, type SystemOptions } from '../system.js';
 import { findHostFaults, findReportedViolations, findUntruths, send, type SentRequest } from '../traffic.js';
 
@@ -24,6 +24,34 @@
   }
 }
 
+async function withProxies(
+  rules: Partial<ServiceRules>,
+  run: (system: LocalSystem, proxies: ReadonlyMap<string, FaultProxy>) => Promise<void>,
+): Promise<void> {
+  const proxies = new Map<string, FaultProxy>();
+  const publishedAddress = async (hostId: string, port: number): Promise<string> => {
+    const proxy = await startFaultProxy(port);
+    proxies.set(hostId, proxy);
+    return proxy.address;
+  };
+  const pools = [{ ...POOL, hosts: 2, maximumAbsentHosts: 1, failureReserveHosts: 0 }];
+  try {
+    await withSystem({ ...THREE, pools, rules, publishedAddress }, (system) => run(system, proxies));
+  } finally {
+    proxies.forEach((proxy) => proxy.close());
+  }
+}
+
+function sendOrders(
+  url: string,
+  count: number,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<readonly SentRequest[]> {
+  return Promise.all(
+    Array.from({ length: count }, () => send({ url: `${url}/orders/order`, method: 'POST', headers })),
+  );
+}
+
 function judge(t: ExecutionContext, system: LocalSystem, sent: readonly SentRequest[]): void {
   t.deepEqual(findUntruths(system, sent), []);
   t.deepEqual(findReportedViolations(system), []);
@@ -196,59 +224,55 @@
     });
   });
 
-  itSerially(
-    'leave silent connections, and tell the truth about work that may not be repeated',
-    async (t) => {
-      const proxies = new Map<string, FaultProxy>();
-      const first = await startFaultProxy(0);
-      first.close();
-      const publishedAddress = (hostId: string, address: string): string =>
-        proxies.get(hostId)?.address ?? address;
-      await withSystem(
-        {
-          ...THREE,
-          pools: [{ ...POOL, hosts: 2, maximumAbsentHosts: 1, failureReserveHosts: 0 }],
-          rules: { silenceTimeoutMilliseconds: 1_000, longWorkThresholdMilliseconds: 500 },
-        },
-        async (system) => {
-          t.is(publishedAddress('orders-1', 'x'), 'x');
-          const [url = ''] = system.gatewayUrls();
-          system.targets.get('orders-1')?.setMode('hang');
-          const questions = await Promise.all(
-            Array.from({ length: 6 }, () => send({ url: `${url}/orders/question` })),
-          );
-          t.deepEqual([...new Set(questions.map((one) => one.status))], [200]);
-          const orders = await Promise.all(
-            Array.from({ length: 4 }, () =>
-              send({
-                url: `${url}/orders/order`,
-                method: 'POST',
-                headers: { 'baobabdeck-deadline-ms': '2500' },
-              }),
-            ),
-          );
-          orders
-            .filter((one) => one.status !== 200)
-            .forEach((one) => t.deepEqual([one.code, one.ran], [1006, 'unknown']));
-          judge(t, system, [...questions, ...orders]);
-        },
-      );
-    },
-  );
+  itSerially('leave silent connections, and tell the truth about other work', async (t) => {
+    const rules = { silenceTimeoutMilliseconds: 1_000, longWorkThresholdMilliseconds: 500 };
+    await withProxies(rules, async (system, proxies) => {
+      const [url = ''] = system.gatewayUrls();
+      const ask = (query: string, count: number): Promise<readonly SentRequest[]> =>
+        Promise.all(Array.from({ length: count }, () => send({ url: `${url}/orders/question${query}` })));
+      const warm = await ask('?ms=20', 8);
+      proxies.get('orders-1')?.setMode('silent');
+      const questions = await ask('', 6);
+      t.deepEqual([...new Set([...warm, ...questions].map((one) => one.status))], [200]);
+      const headers = { 'baobabdeck-deadline-ms': '2500' };
+      const orders = await sendOrders(url, 6, headers);
+      const unanswered = orders.filter((one) => one.status !== 200);
+      t.true(unanswered.length > 0);
+      unanswered.forEach((one) => t.deepEqual([one.code, one.ran], [1006, 'unknown']));
+      judge(t, system, [...warm, ...questions, ...orders]);
+    });
+  });
 
   itSerially('break an answer off that its target broke off, and never complete it', async (t) => {
-    await withSystem(
-      { ...THREE, pools: [{ ...POOL, hosts: 2, maximumAbsentHosts: 1, failureReserveHosts: 0 }] },
-      async (system) => {
-        const [url = ''] = system.gatewayUrls();
-        system.targets.forEach((target) => target.setMode('cut'));
-        const sent = await Promise.all(
-          Array.from({ length: 10 }, () => send({ url: `${url}/orders/order`, method: 'POST' })),
-        );
-        t.deepEqual([...new Set(sent.map((one) => one.status))], [null]);
-        t.deepEqual(findReportedViolations(system), []);
-      },
-    );
+    await withProxies({}, async (system, proxies) => {
+      const [url = ''] = system.gatewayUrls();
+      proxies.forEach((proxy) => proxy.setMode('cut-answers'));
+      const sent = await sendOrders(url, 10);
+      // Cut within its head nothing of an answer is known; cut behind it the message breaks off.
+      t.deepEqual(
+        [...new Set(sent.map((one) => `${one.status} ${one.code} ${one.ran}`))],
+        ['502 1008 unknown'],
+      );
+      system.targets.forEach((target) => target.setMode('cut'));
+      proxies.forEach((proxy) => proxy.setMode('pass'));
+      const halves = await sendOrders(url, 4);
+      t.deepEqual([...new Set(halves.map((one) => one.status))], [null]);
+      judge(t, system, [...sent, ...halves]);
+    });
+  });
+
+  itSerially('take garbage for no answer, and move work that may be repeated', async (t) => {
+    await withProxies({}, async (system, proxies) => {
+      const [url = ''] = system.gatewayUrls();
+      proxies.get('orders-1')?.setMode('garbage');
+      const questions = await Promise.all(
+        Array.from({ length: 6 }, () => send({ url: `${url}/orders/question` })),
+      );
+      t.deepEqual([...new Set(questions.map((one) => one.status))], [200]);
+      proxies.get('orders-1')?.setMode('reset');
+      const orders = await sendOrders(url, 4);
+      judge(t, system, [...questions, ...orders]);
+    });
   });
 
   itSerially('close a peer connection that sends garbage and harm nothing else', async (t) => {
--- a/packages/local-system/src/traffic.ts
+++ b/packages/local-system/src/traffic.ts
@@ -86,12 +86,15 @@
   return [...byWork].flatMap(([workId, requests]) => {
     const count = runs.get(workId) ?? 0;
     const faults: string[] = [];
-    if (count > 1 && requests.some((one) => !one.repeatable))
-      {faults.push(`${workId} may run once and ran ${count} times`);}
-    if (count > 0 && requests.every((one) => one.ran === 'no'))
-      {faults.push(`${workId} was refused as not run and ran`);}
-    if (count === 0 && requests.some((one) => one.ran === 'yes' || one.status === 200))
-      {faults.push(`${workId} was answered and did not run`);}
+    if (count > 1 && requests.some((one) => !one.repeatable)) {
+      faults.push(`${workId} may run once and ran ${count} times`);
+    }
+    if (count > 0 && requests.every((one) => one.ran === 'no')) {
+      faults.push(`${workId} was refused as not run and ran`);
+    }
+    if (count === 0 && requests.some((one) => one.ran === 'yes' || one.status === 200)) {
+      faults.push(`${workId} was answered and did not run`);
+    }
     return faults;
   });
 }
