--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -18,6 +18,10 @@
   readonly usage: PersistentMap<string, { readonly asOf: Date; readonly running: number }>;
   /** Decisions that were sent and not yet read back, by what they decide, with the time at which to send again. */
   readonly proposed: PersistentMap<string, Date>;
+  /** Since when each pool is short of slots. */
+  readonly shortSince: PersistentMap<string, Date>;
+  /** When each host was last moved by this controller's wish. */
+  readonly movedAt: PersistentMap<string, Date>;
   /** Hosts whose reboot this controller asked for, with the time. */
   readonly rebootAskedAt: PersistentMap<string, Date>;
 }
@@ -30,6 +34,8 @@
     sightings: PersistentMap(),
     usage: PersistentMap(),
     proposed: PersistentMap(),
+    shortSince: PersistentMap(),
+    movedAt: PersistentMap(),
     rebootAskedAt: PersistentMap(),
   };
 }
--- a/packages/core/src/control/hosts.ts
+++ b/packages/core/src/control/hosts.ts
@@ -100,6 +100,8 @@
 
 function* reboot(state: State, host: Host): Step<State> {
   const askedAt = state.control.rebootAskedAt.get(host.hostId);
+  const goesDown = askedAt !== undefined && state.control.sightings.get(host.hostId)?.presence !== 'live';
+  if (goesDown) return state;
   if (askedAt !== undefined && addMilliseconds(askedAt, REBOOT_AGAIN_MILLISECONDS) > state.now) return state;
   yield { kind: 'reboot-host', hostId: host.hostId };
   const rebootAskedAt = state.control.rebootAskedAt.set(host.hostId, state.now);
--- a/packages/core/src/control/index.ts
+++ b/packages/core/src/control/index.ts
@@ -6,6 +6,7 @@
 import { advanceHost, selectDrainingHostIds } from './hosts.js';
 import { checkpointOnDrain, placeJobs } from './jobs.js';
 import { claimPools, removeSilentMembers, selectOwnPools } from './members.js';
+import { lendHosts } from './moves.js';
 import { forgetProposals } from './propose.js';
 import { advanceWaves } from './waves.js';
 
@@ -46,6 +47,7 @@
   if (hostIds.length > 0) yield { kind: 'read-usage', hostIds };
   const advanced = yield* advanceHosts(claimed, ownPools);
   const waved = yield* advanceWaves(advanced, ownPools);
-  yield* checkpointOnDrain(waved, ownPools);
-  return yield* placeJobs(waved, ownPools);
+  const lent = yield* lendHosts(waved, ownPools);
+  yield* checkpointOnDrain(lent, ownPools);
+  return yield* placeJobs(lent, ownPools);
 }
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -1,5 +1,11 @@
 /** Heartbeats between the processes, and the records by which they join and are removed. */
-import { addMilliseconds, millisecondsBetween, type PeerMessage, type RecordBody } from '@baobabdeck/types';
+import {
+  addMilliseconds,
+  millisecondsBetween,
+  type PeerMessage,
+  type PoolLoad,
+  type RecordBody,
+} from '@baobabdeck/types';
 import type { Step } from '../effect.js';
 import type { Member } from '../fold/fold-state.js';
 import { PersistentMap } from '../persistent.js';
@@ -41,9 +47,19 @@
   return [...counts].map(([hostId, count]) => ({ hostId, count }));
 }
 
+function selectPoolLoads(state: State): readonly PoolLoad[] {
+  return [...state.dispatch.values()].map((view) => ({
+    pool: view.pool,
+    busySlots: view.grants.size,
+    waiting: view.waiting.size,
+    totalSlots: view.totalSlots,
+  }));
+}
+
 function* sendHeartbeats(state: State): Step<State> {
   const sequence = state.membership.heartbeatSequence + 1;
   const drainingInFlight = countDrainingInFlight(state);
+  const poolLoads = selectPoolLoads(state);
   for (const { identity } of selectPeers(state)) {
     const echo = state.membership.peers.get(identity.processId)?.lastSequence ?? 0;
     const message: Heartbeat = {
@@ -52,6 +68,7 @@
       echo,
       fleetOffset: state.fold.fleet.nextOffset,
       configurationVersion: state.fold.fleet.configuration.version,
+      poolLoads,
       drainingInFlight,
     };
     yield { kind: 'send', to: identity.processId, message };
@@ -90,6 +107,7 @@
     lastSequence: Math.max(message.sequence, known?.incarnation === incarnation ? known.lastSequence : 0),
     fleetOffset: message.fleetOffset,
     configurationVersion: message.configurationVersion,
+    poolLoads: message.poolLoads,
     drainingInFlight: PersistentMap(message.drainingInFlight.map((entry) => [entry.hostId, entry.count])),
   });
   const heard: State = { ...state, membership: { ...state.membership, peers } };
--- a/packages/core/src/membership/membership-state.ts
+++ b/packages/core/src/membership/membership-state.ts
@@ -1,4 +1,5 @@
 /** What a process knows of the others from their heartbeats. None of it lasts. */
+import type { PoolLoad } from '@baobabdeck/types';
 import { PersistentMap } from '../persistent.js';
 
 /** What was heard of one peer. */
@@ -10,6 +11,7 @@
   readonly fleetOffset: number;
   readonly configurationVersion: number;
   readonly drainingInFlight: PersistentMap<string, number>;
+  readonly poolLoads: readonly PoolLoad[];
 }
 
 /** Liveness of this process and its peers. */
--- a/packages/core/src/parameters.ts
+++ b/packages/core/src/parameters.ts
@@ -9,6 +9,10 @@
   readonly heartbeatIntervalMilliseconds: number;
   readonly keyMemoryMilliseconds: number;
   readonly untimedKeyLimit: number;
+  /** Second attempts that each request pays for. */
+  readonly retryTokensPerRequest: number;
+  /** Second attempts that a quiet gateway saves up. */
+  readonly maximumRetryTokens: number;
 }
 
 /** The parameters of a process that sets none. */
@@ -18,4 +22,6 @@
   heartbeatIntervalMilliseconds: 500,
   keyMemoryMilliseconds: 86_400_000,
   untimedKeyLimit: 1_000_000,
+  retryTokensPerRequest: 0.1,
+  maximumRetryTokens: 10,
 };
--- a/packages/core/src/requests/keys.ts
+++ b/packages/core/src/requests/keys.ts
@@ -23,13 +23,13 @@
   return { ...state, requests: { ...state.requests, keyBatch } };
 }
 
+/** The next record leaves at once, or as long after the last one as the bound on appends asks for. */
 function* armTimer(state: State): Step<State> {
-  if (state.requests.keyBatch.timerSet) return state;
-  yield {
-    kind: 'set-timer',
-    timerId: KEY_BATCH_TIMER,
-    at: addMilliseconds(state.now, KEY_BATCH_MILLISECONDS),
-  };
+  const { timerSet, lastFlushAt } = state.requests.keyBatch;
+  if (timerSet) return state;
+  const earliest = lastFlushAt === null ? state.now : addMilliseconds(lastFlushAt, KEY_BATCH_MILLISECONDS);
+  const at = earliest > state.now ? earliest : state.now;
+  yield { kind: 'set-timer', timerId: KEY_BATCH_TIMER, at };
   return setBatch(state, { ...state.requests.keyBatch, timerSet: true });
 }
 
@@ -91,7 +91,7 @@
 
 /** Sends what was gathered. */
 export function* flushKeys(state: State): Step<State> {
-  const idle = setBatch(state, { ...state.requests.keyBatch, timerSet: false });
+  const idle = setBatch(state, { ...state.requests.keyBatch, timerSet: false, lastFlushAt: state.now });
   const claimed = yield* flushClaims(idle);
   const ended = yield* flushEnds(claimed);
   const left = ended.requests.keyBatch;
--- a/packages/core/src/requests/requests-state.ts
+++ b/packages/core/src/requests/requests-state.ts
@@ -14,7 +14,6 @@
   PersistentOrderedSet,
   PersistentSet,
 } from '../persistent.js';
-import { FIRST_TOKENS } from './retry-budget.js';
 
 /** How far a request has come. */
 export type RequestPhase =
@@ -68,6 +67,7 @@
   /** Records that were sent and not yet read back, by id. */
   readonly inFlight: PersistentOrderedMap<string, LogRecord>;
   readonly timerSet: boolean;
+  readonly lastFlushAt: Date | null;
 }
 
 /** A slot that a gateway uses, as it reports it to the dispatcher. */
@@ -109,17 +109,18 @@
 }
 
 /** No requests. */
-export function emptyRequestsState(): RequestsState {
+export function emptyRequestsState(retryTokens: number): RequestsState {
   return {
     byId: PersistentMap(),
     heldSlots: PersistentMap(),
     waitingByService: PersistentMap(),
-    retryTokens: FIRST_TOKENS,
+    retryTokens,
     keyBatch: {
       claims: PersistentList(),
       ends: PersistentList(),
       inFlight: PersistentOrderedMap(),
       timerSet: false,
+      lastFlushAt: null,
     },
     abandonedClaims: PersistentOrderedSet(),
     heldAnswers: PersistentOrderedMap(),
--- a/packages/core/src/requests/retry-budget.ts
+++ b/packages/core/src/requests/retry-budget.ts
@@ -1,16 +1,10 @@
-/** Bounds second attempts, so that retries do not multiply a failure of the targets. */
+/**
+ * Bounds second attempts, so that retries do not multiply a failure of the targets. With 0.1 tokens a request
+ * and 10 saved up, total attempts stay within 1.2 times the requests from 100 requests on.
+ */
 import type { State } from '../state.js';
 import type { RequestState } from './requests-state.js';
 
-/** Second attempts that each request pays for. */
-const TOKENS_PER_REQUEST = 0.1;
-
-/** Second attempts that a new gateway may make. From 100 requests on, total attempts stay within 1.2 times the requests. */
-export const FIRST_TOKENS = 10;
-
-/** Tokens kept for a quiet time. */
-const MAXIMUM_TOKENS = 10;
-
 /** Attempts that one request may take. */
 const MAXIMUM_ATTEMPTS = 3;
 
@@ -20,7 +14,8 @@
 
 /** Adds what one request pays. */
 export function depositRetryToken(state: State): State {
-  return setTokens(state, Math.min(MAXIMUM_TOKENS, state.requests.retryTokens + TOKENS_PER_REQUEST));
+  const { maximumRetryTokens, retryTokensPerRequest } = state.parameters;
+  return setTokens(state, Math.min(maximumRetryTokens, state.requests.retryTokens + retryTokensPerRequest));
 }
 
 /** Takes the price of one second attempt. */
--- a/packages/core/src/state.ts
+++ b/packages/core/src/state.ts
@@ -50,7 +50,7 @@
     fold,
     recentRecords: PersistentMap(),
     membership: emptyMembershipState(),
-    requests: emptyRequestsState(),
+    requests: emptyRequestsState(parameters.maximumRetryTokens),
     dispatch: PersistentMap(),
     dispatchers: assignDispatchers(fold.fleet),
     unsettledSlots: PersistentMap(),
--- a/packages/emulator/src/emulator.ts
+++ b/packages/emulator/src/emulator.ts
@@ -20,7 +20,7 @@
 } from '@baobabdeck/types';
 import { createRandom, type RandomSource } from './random.js';
 import { createSchedule, type Schedule } from './schedule.js';
-import { createVirtualHost, type VirtualHost } from './virtual-host.js';
+import { createVirtualHost, type HostOutcome, type VirtualHost } from './virtual-host.js';
 import { createVirtualLog, type VirtualLog } from './virtual-log.js';
 import { createVirtualProcess, dateAt, type VirtualProcess } from './virtual-process.js';
 
@@ -178,13 +178,13 @@
       schedule.after(latency, () => {
         if (!attempt.aborted) run();
       });
-    const done = (outcome: 'done' | 'failed' | 'cut'): void =>
+    const done = (outcome: HostOutcome): void =>
       back(() => {
-        if (outcome === 'cut') {
+        if (outcome === 'cut' || outcome === 'unreachable') {
           process.dispatch({
             kind: 'attempt-failed',
             attemptId,
-            stage: 'after-sending',
+            stage: outcome === 'cut' ? 'after-sending' : 'before-sending',
             bodyReplayable: true,
             reason: 'cut off',
           });
--- a/packages/emulator/src/fleet-of.ts
+++ b/packages/emulator/src/fleet-of.ts
@@ -18,6 +18,7 @@
   slotsPerHost: 8,
   connectionsPerHost: 64,
   slotsReservedForShort: 0,
+  minimumHosts: null,
 };
 
 const SERVICE: Omit<ServiceSection, 'pool'> = {
--- a/packages/emulator/src/virtual-host.ts
+++ b/packages/emulator/src/virtual-host.ts
@@ -5,12 +5,15 @@
 /** How a host treats work. */
 export type HostBehaviour = 'normal' | 'fails' | 'silent' | 'cuts';
 
+/** How work at a host ends; `unreachable` when it never came there. */
+export type HostOutcome = 'done' | 'failed' | 'cut' | 'unreachable';
+
 /** A piece of work at a host. */
 export interface HostWork {
   readonly workId: string;
   readonly runMilliseconds: number;
   readonly onStarted?: () => void;
-  readonly onDone: (outcome: 'done' | 'failed' | 'cut') => void;
+  readonly onDone: (outcome: HostOutcome) => void;
 }
 
 /** A host. */
@@ -44,6 +47,7 @@
   counter: RunCounter,
 ): VirtualHost {
   const waiting: HostWork[] = [];
+  const atWork = new Set<HostWork>();
   let running = 0;
   let most = 0;
   let mostQueued = 0;
@@ -54,12 +58,14 @@
   const begin = (work: HostWork): void => {
     const startedIn = life;
     running += 1;
+    atWork.add(work);
     most = Math.max(most, running);
     counter.runs.set(work.workId, (counter.runs.get(work.workId) ?? 0) + 1);
     work.onStarted?.();
     schedule.after(work.runMilliseconds, () => {
       if (life !== startedIn) return;
       running -= 1;
+      atWork.delete(work);
       const next = waiting.shift();
       if (next !== undefined) begin(next);
       finish(work);
@@ -72,7 +78,7 @@
     bootedAt: 0,
     submit: (work) => {
       if (!up) {
-        work.onDone('cut');
+        work.onDone('unreachable');
       } else if (host.behaviour === 'fails') {
         counter.runs.set(work.workId, (counter.runs.get(work.workId) ?? 0) + 1);
         work.onDone('failed');
@@ -91,8 +97,10 @@
       if (planned) cut += running;
       life += 1;
       running = 0;
-      waiting.length = 0;
       up = false;
+      // A host that goes down resets its connections.
+      [...atWork, ...waiting.splice(0)].forEach((work) => work.onDone('cut'));
+      atWork.clear();
       host.presence = 'failed';
     },
     boot: () => {
--- a/packages/peer-protocol/src/message-shape.ts
+++ b/packages/peer-protocol/src/message-shape.ts
@@ -9,6 +9,7 @@
     echo: 'number',
     fleetOffset: 'number',
     configurationVersion: 'number',
+    poolLoads: 'array',
     drainingInFlight: 'array',
   },
   'slot-requested': { request: 'object' },
--- a/packages/platform/src/record-schema.ts
+++ b/packages/platform/src/record-schema.ts
@@ -26,6 +26,7 @@
       slotsPerHost: count,
       connectionsPerHost: count,
       slotsReservedForShort: count,
+      minimumHosts: count.nullable().default(null),
     }),
   ),
   sectionOf(
--- a/packages/process/src/runtime.ts
+++ b/packages/process/src/runtime.ts
@@ -1,6 +1,7 @@
 /** What the gateway and the controller have in common: the reducer with its log, peers, timers and admin port. */
 import { randomUUID } from 'node:crypto';
 import {
+  DEFAULT_PARAMETERS,
   explainHost,
   explainJob,
   explainPool,
@@ -58,6 +59,7 @@
 
 function parametersOf(settings: ProcessSettings): Parameters {
   return {
+    ...DEFAULT_PARAMETERS,
     lapseTimeoutMilliseconds: settings['lapse-timeout-ms'],
     removalTimeoutMilliseconds: settings['removal-timeout-ms'],
     heartbeatIntervalMilliseconds: settings['heartbeat-interval-ms'],
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -31,6 +31,7 @@
   'slots-per-host': positive.default(8),
   'connections-per-host': positive.default(64),
   'slots-reserved-for-short': count.default(0),
+  'minimum-hosts': count.nullable().default(null),
 });
 
 const service = z.strictObject({
--- a/packages/settings/src/to-configuration.ts
+++ b/packages/settings/src/to-configuration.ts
@@ -26,6 +26,7 @@
       slotsPerHost: section['slots-per-host'],
       connectionsPerHost: section['connections-per-host'],
       slotsReservedForShort: section['slots-reserved-for-short'],
+      minimumHosts: section['minimum-hosts'],
     })),
     services: mapValues(fleet.services, (section) => ({
       pool: section.pool,
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -26,6 +26,8 @@
   readonly connectionsPerHost: number;
   /** Slots of the whole pool that long work may not take. */
   readonly slotsReservedForShort: number;
+  /** Hosts that the pool keeps when others need some; null when it lends none. */
+  readonly minimumHosts: number | null;
 }
 
 /** A service that callers name in the path of a request. */
--- a/packages/types/src/peer-message.ts
+++ b/packages/types/src/peer-message.ts
@@ -47,6 +47,14 @@
   | 'abandoned'
   | 'unused';
 
+/** Demand for the slots of a pool. */
+export interface PoolLoad {
+  readonly pool: string;
+  readonly busySlots: number;
+  readonly waiting: number;
+  readonly totalSlots: number;
+}
+
 /** What one process says to another. */
 export type PeerMessage =
   | {
@@ -57,6 +65,8 @@
       readonly fleetOffset: number;
       readonly configurationVersion: number;
       /** Hosts with work of the sender in progress, and how much; only hosts that are draining are listed. */
+      /** Load of the pools that the sender hands out. */
+      readonly poolLoads: readonly PoolLoad[];
       readonly drainingInFlight: readonly { readonly hostId: string; readonly count: number }[];
     }
   | { readonly kind: 'slot-requested'; readonly request: SlotRequest }
