Suspect silence only of work that is expected to be short

Cause: short work waited p99 8.2 s beside a bound of 36 ms. The silence timeout held for every repeatable request, so work of 5 s was given up after 3 s and started again.

Change: a grant carries the class that the dispatcher has learned; only short work is suspected after the timeout, work of an unknown kind after four times as long. The demand of a pool is measured as arrivals times mean run. The host list is read as changes, and only changed hosts are looked at.

--- a/packages/command-line/src/commands/host/index.ts
+++ b/packages/command-line/src/commands/host/index.ts
@@ -55,7 +55,7 @@
 }
 
 async function readHostListAge(platform: Platform): Promise<Result<number>> {
-  const list = await platform.listHosts();
+  const list = await platform.listHosts(new Date());
   return list.ok ? succeed(Math.max(0, Date.now() - list.value.asOf.getTime())) : list;
 }
 
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -1,6 +1,6 @@
 /** What a controller keeps beside the fold: its proposals and what it saw of the platform. */
 import type { HostPresence } from '@baobabdeck/types';
-import { PersistentMap } from '../persistent.js';
+import { PersistentMap, PersistentSet } from '../persistent.js';
 
 /** What the platform said of a host. */
 export interface HostSighting {
@@ -14,6 +14,8 @@
   readonly hostListAsOf: Date | null;
   readonly hostListReadAt: Date | null;
   readonly sightings: PersistentMap<string, HostSighting>;
+  /** Hosts whose presence in the list may differ from what is recorded. */
+  readonly unrecordedHostIds: PersistentSet<string>;
   /** Work in progress by host, with the time of the platform's view. */
   readonly usage: PersistentMap<string, { readonly asOf: Date; readonly running: number }>;
   /** Decisions that were sent and not yet read back, by what they decide, with the time at which to send again. */
@@ -32,6 +34,7 @@
     hostListAsOf: null,
     hostListReadAt: null,
     sightings: PersistentMap(),
+    unrecordedHostIds: PersistentSet(),
     usage: PersistentMap(),
     proposed: PersistentMap(),
     shortSince: PersistentMap(),
--- a/packages/core/src/control/hosts.ts
+++ b/packages/core/src/control/hosts.ts
@@ -16,16 +16,27 @@
   const known = state.control.hostListAsOf;
   if (known !== null && known >= event.asOf) return state;
   const sightings = state.control.sightings.withMutations((table) => {
-    event.hosts.forEach(({ hostId, presence, bootedAt }) => {
-      const before = table.get(hostId);
-      const same = before?.presence === presence && before.bootedAt.getTime() === bootedAt.getTime();
-      if (!same) table.set(hostId, { presence, bootedAt });
-    });
+    event.hosts.forEach(({ hostId, presence, bootedAt }) => table.set(hostId, { presence, bootedAt }));
   });
-  return {
-    ...state,
-    control: { ...state.control, sightings, hostListAsOf: event.asOf, hostListReadAt: event.at },
+  const unrecordedHostIds = state.control.unrecordedHostIds.union(event.hosts.map((host) => host.hostId));
+  const control = {
+    ...state.control,
+    sightings,
+    unrecordedHostIds,
+    hostListAsOf: event.asOf,
+    hostListReadAt: event.at,
   };
+  return { ...state, control };
+}
+
+/** Forgets hosts whose presence is recorded as the list shows it. */
+export function dropRecorded(state: State): State {
+  const { hosts } = state.fold.fleet;
+  const unrecordedHostIds = state.control.unrecordedHostIds.filter(
+    (hostId) => hosts.get(hostId)?.presence !== state.control.sightings.get(hostId)?.presence,
+  );
+  if (unrecordedHostIds.size === state.control.unrecordedHostIds.size) return state;
+  return { ...state, control: { ...state.control, unrecordedHostIds } };
 }
 
 /** The platform told how much runs on some hosts. */
--- a/packages/core/src/control/index.ts
+++ b/packages/core/src/control/index.ts
@@ -3,7 +3,7 @@
 import { isLapsed } from '../membership/contact.js';
 import { isRegistered } from '../membership/index.js';
 import type { State } from '../state.js';
-import { advanceHost, selectDrainingHostIds } from './hosts.js';
+import { advanceHost, dropRecorded, selectDrainingHostIds } from './hosts.js';
 import { checkpointOnDrain, placeJobs } from './jobs.js';
 import { claimPools, removeSilentMembers, selectOwnPools } from './members.js';
 import { lendHosts } from './moves.js';
@@ -14,24 +14,20 @@
   return state.identity.role === 'controller' && isRegistered(state) && !isLapsed(state) && !state.stopping;
 }
 
-/** Hosts of a pool for which there may be something to do. */
-function selectOpenHostIds(state: State, pool: string): readonly string[] {
-  const view = state.fold.fleet.pools.get(pool);
-  if (view === undefined) return [];
-  const differing = [...view.hostIds].filter((hostId) => {
-    const sighting = state.control.sightings.get(hostId);
-    return sighting !== undefined && sighting.presence !== state.fold.fleet.hosts.get(hostId)?.presence;
-  });
-  return [...new Set([...view.absentHostIds, ...differing])];
+/** Hosts for which there may be something to do: absent ones, and those whose presence is not recorded yet. */
+function selectOpenHostIds(state: State, ownPools: ReadonlyMap<string, number>): ReadonlySet<string> {
+  const absent = [...ownPools.keys()].flatMap((pool) => [
+    ...(state.fold.fleet.pools.get(pool)?.absentHostIds ?? []),
+  ]);
+  return new Set([...absent, ...state.control.unrecordedHostIds]);
 }
 
 function* advanceHosts(state: State, ownPools: ReadonlyMap<string, number>): Step<State> {
-  let current = state;
-  for (const [pool, epoch] of ownPools) {
-    for (const hostId of selectOpenHostIds(current, pool)) {
-      const host = current.fold.fleet.hosts.get(hostId);
-      if (host !== undefined) current = yield* advanceHost(current, host, epoch);
-    }
+  let current = dropRecorded(state);
+  for (const hostId of selectOpenHostIds(current, ownPools)) {
+    const host = current.fold.fleet.hosts.get(hostId);
+    const epoch = host === undefined ? undefined : ownPools.get(host.pool);
+    if (host !== undefined && epoch !== undefined) current = yield* advanceHost(current, host, epoch);
   }
   return current;
 }
--- a/packages/core/src/control/moves.ts
+++ b/packages/core/src/control/moves.ts
@@ -33,8 +33,9 @@
   return loads;
 }
 
+/** Slots that a pool needs. Work that waits counts once, by its arrival: a queue is no lasting demand. */
 function demandOf(load: PoolLoad): number {
-  return load.busySlots + load.waiting;
+  return Math.max(load.offeredSlots, load.busySlots);
 }
 
 function countIncoming(fleet: FleetState, pool: string): number {
--- a/packages/core/src/deliver.ts
+++ b/packages/core/src/deliver.ts
@@ -29,14 +29,7 @@
     case 'slot-cancelled':
       return handleSlotCancelled(state, message.pool, message.slotRequestId);
     case 'slot-granted':
-      return yield* handleSlotGranted(
-        state,
-        from,
-        message.pool,
-        message.slotRequestId,
-        message.target,
-        deliver,
-      );
+      return yield* handleSlotGranted(state, from, message, deliver);
     case 'slot-refused':
       return yield* handleSlotRefused(state, message.slotRequestId, deliver);
     case 'slot-released':
--- a/packages/core/src/dispatch/dispatch-state.ts
+++ b/packages/core/src/dispatch/dispatch-state.ts
@@ -74,6 +74,16 @@
   readonly failingHostIds: PersistentSet<string>;
 }
 
+/** What the pool's slots are asked for, as moving figures. */
+export interface Demand {
+  /** Requests since the last measurement. */
+  readonly arrivals: number;
+  readonly measuredAt: Date | null;
+  readonly meanRunMilliseconds: number;
+  /** Slots that the arrivals keep busy. */
+  readonly offeredSlots: number;
+}
+
 /** The dispatcher's view of one pool. */
 export interface PoolDispatch {
   readonly pool: string;
@@ -98,6 +108,7 @@
   /** Short work started since the last long work. */
   readonly shortStartsInRow: number;
   readonly workKinds: PersistentMap<string, WorkKindRecord>;
+  readonly demand: Demand;
 }
 
 /** A view without hosts, holdings or requests. */
@@ -124,6 +135,7 @@
     lanes: PersistentOrderedMap(),
     shortStartsInRow: 0,
     workKinds: PersistentMap(),
+    demand: { arrivals: 0, measuredAt: null, meanRunMilliseconds: 0, offeredSlots: 0 },
   };
 }
 
--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -12,6 +12,7 @@
 import { isLapsed } from '../membership/contact.js';
 import type { State } from '../state.js';
 import { chooseTarget } from './choose-target.js';
+import { countArrival, countRun, measureDemand } from './demand.js';
 import type { Grant, PoolDispatch, UnsettledRecord, WaitingRequest } from './dispatch-state.js';
 import {
   addGrant,
@@ -82,7 +83,13 @@
 function* sendGrant(state: State, pool: string, grant: Grant, deliver: Deliver): Step<State> {
   const address = state.fold.fleet.hosts.get(grant.hostId)?.address ?? '';
   const target = { hostId: grant.hostId, address };
-  const message = { kind: 'slot-granted', pool, slotRequestId: grant.slotRequestId, target } as const;
+  const message = {
+    kind: 'slot-granted',
+    pool,
+    slotRequestId: grant.slotRequestId,
+    target,
+    workClass: grant.workClass,
+  } as const;
   return yield* deliver(state, grant.holder, message);
 }
 
@@ -135,7 +142,7 @@
   const deadlineAt = addMilliseconds(state.now, request.remainingMilliseconds);
   const queued = setDispatch(
     state,
-    enqueue(dispatch, workClass, { request, holder, arrivedAt: state.now, deadlineAt }),
+    enqueue(countArrival(dispatch), workClass, { request, holder, arrivedAt: state.now, deadlineAt }),
   );
   return yield* serveWaiting(queued, request.pool, deliver);
 }
@@ -157,7 +164,8 @@
   const mayRunOn = outcome === 'abandoned' || outcome === 'broken';
   const freed = mayRunOn ? unsettleGrant(dispatch, grant, state.now) : removeGrant(dispatch, grant);
   const wasLong = runMilliseconds > grant.longWorkThresholdMilliseconds;
-  const learned = outcome === 'succeeded' ? learnRun(freed, grant.workKind, wasLong) : freed;
+  const learned =
+    outcome === 'succeeded' ? learnRun(countRun(freed, runMilliseconds), grant.workKind, wasLong) : freed;
   return yield* noteOutcome(learned, grant.hostId, grant.workKind, outcome, slotsPerHost, state.now);
 }
 
@@ -269,7 +277,7 @@
     if (dispatch === undefined) continue;
     yield* requestHoldings(dispatch);
     const settled = settleByTime(dispatch, state.now);
-    const aged = endEjections(reclassifyOverdue(settled, state.now), state.now);
+    const aged = measureDemand(endEjections(reclassifyOverdue(settled, state.now), state.now), state.now);
     selectUnsettledHostIds(aged).forEach((hostId) => unsettled.add(hostId));
     current = aged === dispatch ? current : setDispatch(current, aged);
     current = yield* serveWaiting(current, pool, deliver);
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -74,6 +74,7 @@
       readonly incarnation: string;
       readonly message: PeerMessage;
     }
+  /** Hosts of the platform's list that changed since the last one; all of them the first time. */
   | { readonly kind: 'host-list-read'; readonly asOf: Date; readonly hosts: readonly HostListing[] }
   | { readonly kind: 'usage-read'; readonly asOf: Date; readonly usage: readonly HostUsage[] }
   | { readonly kind: 'tasks-read'; readonly tasks: readonly TaskListing[] }
--- a/packages/core/src/membership/index.ts
+++ b/packages/core/src/membership/index.ts
@@ -53,6 +53,7 @@
     busySlots: view.grants.size,
     waiting: view.waiting.size,
     totalSlots: view.totalSlots,
+    offeredSlots: Math.round(view.demand.offeredSlots),
   }));
 }
 
--- a/packages/core/src/requests/index.ts
+++ b/packages/core/src/requests/index.ts
@@ -2,9 +2,11 @@
 import {
   addMilliseconds,
   type AttemptOutcome,
+  type PeerMessage,
   type RequestDescription,
   type ServiceSection,
   type TargetAddress,
+  type WorkClass,
 } from '@baobabdeck/types';
 import { failureOf } from '@baobabdeck/errors';
 import { selectGatewayIds } from '../dispatch/assign-dispatchers.js';
@@ -27,6 +29,11 @@
 import type { RequestState } from './requests-state.js';
 import { mayRetry, depositRetryToken, withdrawRetryToken } from './retry-budget.js';
 
+type SlotGranted = Extract<PeerMessage, { readonly kind: 'slot-granted' }>;
+
+/** How many times longer work of an unknown kind may be silent. */
+const UNPROVEN_PATIENCE = 4;
+
 /** Status from which an answer counts as a failure of its host. */
 const FIRST_FAILURE_STATUS = 500;
 
@@ -180,13 +187,16 @@
   };
 }
 
-function* startAttempt(
-  state: State,
-  request: RequestState,
-  slotRequestId: string,
-  target: TargetAddress,
-): Step<State> {
-  const { requestId, repeatable } = request.description;
+/** Time of silence after which the connection is suspected; null for work that may well take as long. */
+function silenceMilliseconds(request: RequestState, workClass: WorkClass): number | null {
+  if (!request.description.repeatable || workClass === 'long') return null;
+  const short = Math.max(request.silenceTimeoutMilliseconds, request.longWorkThresholdMilliseconds);
+  return workClass === 'short' ? short : short * UNPROVEN_PATIENCE;
+}
+
+function* startAttempt(state: State, request: RequestState, granted: SlotGranted): Step<State> {
+  const { requestId } = request.description;
+  const { slotRequestId, target } = granted;
   const phase = {
     kind: 'running',
     attemptId: slotRequestId,
@@ -202,12 +212,13 @@
     target,
     connectionLimit: limit,
   });
-  if (repeatable) {
-    const at = addMilliseconds(
-      state.now,
-      Math.max(request.silenceTimeoutMilliseconds, request.longWorkThresholdMilliseconds),
-    );
-    yield { kind: 'set-timer', timerId: silenceTimer(slotRequestId), at };
+  const silence = silenceMilliseconds(request, granted.workClass);
+  if (silence !== null) {
+    yield {
+      kind: 'set-timer',
+      timerId: silenceTimer(slotRequestId),
+      at: addMilliseconds(state.now, silence),
+    };
   }
   return setRequest(state, { ...request, phase, attempts: request.attempts + 1 });
 }
@@ -216,11 +227,10 @@
 export function* handleSlotGranted(
   state: State,
   from: string,
-  pool: string,
-  slotRequestId: string,
-  target: TargetAddress,
+  granted: SlotGranted,
   deliver: Deliver,
 ): Step<State> {
+  const { pool, slotRequestId, target } = granted;
   if (state.dispatchers.get(pool) !== from) return state;
   if (state.requests.heldSlots.has(slotRequestId)) return state;
   const request = selectRequestOf(state, slotRequestId);
@@ -229,12 +239,8 @@
     request.phase.kind === 'waiting' &&
     request.phase.slotRequestId === slotRequestId;
   if (wanted && mayStart(state, request, target)) {
-    return yield* startAttempt(
-      holdSlot(state, request, slotRequestId, target),
-      request,
-      slotRequestId,
-      target,
-    );
+    const held = holdSlot(state, request, slotRequestId, target);
+    return yield* startAttempt(held, request, granted);
   }
   const message = {
     kind: 'slot-released',
--- a/packages/emulator/src/emulator.ts
+++ b/packages/emulator/src/emulator.ts
@@ -353,18 +353,19 @@
     schedule.after(log.conditions.latencyMilliseconds, () => finish(0));
   };
 
-  const pollHosts = (process: VirtualProcess): void => {
+  const pollHosts = (process: VirtualProcess, known: ReadonlyMap<string, string> = new Map()): void => {
     if (!process.isAlive()) return;
     const asOf = dateAt(schedule.now());
-    const listed = [...hosts.values()].map(({ hostId, presence, bootedAt }) => ({
-      hostId,
-      presence,
-      bootedAt: dateAt(bootedAt),
-    }));
+    const seen = new Map(
+      [...hosts.values()].map((host) => [host.hostId, `${host.presence} ${host.bootedAt}`]),
+    );
+    const listed = [...hosts.values()]
+      .filter((host) => known.get(host.hostId) !== seen.get(host.hostId))
+      .map(({ hostId, presence, bootedAt }) => ({ hostId, presence, bootedAt: dateAt(bootedAt) }));
     schedule.after(HOST_LIST_LAG_MILLISECONDS, () =>
       process.dispatch({ kind: 'host-list-read', asOf, hosts: listed }),
     );
-    schedule.after(POLL_MILLISECONDS, () => pollHosts(process));
+    schedule.after(POLL_MILLISECONDS, () => pollHosts(process, seen));
   };
 
   const link = (process: VirtualProcess): void => {
--- a/packages/peer-protocol/src/message-shape.ts
+++ b/packages/peer-protocol/src/message-shape.ts
@@ -14,7 +14,7 @@
   },
   'slot-requested': { request: 'object' },
   'slot-cancelled': { pool: 'string', slotRequestId: 'string' },
-  'slot-granted': { pool: 'string', slotRequestId: 'string', target: 'object' },
+  'slot-granted': { pool: 'string', slotRequestId: 'string', target: 'object', workClass: 'string' },
   'slot-refused': { pool: 'string', slotRequestId: 'string', reason: 'string' },
   'slot-released': { pool: 'string', slotRequestId: 'string', outcome: 'string', runMilliseconds: 'number' },
   'holdings-requested': { pool: 'string', viewOffset: 'number' },
--- a/packages/platform-stub/src/server.ts
+++ b/packages/platform-stub/src/server.ts
@@ -116,7 +116,9 @@
 
 function addHostRoutes(router: Router, stub: Stub): void {
   router.get('/hosts', (ctx) => {
-    ctx.body = stub.hosts.view(stub.faults.hostListLagMilliseconds);
+    const since = new Date(Number(ctx.query['since'] ?? 0));
+    const { asOf, hosts } = stub.hosts.view(stub.faults.hostListLagMilliseconds);
+    ctx.body = { asOf, hosts: hosts.filter((host) => host.changedAt > since) };
   });
   router.post('/usage', async (ctx) => {
     const { hostIds } = (await readJson(ctx)) as { readonly hostIds: readonly string[] };
--- a/packages/platform-stub/src/stub-hosts.ts
+++ b/packages/platform-stub/src/stub-hosts.ts
@@ -7,6 +7,8 @@
   readonly address: string;
   readonly presence: HostPresence;
   readonly bootedAt: Date;
+  /** When the host last changed. */
+  readonly changedAt: Date;
 }
 
 /** A task of the stand-in. */
@@ -25,7 +27,7 @@
 
 /** Keeps the hosts, and the lists that are still to be shown. */
 export interface StubHosts {
-  readonly set: (host: StubHost) => void;
+  readonly set: (host: Omit<StubHost, 'changedAt'>) => void;
   readonly get: (hostId: string) => StubHost | undefined;
   /** The newest list that is at least `lagMilliseconds` old. */
   readonly view: (lagMilliseconds: number) => HostListView;
@@ -37,7 +39,7 @@
   let changes: HostListView[] = [{ asOf: new Date(0), hosts: [] }];
   return {
     set: (host) => {
-      hosts.set(host.hostId, host);
+      hosts.set(host.hostId, { ...host, changedAt: new Date() });
       changes.push({ asOf: new Date(), hosts: [...hosts.values()] });
     },
     get: (hostId) => hosts.get(hostId),
--- a/packages/platform/src/http-platform.ts
+++ b/packages/platform/src/http-platform.ts
@@ -150,7 +150,11 @@
     read,
     readUsage,
     startTask,
-    listHosts: (): Promise<Result<HostList>> => callFor({ method: 'GET', path: '/hosts' }, hostListSchema),
+    listHosts: (since): Promise<Result<HostList>> =>
+      callFor(
+        { method: 'GET', path: since === null ? '/hosts' : `/hosts?since=${since.getTime()}` },
+        hostListSchema,
+      ),
     rebootHost: (hostId) => command({ method: 'POST', path: `/hosts/${encodeURIComponent(hostId)}/reboot` }),
     listTasks: (): Promise<Result<readonly TaskReport[]>> =>
       callFor({ method: 'GET', path: '/tasks' }, tasksSchema),
--- a/packages/platform/src/platform.ts
+++ b/packages/platform/src/platform.ts
@@ -61,7 +61,8 @@
   readonly append: (stream: StreamName, record: LogRecord) => Promise<AppendResult>;
   /** Fails with `logGap` when records from `fromOffset` on have expired. */
   readonly read: (request: ReadRequest) => Promise<Result<RecordPage>>;
-  readonly listHosts: () => Promise<Result<HostList>>;
+  /** Hosts that changed since an earlier list, all of them for null. */
+  readonly listHosts: (since: Date | null) => Promise<Result<HostList>>;
   readonly readUsage: (hostIds: readonly string[]) => Promise<Result<UsageReport>>;
   readonly rebootHost: (hostId: string) => Promise<Result<null>>;
   readonly listTasks: () => Promise<Result<readonly TaskReport[]>>;
--- a/packages/process/src/platform-effects.ts
+++ b/packages/process/src/platform-effects.ts
@@ -33,6 +33,7 @@
 }: PlatformEffectParts): PlatformEffects {
   let usageInFlight = false;
   let pollInFlight = false;
+  let listedAsOf: Date | null = null;
   let nextPollAt = 0;
 
   const report = async (call: string, result: Promise<Result<unknown>>): Promise<void> => {
@@ -49,7 +50,8 @@
   };
 
   const pollOnce = async (): Promise<void> => {
-    const hosts = await platform.listHosts();
+    const hosts = await platform.listHosts(listedAsOf);
+    if (hosts.ok) listedAsOf = hosts.value.asOf;
     if (hosts.ok) dispatch({ kind: 'host-list-read', asOf: hosts.value.asOf, hosts: hosts.value.hosts });
     const tasks = await platform.listTasks();
     if (tasks.ok) dispatch({ kind: 'tasks-read', tasks: tasks.value });
--- a/packages/types/src/peer-message.ts
+++ b/packages/types/src/peer-message.ts
@@ -1,6 +1,6 @@
 /** Messages between the processes of the system. */
 import type { StoredRecord, StreamName } from './record.js';
-import type { CapabilityNeed, TargetAddress } from './request.js';
+import type { CapabilityNeed, TargetAddress, WorkClass } from './request.js';
 
 /** A slot that a gateway asks the pool's dispatcher for. */
 export interface SlotRequest {
@@ -53,6 +53,8 @@
   readonly busySlots: number;
   readonly waiting: number;
   readonly totalSlots: number;
+  /** Slots that the arrivals of the last seconds keep busy, whether or not there are as many. */
+  readonly offeredSlots: number;
 }
 
 /** What one process says to another. */
@@ -76,6 +78,8 @@
       readonly pool: string;
       readonly slotRequestId: string;
       readonly target: TargetAddress;
+      /** What the dispatcher takes the work for, by what it has seen. */
+      readonly workClass: WorkClass;
     }
   | {
       readonly kind: 'slot-refused';
