--- a/packages/bench/src/experiments/slopes.ts
+++ b/packages/bench/src/experiments/slopes.ts
@@ -8,7 +8,8 @@
   type State,
 } from '@baobabdeck/core';
 import { createEmulator, fleetOf, requestOf, type Emulator } from '@baobabdeck/emulator';
-import type { LogRecord } from '@baobabdeck/types';
+import { encodeFrame } from '@baobabdeck/peer-protocol';
+import type { LogRecord, PeerMessage } from '@baobabdeck/types';
 import { figure, type Experiment, type PolicyResult } from '../experiment.js';
 import { quantilesOf } from '../quantiles.js';
 
@@ -29,7 +30,10 @@
 const MICROSECONDS = 1_000;
 const FOLDS = 2_000;
 
-function startSized({ hosts, pools }: FleetSize): Emulator {
+function startSized(
+  { hosts, pools }: FleetSize,
+  onSend: (message: PeerMessage) => void = () => undefined,
+): Emulator {
   const layout = Array.from({ length: pools }, (_, index) => ({
     name: `pool-${index}`,
     hosts: Math.floor(hosts / pools) + (index < hosts % pools ? 1 : 0),
@@ -40,6 +44,7 @@
     controllers: 2,
     changes: fleetOf(layout),
     slotsPerHost: 8,
+    onSend,
   });
   emulator.schedule.runUntil(WARM_UP_MILLISECONDS);
   return emulator;
@@ -118,16 +123,22 @@
   const restored = restoreFleet(text);
   const restoreMilliseconds = performance.now() - startedAt;
   const after = heapBytes();
+  if (restored.nextOffset !== state.fold.fleet.nextOffset) throw new Error('the snapshot lost its offset');
   return {
-    bytes: Buffer.byteLength(text) + restored.nextOffset * 0,
+    bytes: Buffer.byteLength(text),
     restoreMilliseconds,
     heapMegabytes: (after - before) / MEGABYTE,
   };
 }
 
 function measureSize(size: FleetSize): PolicyResult {
-  const emulator = startSized(size);
+  let sentBytes = 0;
+  const emulator = startSized(size, (message) => {
+    sentBytes += encodeFrame(message).length;
+  });
+  sentBytes = 0;
   const quiet = measureQuiet(emulator);
+  const bytesPerSecond = sentBytes / (QUIET_MILLISECONDS / 1_000) / emulator.processes().length;
   const perRequest = measureRequests(emulator, size.pools);
   const state = emulator.process('controller-1')?.state();
   const fold = state === undefined ? 0 : measureFold(state);
@@ -135,11 +146,13 @@
     state === undefined ? { bytes: 0, restoreMilliseconds: 0, heapMegabytes: 0 } : measureSnapshot(state);
   const BOUND_MILLISECONDS = 13;
   const BOUND_MEGABYTES = 128;
+  const BOUND_KIBIBYTES = 30;
   return {
     user: `${size.hosts} hosts, ${size.pools} pools`,
     policy: 'system',
     figures: [
       figure('quiet processor time', quiet, 'ms/s a process', BOUND_MILLISECONDS),
+      figure('peer bytes sent', bytesPerSecond / 1_024, 'KiB/s a process', BOUND_KIBIBYTES),
       figure('processor time of a request', perRequest, 'us'),
       figure('one fold p50', fold, 'us'),
       figure('snapshot', snapshot.bytes / 1_024, 'KiB'),
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,6 +2,7 @@
 import type { Experiment } from './experiment.js';
 import { atMostOnce } from './experiments/at-most-once.js';
 import { bursts } from './experiments/bursts.js';
+import { gateway } from './experiments/gateway.js';
 import { overload } from './experiments/overload.js';
 import { recovery } from './experiments/recovery.js';
 import { rollout } from './experiments/rollout.js';
@@ -17,4 +18,5 @@
   bursts,
   recovery,
   slopes,
+  gateway,
 ];
--- a/packages/core/src/dispatch/demand.ts
+++ b/packages/core/src/dispatch/demand.ts
@@ -29,8 +29,9 @@
   const { arrivals, measuredAt, meanRunMilliseconds, offeredSlots } = dispatch.demand;
   const elapsed = measuredAt === null ? 0 : millisecondsBetween(measuredAt, now);
   if (elapsed <= 0) return setDemand(dispatch, { arrivals: 0, measuredAt: now });
-  if (arrivals === 0 && offeredSlots < 1)
-    {return dispatch.demand.measuredAt === null ? dispatch : setDemand(dispatch, { measuredAt: now });}
+  if (arrivals === 0 && offeredSlots < 1) {
+    return dispatch.demand.measuredAt === null ? dispatch : setDemand(dispatch, { measuredAt: now });
+  }
   const newest = (arrivals / elapsed) * meanRunMilliseconds;
   const moving = offeredSlots + DEMAND_WEIGHT * (newest - offeredSlots);
   return setDemand(dispatch, { arrivals: 0, measuredAt: now, offeredSlots: moving });
--- a/packages/core/src/dispatch/work-kinds.ts
+++ b/packages/core/src/dispatch/work-kinds.ts
@@ -23,8 +23,9 @@
   const seen = dispatch.workKinds.get(workKind);
   const longShare = seen?.longShare ?? null;
   if (longShare !== null && longShare >= LONG_SHARE) return 'long';
-  if (longShare === null || seen === undefined || seen.runs < PROVEN_RUNS)
-    {return hint === 'long' ? 'long' : 'unproven';}
+  if (longShare === null || seen === undefined || seen.runs < PROVEN_RUNS) {
+    return hint === 'long' ? 'long' : 'unproven';
+  }
   return hint === 'long' && longShare >= HINT_BELIEVED_SHARE ? 'long' : 'short';
 }
 
--- a/packages/emulator/src/emulator.ts
+++ b/packages/emulator/src/emulator.ts
@@ -11,6 +11,7 @@
 } from '@baobabdeck/core';
 import type {
   LogRecord,
+  PeerMessage,
   ProcessIdentity,
   ProcessRole,
   RecordBody,
@@ -36,6 +37,8 @@
   /** One way between processes, and between a gateway and a host. */
   readonly latencyMilliseconds?: number;
   readonly rebootMilliseconds?: number;
+  /** Called with every message that leaves a process for another. */
+  readonly onSend?: (message: PeerMessage) => void;
   readonly onStep?: (process: VirtualProcess, before: State, after: State) => void;
 }
 
@@ -247,6 +250,7 @@
     const { processId, incarnation } = from.identity;
     if (receiver === undefined || !canTalk(processId, to)) return;
     peerMessages += 1;
+    options.onSend?.(message);
     schedule.after(latency, () =>
       receiver.dispatch({ kind: 'peer-message-received', from: processId, incarnation, message }),
     );
