--- a/packages/bench/src/experiments/gateway.ts
+++ b/packages/bench/src/experiments/gateway.ts
@@ -40,7 +40,7 @@
 }
 
 async function readResident(system: LocalSystem): Promise<number> {
-  const address = String(system.gateways[0]?.announced['adminAddress']);
+  const address = String(system.gateways[0]?.announced.adminAddress);
   const response = await request(`http://${address}/metrics`);
   const text = await response.body.text();
   return Number(/^process_resident_memory_bytes (\d+)/m.exec(text)?.[1] ?? 0);
@@ -85,8 +85,8 @@
     directRounds.push(await callMany(agent, direct));
   }
   const memory = await measureOpen(system, agent, through);
-  const status = await readAdmin(system.gateways[0]?.announced['adminAddress'], '/status');
-  if (status?.['requestsInProgress'] !== 0) throw new Error('requests are left over at the gateway');
+  const status = await readAdmin(system.gateways[0]?.announced.adminAddress, '/status');
+  if (status?.requestsInProgress !== 0) throw new Error('requests are left over at the gateway');
   await agent.close();
   const ratio = median(
     throughRounds.map((round, index) => round.perSecond / (directRounds[index]?.perSecond ?? 1)),
--- a/packages/command-line/src/index.test.ts
+++ b/packages/command-line/src/index.test.ts
@@ -17,7 +17,7 @@
 
 async function run(...commandArguments: readonly string[]): Promise<Result> {
   const child = spawn(process.execPath, [BINARY, ...commandArguments], {
-    env: { PATH: process.env['PATH'] },
+    env: { PATH: process.env.PATH },
   });
   const output = { stdout: '', stderr: '' };
   child.stdout.on('data', (chunk) => Object.assign(output, { stdout: output.stdout + String(chunk) }));
