Give requests, folds and reports a module each

Cause: packages/core/src/requests/index.ts had 444 lines and four jobs; the command line and the processes each had their own reading of the log.

Change: arrival, grants, attempts and the clock are modules of their own; one small package folds what the log keeps for whoever starts from nothing. Behaviour as before.

--- a/packages/bench/src/experiments/gateway.ts
+++ b/packages/bench/src/experiments/gateway.ts
@@ -1,7 +1,7 @@
 /** The gateway beside the direct call: requests a second, added time and memory for each open request. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Agent, request } from 'undici';
-import { readAdmin, startSystem, type LocalSystem } from '@baobabdeck/local-system';
+import { readAdmin, startSystem, type LaunchedProcess, type LocalSystem } from '@baobabdeck/local-system';
 import { figure, type Experiment, type PolicyResult } from '../experiment.js';
 import { quantilesOf, type Quantiles } from '../quantiles.js';
 
@@ -11,6 +11,7 @@
 const OPEN_REQUESTS = 400;
 const OPEN_MILLISECONDS = 3_000;
 const KIBIBYTE = 1_024;
+const MEBIBYTE = 1_048_576;
 
 interface Measured extends Quantiles {
   readonly perSecond: number;
@@ -39,21 +40,21 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
-async function readResident(system: LocalSystem): Promise<number> {
-  const address = String(system.gateways[0]?.announced.adminAddress);
+async function readResident({ announced }: LaunchedProcess): Promise<number> {
+  const address = String(announced.adminAddress);
   const response = await request(`http://${address}/metrics`);
   const text = await response.body.text();
   return Number(/^process_resident_memory_bytes (\d+)/m.exec(text)?.[1] ?? 0);
 }
 
-async function measureOpen(system: LocalSystem, agent: Agent, url: string): Promise<number> {
-  const before = await readResident(system);
+async function measureOpen(gatewayProcess: LaunchedProcess, agent: Agent, url: string): Promise<number> {
+  const before = await readResident(gatewayProcess);
   const open = Array.from({ length: OPEN_REQUESTS }, async () => {
     const response = await request(`${url}?ms=${OPEN_MILLISECONDS}`, { dispatcher: agent });
     await response.body.dump();
   });
   await sleep(OPEN_MILLISECONDS / 2);
-  const during = await readResident(system);
+  const during = await readResident(gatewayProcess);
   await Promise.all(open);
   return Math.max(0, during - before) / OPEN_REQUESTS / KIBIBYTE;
 }
@@ -84,7 +85,14 @@
     throughRounds.push(await callMany(agent, through));
     directRounds.push(await callMany(agent, direct));
   }
-  const memory = await measureOpen(system, agent, through);
+  const [gatewayProcess] = system.gateways;
+  const [controllerProcess] = system.controllers;
+  if (gatewayProcess === undefined || controllerProcess === undefined) {
+    throw new Error('a process is missing');
+  }
+  const memory = await measureOpen(gatewayProcess, agent, through);
+  const gatewayMegabytes = (await readResident(gatewayProcess)) / MEBIBYTE;
+  const controllerMegabytes = (await readResident(controllerProcess)) / MEBIBYTE;
   const status = await readAdmin(system.gateways[0]?.announced.adminAddress, '/status');
   if (status?.requestsInProgress !== 0) throw new Error('requests are left over at the gateway');
   await agent.close();
@@ -98,6 +106,8 @@
       figure('requests beside direct', ratio, ''),
       figure('p50 added', added, 'ms'),
       figure('memory for an open request', memory, 'KiB'),
+      figure('resident memory of the gateway', gatewayMegabytes, 'MiB'),
+      figure('resident memory of the controller', controllerMegabytes, 'MiB'),
     ]),
   ];
 }
--- a/packages/command-line/src/fleet-access.ts
+++ b/packages/command-line/src/fleet-access.ts
@@ -1,15 +1,10 @@
-/** Reads the fleet from the log and sends commands to it. */
+/** Sends commands to the fleet through the log. */
 import { randomUUID } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  emptyFoldState,
-  foldFleetRecord,
-  restoreFleet,
-  type FleetState,
-  type Verdict,
-} from '@baobabdeck/core';
+import type { FleetState, Verdict } from '@baobabdeck/core';
 import { fail, failureOf, succeed, type Result } from '@baobabdeck/errors';
-import { readWholeStream, type Platform } from '@baobabdeck/platform';
+import { readFleet } from '@baobabdeck/fold-reader';
+import type { Platform } from '@baobabdeck/platform';
 import type { LogRecord, RecordBody } from '@baobabdeck/types';
 
 /** Appends that are tried before the outcome of a command is given up as unknown. */
@@ -17,15 +12,6 @@
 
 const RETRY_PAUSE_MILLISECONDS = 200;
 
-/** The fleet as the log has it now. */
-export async function readFleet(platform: Platform): Promise<Result<FleetState>> {
-  const contents = await readWholeStream(platform, 'fleet');
-  if (!contents.ok) return contents;
-  const { snapshot, records } = contents.value;
-  const start = snapshot === null ? emptyFoldState().fleet : restoreFleet(snapshot.text);
-  return succeed(records.reduce((fleet: FleetState, stored) => foldFleetRecord(fleet, stored).fleet, start));
-}
-
 /** A command that the fold accepted, and the fleet after it. */
 export interface Accepted {
   readonly fleet: FleetState;
--- a/packages/command-line/src/fleet-command.ts
+++ b/packages/command-line/src/fleet-command.ts
@@ -2,9 +2,10 @@
 import { Command, Option } from 'clipanion';
 import type { FleetState } from '@baobabdeck/core';
 import { failureOf, type Failure, type Result } from '@baobabdeck/errors';
+import { readFleet } from '@baobabdeck/fold-reader';
 import { connectPlatform, type Platform } from '@baobabdeck/platform';
 import type { RecordBody } from '@baobabdeck/types';
-import { readFleet, sendCommand, type Accepted } from './fleet-access.js';
+import { sendCommand, type Accepted } from './fleet-access.js';
 import { EXIT_BAD_INPUT, EXIT_DONE, printFailure, printResult, type Output } from './output.js';
 
 /** A command with the options of all that read the fleet. */
--- a/packages/core/src/deliver.ts
+++ b/packages/core/src/deliver.ts
@@ -11,7 +11,7 @@
 import { handleHeartbeat, selectLastHeard } from './membership/index.js';
 import { handleAnswerFound, handleAnswerRequested } from './requests/follow.js';
 import { takeOverAnswers } from './requests/heirs.js';
-import { handleSlotGranted, handleSlotRefused } from './requests/index.js';
+import { handleSlotGranted, handleSlotRefused } from './requests/grants.js';
 import { reportHoldings } from './requests/report-holdings.js';
 import type { State } from './state.js';
 
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -12,7 +12,7 @@
 import { expectMembers } from './membership/index.js';
 import { PersistentList } from './persistent.js';
 import { handleEndedKeys } from './requests/follow.js';
-import { handleClaimVerdicts } from './requests/index.js';
+import { handleClaimVerdicts } from './requests/arrival.js';
 import { forgetRecord } from './requests/keys.js';
 import type { State } from './state.js';
 
--- a/packages/core/src/reduce.ts
+++ b/packages/core/src/reduce.ts
@@ -11,16 +11,14 @@
 import { reportFaults } from './invariants/fault.js';
 import { appendFleetRecord, isRegistered, tickMembership } from './membership/index.js';
 import { handleRecordsRead } from './records.js';
+import { handleCallerLeft, handleRequestArrived } from './requests/arrival.js';
 import {
   handleAttemptCompleted,
   handleAttemptFailed,
   handleAttemptResponded,
-  handleCallerLeft,
-  handleDeadline,
-  handleRequestArrived,
   handleSilence,
-  tickRequests,
-} from './requests/index.js';
+} from './requests/attempts.js';
+import { handleDeadline, tickRequests } from './requests/clock.js';
 import { handOverAnswers } from './requests/heirs.js';
 import { flushKeys, handleAppendSettled, KEY_BATCH_TIMER } from './requests/keys.js';
 import type { State } from './state.js';
--- /dev/null
+++ b/packages/core/src/requests/arrival.ts
@@ -0,0 +1,137 @@
+/** Takes a request in, and claims its key where it has one. */
+import { failureOf } from '@baobabdeck/errors';
+import { addMilliseconds, type RequestDescription, type ServiceSection } from '@baobabdeck/types';
+import type { Step } from '../effect.js';
+import type { EventOf } from '../event.js';
+import { type ClaimVerdict, selectKey } from '../fold/keys.js';
+import { canEverServe } from '../routing/can-ever-serve.js';
+import { describeNeed } from '../routing/needs.js';
+import type { State } from '../state.js';
+import { askForSlot } from './ask-slot.js';
+import { startClaim } from './claim.js';
+import { followHolder, tellFollowers } from './follow.js';
+import { recordOutcome } from './keys.js';
+import { endRequest, refuse, refuseArrival, verdictOf } from './refuse.js';
+import type { Deliver } from './release-slot.js';
+import { deadlineTimer } from './request-table.js';
+import type { RequestState } from './requests-state.js';
+import { depositRetryToken } from './retry-budget.js';
+
+function describeNeeds(request: RequestDescription): string {
+  return request.needs.map(describeNeed).join(', ') || 'anything';
+}
+
+function newRequest(state: State, description: RequestDescription, service: ServiceSection): RequestState {
+  const milliseconds = description.deadlineMilliseconds ?? service.defaultDeadlineMilliseconds;
+  return {
+    description,
+    pool: service.pool,
+    longWorkThresholdMilliseconds: service.longWorkThresholdMilliseconds,
+    silenceTimeoutMilliseconds: service.silenceTimeoutMilliseconds,
+    arrivedAt: state.now,
+    deadlineAt: addMilliseconds(state.now, milliseconds),
+    phase: { kind: 'claiming', giveUpAt: state.now },
+    slotRequests: 0,
+    attempts: 0,
+    avoidHostId: null,
+    mayHaveRun: false,
+  };
+}
+
+function findArrivalObstacle(state: State, description: RequestDescription) {
+  const { fleet } = state.fold;
+  const service = fleet.configuration.services.get(description.service);
+  if (fleet.configuration.version === 0) {
+    return failureOf('noConfiguration', 'Publish one with baobabdeck config publish');
+  }
+  if (service === undefined) {
+    return failureOf('unknownService', `Expected a configured service, found '${description.service}'`);
+  }
+  if (!canEverServe(fleet, service.pool, description.needs)) {
+    return failureOf(
+      'noTargetCanServe',
+      `No host of pool '${service.pool}' has ${describeNeeds(description)}`,
+    );
+  }
+  const waiting = state.requests.waitingByService.get(description.service) ?? 0;
+  if (waiting >= service.maximumWaiting) {
+    return failureOf(
+      'tooManyWaiting',
+      `${waiting} requests wait for service '${description.service}' at this gateway`,
+    );
+  }
+  return null;
+}
+
+function* begin(state: State, request: RequestState, deliver: Deliver): Step<State> {
+  const { keyHash } = request.description;
+  if (keyHash === null) return yield* askForSlot(state, request, deliver);
+  const holder = selectKey(state.fold.keys, keyHash);
+  return holder === undefined
+    ? yield* startClaim(state, request)
+    : yield* followHolder(state, request, holder, deliver);
+}
+
+/** A request came in. */
+export function* handleRequestArrived(
+  state: State,
+  { request: description }: EventOf<'request-arrived'>,
+  deliver: Deliver,
+): Step<State> {
+  const obstacle = findArrivalObstacle(state, description);
+  if (obstacle !== null) return yield* refuseArrival(state, description.requestId, obstacle);
+  const service = state.fold.fleet.configuration.services.get(description.service) as ServiceSection;
+  const request = newRequest(state, description, service);
+  yield { kind: 'set-timer', timerId: deadlineTimer(description.requestId), at: request.deadlineAt };
+  return yield* begin(depositRetryToken(state), request, deliver);
+}
+
+/** The caller closed its connection. */
+export function* handleCallerLeft(state: State, requestId: string, deliver: Deliver): Step<State> {
+  const request = state.requests.byId.get(requestId);
+  if (request === undefined) return state;
+  const ran = verdictOf(request);
+  const ended = yield* endRequest(state, request, ran, deliver);
+  return yield* tellFollowers(ended, requestId, null, deliver);
+}
+
+function* handleClaimVerdict(state: State, verdict: ClaimVerdict, deliver: Deliver): Step<State> {
+  const request = state.requests.byId.get(verdict.requestId);
+  if (request === undefined || request.phase.kind !== 'claiming') {
+    const abandoned = verdict.kind === 'won' && state.requests.abandonedClaims.has(verdict.requestId);
+    return abandoned ? yield* recordOutcome(state, verdict.requestId, verdict.keyHash, 'not-run') : state;
+  }
+  if (verdict.kind === 'won') return yield* askForSlot(state, request, deliver);
+  if (verdict.kind === 'held') return yield* followHolder(state, request, verdict.holder, deliver);
+  if (verdict.kind === 'too-old') {
+    return yield* refuse(
+      state,
+      request,
+      'keyTooOld',
+      'Nobody can tell whether its work ran; ask before you use a new key',
+      'unknown',
+      deliver,
+    );
+  }
+  return yield* refuse(
+    state,
+    request,
+    'keysExhausted',
+    'Use keys that carry their time, such as UUID version 7',
+    'no',
+    deliver,
+  );
+}
+
+/** The log decided on claims; only this gateway's own matter here. */
+export function* handleClaimVerdicts(
+  state: State,
+  verdicts: readonly ClaimVerdict[],
+  deliver: Deliver,
+): Step<State> {
+  let current = state;
+  for (const verdict of verdicts) {
+    current = yield* handleClaimVerdict(current, verdict, deliver);
+  }
+  return current;
+}
--- a/packages/process/src/bootstrap.ts
+++ b/packages/process/src/bootstrap.ts
@@ -1,39 +1,13 @@
 /** The state that a new process starts from: the newest whole snapshot, and the records behind it. */
 import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  emptyFoldState,
-  foldFleetRecord,
-  foldKeysRecord,
-  restoreFleet,
-  restoreKeys,
-  type FleetState,
-  type FoldState,
-  type KeysState,
-} from '@baobabdeck/core';
+import { emptyFoldState, type FoldState } from '@baobabdeck/core';
 import { succeed, type Result } from '@baobabdeck/errors';
+import { readFleet, readKeys } from '@baobabdeck/fold-reader';
 import type { WriteEvent } from '@baobabdeck/observability';
-import { readWholeStream, type Platform } from '@baobabdeck/platform';
+import type { Platform } from '@baobabdeck/platform';
 
 const RETRY_PAUSE_MILLISECONDS = 500;
 
-/** Folds everything that the stream `fleet` keeps. */
-export async function readFleet(platform: Platform): Promise<Result<FleetState>> {
-  const contents = await readWholeStream(platform, 'fleet');
-  if (!contents.ok) return contents;
-  const { snapshot, records } = contents.value;
-  const start = snapshot === null ? emptyFoldState().fleet : restoreFleet(snapshot.text);
-  return succeed(records.reduce((fleet: FleetState, stored) => foldFleetRecord(fleet, stored).fleet, start));
-}
-
-/** Folds everything that the stream `keys` keeps. */
-export async function readKeys(platform: Platform): Promise<Result<KeysState>> {
-  const contents = await readWholeStream(platform, 'keys');
-  if (!contents.ok) return contents;
-  const { snapshot, records } = contents.value;
-  const start = snapshot === null ? emptyFoldState().keys : restoreKeys(snapshot.text);
-  return succeed(records.reduce((keys: KeysState, stored) => foldKeysRecord(keys, stored).keys, start));
-}
-
 async function readBoth(platform: Platform): Promise<Result<FoldState>> {
   const fleet = await readFleet(platform);
   if (!fleet.ok) return fleet;
