Send no grant again to a gateway that is asked for its holdings

After a cut between peers healed, a gateway asked again for a slot that had been granted on the lost link, and the grant was sent again; its report that it held nothing was on the way already and freed the slot: two pieces of work too many at a host.

Change: a grant is not repeated while its holder is asked whether it came. A link that a peer opens anew counts like one that this process opens: what the peer sent on the older connection may be lost, too.

--- a/packages/core/src/dispatch/index.ts
+++ b/packages/core/src/dispatch/index.ts
@@ -120,6 +120,18 @@
   }
 }
 
+/** Sends a grant once more that may be lost; not while its holder is asked whether it ever came. */
+function* grantAgain(
+  state: State,
+  dispatch: PoolDispatch,
+  holder: string,
+  granted: Grant,
+  deliver: Deliver,
+): Step<State> {
+  if (granted.holder !== holder || dispatch.awaiting.has(holder)) return state;
+  return yield* sendGrant(state, dispatch.pool, granted, deliver);
+}
+
 /** A gateway asks for a slot, perhaps again. */
 export function* handleSlotRequested(
   state: State,
@@ -131,9 +143,7 @@
   // Not this process's pool as far as it has folded: the gateway asks again.
   if (dispatch === undefined) return state;
   const granted = dispatch.grants.get(request.slotRequestId);
-  if (granted !== undefined) {
-    return granted.holder === holder ? yield* sendGrant(state, request.pool, granted, deliver) : state;
-  }
+  if (granted !== undefined) return yield* grantAgain(state, dispatch, holder, granted, deliver);
   if (dispatch.waiting.has(request.slotRequestId)) return state;
   if (dispatch.waiting.size >= MAXIMUM_WAITING_PER_POOL) {
     const refusal = {
--- a/packages/emulator/src/__tests__/interleavings.test.ts
+++ b/packages/emulator/src/__tests__/interleavings.test.ts
@@ -24,6 +24,7 @@
   { seed: 4012, known: 23, breaks: 'when a process acts on its word after a pause' },
   { seed: 11, known: 23, breaks: 'when a drain does not ask for the budget' },
   { seed: 5008, known: 23, breaks: 'when work of a paused gateway counts as seen by the platform' },
+  { seed: 9152, known: 23, breaks: 'when a grant is sent again while its holder is asked whether it came' },
 ];
 
 const KEPT_LENGTH = 30;
--- a/packages/process/src/runtime.ts
+++ b/packages/process/src/runtime.ts
@@ -132,7 +132,11 @@
   const dispatch = (event: EventBody): boolean => loop?.dispatch(event) ?? true;
 
   const peers = await listenForPeers(ip, settings['peer-port'], {
-    onLinked: (from) => writeEvent('peerLinked', { from: from.processId }),
+    onLinked: (from) => {
+      writeEvent('peerLinked', { from: from.processId });
+      // What the peer sent on an older connection may be lost, as what was sent to it.
+      dispatch({ kind: 'peer-linked', processId: from.processId });
+    },
     onMessage: (from, message) => {
       metrics.peerMessages.inc({ direction: 'in', kind: message.kind });
       return dispatch({
