--- a/packages/core/src/requests/grants.ts
+++ b/packages/core/src/requests/grants.ts
@@ -14,7 +14,7 @@
 type SlotGranted = Extract<PeerMessage, { readonly kind: 'slot-granted' }>;
 
 /** How many times longer work of an unknown kind may be silent. */
-const UNPROVEN_PATIENCE = 4;
+const UNPROVEN_PATIENCE = 10;
 
 function connectionLimit(state: State, pool: string): number {
   const connections = state.fold.fleet.configuration.pools.get(pool)?.connectionsPerHost ?? 1;
