Listen to hosts that say they are busy

Cause: the rule that halves the slots of a host that refuses work could never apply, for no answer counted as a refusal; a setting for the platform's poll was not used.

Change: 429 and 503 halve a host's slots and count as failures; the poll follows its setting.

--- a/packages/core/src/dispatch/health.ts
+++ b/packages/core/src/dispatch/health.ts
@@ -106,10 +106,11 @@
   }
   if (outcome === 'succeeded') return yield* noteSuccess(dispatch, hostId, workKind, slotsPerHost);
   if (outcome !== 'refused') return dispatch;
-  return updateHostLoad(dispatch, hostId, (load) => ({
+  const limited = updateHostLoad(dispatch, hostId, (load) => ({
     ...load,
     slotLimit: Math.max(1, Math.floor(load.slotLimit / 2)),
   }));
+  return yield* noteFailure(limited, hostId, workKind, now);
 }
 
 /** The view with every host on trial whose ejection is over. */
--- a/packages/core/src/requests/attempts.ts
+++ b/packages/core/src/requests/attempts.ts
@@ -15,6 +15,14 @@
 /** Status from which an answer counts as a failure of its host. */
 const FIRST_FAILURE_STATUS = 500;
 
+/** Statuses by which a host says that it has too much to do. RFC 6585 section 4, RFC 9110 section 15.6.4. */
+const BUSY_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
+function outcomeOf(status: number): AttemptOutcome {
+  if (BUSY_STATUSES.has(status)) return 'refused';
+  return status >= FIRST_FAILURE_STATUS ? 'failed' : 'succeeded';
+}
+
 function selectRunning(state: State, attemptId: string): RequestState | undefined {
   const request = selectRequestOf(state, attemptId);
   return request?.phase.kind === 'running' && request.phase.attemptId === attemptId ? request : undefined;
@@ -38,8 +46,7 @@
   { attemptId, status, answer }: EventOf<'attempt-completed'>,
   deliver: Deliver,
 ): Step<State> {
-  const outcome: AttemptOutcome = status >= FIRST_FAILURE_STATUS ? 'failed' : 'succeeded';
-  const released = yield* releaseSlot(state, attemptId, outcome, deliver);
+  const released = yield* releaseSlot(state, attemptId, outcomeOf(status), deliver);
   const request = selectRunning(released, attemptId);
   if (request === undefined) return released;
   const { requestId, keyHash } = request.description;
--- a/packages/process/src/platform-effects.ts
+++ b/packages/process/src/platform-effects.ts
@@ -5,15 +5,14 @@
 import type { Platform } from '@baobabdeck/platform';
 import type { EventBody } from './event-loop.js';
 
-/** Time between two looks at the host list and the tasks. */
-const POLL_MILLISECONDS = 1_000;
-
 /** What the effects need. */
 export interface PlatformEffectParts {
   readonly platform: Platform;
   readonly writeEvent: WriteEvent;
   readonly dispatch: (event: EventBody) => boolean;
   readonly isController: boolean;
+  /** Time between two looks at the host list and the tasks. */
+  readonly pollMilliseconds: number;
 }
 
 /** Effects on the platform. */
@@ -30,6 +29,7 @@
   writeEvent,
   dispatch,
   isController,
+  pollMilliseconds,
 }: PlatformEffectParts): PlatformEffects {
   let usageInFlight = false;
   let pollInFlight = false;
@@ -83,7 +83,7 @@
     const now = performance.now();
     if (!isController || pollInFlight || now < nextPollAt) return;
     pollInFlight = true;
-    nextPollAt = now + POLL_MILLISECONDS;
+    nextPollAt = now + pollMilliseconds;
     void pollOnce().finally(() => {
       pollInFlight = false;
     });
--- a/packages/process/src/runtime.ts
+++ b/packages/process/src/runtime.ts
@@ -211,6 +211,7 @@
     writeEvent,
     dispatch,
     isController: role === 'controller',
+    pollMilliseconds: settings['platform-poll-interval-ms'],
   });
   const send = (to: string, message: PeerMessage): void => {
     metrics.peerMessages.inc({ direction: 'out', kind: message.kind });
