Name what follows the members

Change: a function that remembers what it followed. Behaviour as before.

Conclusion: one type assertion less to explain.

--- a/packages/process/src/runtime.ts
+++ b/packages/process/src/runtime.ts
@@ -76,15 +76,15 @@
   return kind === 'wave' ? explainWave(fleet, name) : null;
 }
 
-interface Members {
-  current: ReadonlySet<unknown> | unknown;
-}
-
-function followMembers(loop: EventLoop, links: PeerLinks, seen: Members): void {
-  const { members } = loop.state().fold.fleet;
-  if (seen.current === members) return;
-  Object.assign(seen, { current: members });
-  links.follow([...members.values()].map((member) => member.identity));
+/** Keeps the links in step with the members, each time that these have changed. */
+function createMemberFollower(loop: EventLoop, links: PeerLinks): () => void {
+  let followed: State['fold']['fleet']['members'] | null = null;
+  return () => {
+    const { members } = loop.state().fold.fleet;
+    if (followed === members) return;
+    followed = members;
+    links.follow([...members.values()].map((member) => member.identity));
+  };
 }
 
 interface Running {
@@ -182,7 +182,7 @@
     dispatch({ kind: 'peer-linked', processId: peer }),
   );
   const timers = createTimers(clock.now, (timerId) => dispatch({ kind: 'timer-fired', timerId }));
-  const seen: Members = { current: null };
+  const followMembers = createMemberFollower(running, links);
   const snapshots = createSnapshotWriter({
     state: running.state,
     append: (stream, record) => log.append(stream, record),
@@ -198,7 +198,7 @@
     handlers: {
       onRecords: (stream, records, readStartedAt) => {
         dispatch({ kind: 'records-read', stream, records, readStartedAt });
-        followMembers(running, links, seen);
+        followMembers();
         snapshots.observe(stream, records);
       },
       onReadFailed: (stream) => dispatch({ kind: 'log-read-failed', stream }),
@@ -224,13 +224,13 @@
     else if (effect.kind === 'clear-timer') timers.clear(effect.timerId);
     else if (!platformEffects.perform(effect)) performOther(effect);
   });
-  followMembers(running, links, seen);
+  followMembers();
   log.follow('fleet');
   if (role === 'gateway') log.follow('keys');
   const ticking = setInterval(() => {
     dispatch({ kind: 'ticked' });
     platformEffects.poll();
-    followMembers(running, links, seen);
+    followMembers();
     const { fleet, keys } = running.state().fold;
     metrics.configurationVersion.set(fleet.configuration.version);
     metrics.foldedOffset.set({ stream: 'fleet' }, fleet.nextOffset);
