--- a/packages/local-system/src/system.ts
+++ b/packages/local-system/src/system.ts
@@ -28,7 +28,11 @@
   readonly gateways: LaunchedProcess[];
   readonly controllers: LaunchedProcess[];
   readonly gatewayUrls: () => readonly string[];
-  readonly startGateway: (name: string) => Promise<LaunchedProcess>;
+  /** Starts a gateway; `settings` come before those of the system. */
+  readonly startGateway: (
+    name: string,
+    settings?: Readonly<Record<string, string>>,
+  ) => Promise<LaunchedProcess>;
   readonly startController: (name: string) => Promise<LaunchedProcess>;
   readonly command: (...commandArguments: readonly string[]) => Promise<CommandResult>;
   /** Sets faults of the stand-in platform. */
@@ -122,8 +126,8 @@
   });
   const gateways: LaunchedProcess[] = [];
   const controllers: LaunchedProcess[] = [];
-  const startGateway = async (name: string): Promise<LaunchedProcess> => {
-    const launched = await launch(name, 'gateway', environment(name));
+  const startGateway: LocalSystem['startGateway'] = async (name, settings = {}) => {
+    const launched = await launch(name, 'gateway', { ...environment(name), ...settings });
     gateways.push(launched);
     return launched;
   };
@@ -142,7 +146,7 @@
     Array.from({ length: count }, (_, index) => `${role}-${index + 1}`);
   try {
     await Promise.all([
-      ...names('gateway', options.gateways).map(startGateway),
+      ...names('gateway', options.gateways).map((name) => startGateway(name)),
       ...names('controller', options.controllers).map(startController),
     ]);
     await waitUntil('every process is ready', async () =>
