Say once what was said several times

Cause: reading the whole change: two places numbered slot requests, three built the phase of a repeat that follows, five experiments chose their policies and three drew the same shape of trace; a time, a field of a message and their upkeep had no reader.

Change: waitForNewSlot, followingPhase, selectPolicies and ONLY_SHORT serve them; the unread time of the host list and the unread field of a slot request are gone.

Conclusion: nothing else in the change was worth a mend now.

--- a/packages/bench/src/experiment.ts
+++ b/packages/bench/src/experiment.ts
@@ -31,9 +31,9 @@
   readonly run: (options: ExperimentOptions) => Promise<readonly PolicyResult[]>;
 }
 
-/** Whether a policy is asked for. */
-export function isAsked({ policies }: ExperimentOptions, policy: string): boolean {
-  return policies.length === 0 || policies.includes(policy);
+/** The policies of an experiment that are asked for. */
+export function selectPolicies({ policies }: ExperimentOptions, known: readonly string[]): readonly string[] {
+  return policies.length === 0 ? known : known.filter((policy) => policies.includes(policy));
 }
 
 /** A figure, rounded as far as it means something. */
--- a/packages/bench/src/experiments/at-most-once.ts
+++ b/packages/bench/src/experiments/at-most-once.ts
@@ -2,7 +2,7 @@
 import { createRandom, requestOf, type Emulator } from '@baobabdeck/emulator';
 import {
   figure,
-  isAsked,
+  selectPolicies,
   type Experiment,
   type ExperimentOptions,
   type PolicyResult,
@@ -118,6 +118,6 @@
   policies: POLICIES,
   run: async (options) =>
     USERS.flatMap((user) =>
-      POLICIES.filter((policy) => isAsked(options, policy)).map((policy) => runPolicy(user, policy, options)),
+      selectPolicies(options, POLICIES).map((policy) => runPolicy(user, policy, options)),
     ),
 };
--- a/packages/bench/src/experiments/bursts.ts
+++ b/packages/bench/src/experiments/bursts.ts
@@ -2,14 +2,14 @@
 import { createRandom } from '@baobabdeck/emulator';
 import {
   figure,
-  isAsked,
+  selectPolicies,
   type Experiment,
   type ExperimentOptions,
   type PolicyResult,
 } from '../experiment.js';
 import { quantilesOf } from '../quantiles.js';
 import { startEmulatedSystem, submitTrace, waitsOf, WARM_UP_MILLISECONDS } from '../run-system.js';
-import { drawTrace, type Arrival } from '../trace.js';
+import { drawTrace, ONLY_SHORT, type Arrival } from '../trace.js';
 import { SLOTS_PER_HOST, USERS, type UserFleet } from '../users.js';
 
 const SHORT_MILLISECONDS = 200;
@@ -55,8 +55,7 @@
       gateways: user.gateways,
       milliseconds: user.pools.length * BURST_MILLISECONDS * 2,
       shortMilliseconds: SHORT_MILLISECONDS,
-      longShare: 0,
-      longFactor: 1,
+      ...ONLY_SHORT,
       rateAt: rateOf(pool.hosts * SLOTS_PER_HOST, index, user.pools.length),
     };
     return drawTrace(random, shape, `${user.user}-${pool.name}`);
@@ -90,6 +89,6 @@
   policies: POLICIES,
   run: async (options) =>
     USERS.flatMap((user) =>
-      POLICIES.filter((policy) => isAsked(options, policy)).map((policy) => runPolicy(user, policy, options)),
+      selectPolicies(options, POLICIES).map((policy) => runPolicy(user, policy, options)),
     ),
 };
--- a/packages/bench/src/experiments/overload.ts
+++ b/packages/bench/src/experiments/overload.ts
@@ -2,14 +2,14 @@
 import { createRandom } from '@baobabdeck/emulator';
 import {
   figure,
-  isAsked,
+  selectPolicies,
   type Experiment,
   type ExperimentOptions,
   type PolicyResult,
 } from '../experiment.js';
 import { quantilesOf } from '../quantiles.js';
 import { startEmulatedSystem, submitTrace, waitsOf, WARM_UP_MILLISECONDS } from '../run-system.js';
-import { drawTrace, type Arrival } from '../trace.js';
+import { drawTrace, ONLY_SHORT, type Arrival } from '../trace.js';
 import { SLOTS_PER_HOST, USERS, type UserFleet } from '../users.js';
 
 const SHORT_MILLISECONDS = 100;
@@ -33,8 +33,7 @@
     gateways: user.gateways,
     milliseconds: TRACE_MILLISECONDS,
     shortMilliseconds: SHORT_MILLISECONDS,
-    longShare: 0,
-    longFactor: 1,
+    ...ONLY_SHORT,
     rateAt: () => (slots / SHORT_MILLISECONDS) * load,
   };
   return drawTrace(createRandom(seed), shape, user.user);
@@ -92,9 +91,7 @@
   run: async (options) =>
     USERS.flatMap((user) =>
       [false, true].flatMap((failing) =>
-        POLICIES.filter((policy) => isAsked(options, policy)).map((policy) =>
-          runPolicy(user, policy, failing, options),
-        ),
+        selectPolicies(options, POLICIES).map((policy) => runPolicy(user, policy, failing, options)),
       ),
     ),
 };
--- a/packages/bench/src/experiments/rollout.ts
+++ b/packages/bench/src/experiments/rollout.ts
@@ -2,14 +2,14 @@
 import { createRandom } from '@baobabdeck/emulator';
 import {
   figure,
-  isAsked,
+  selectPolicies,
   type Experiment,
   type ExperimentOptions,
   type PolicyResult,
 } from '../experiment.js';
 import { quantilesOf } from '../quantiles.js';
 import { startEmulatedSystem, submitTrace, waitsOf } from '../run-system.js';
-import { drawTrace } from '../trace.js';
+import { drawTrace, ONLY_SHORT } from '../trace.js';
 import { SLOTS_PER_HOST, USERS, type UserFleet } from '../users.js';
 
 const REBOOT_MILLISECONDS = 120_000;
@@ -37,8 +37,7 @@
     gateways: user.gateways,
     milliseconds: LOAD_MILLISECONDS,
     shortMilliseconds: SHORT_MILLISECONDS,
-    longShare: 0,
-    longFactor: 1,
+    ...ONLY_SHORT,
     rateAt: () => (slots / SHORT_MILLISECONDS) * LOAD,
   };
   const trace = drawTrace(createRandom(options.seed), shape, user.user);
@@ -81,6 +80,6 @@
   policies: POLICIES,
   run: async (options) =>
     USERS.flatMap((user) =>
-      POLICIES.filter((policy) => isAsked(options, policy)).map((policy) => runPolicy(user, policy, options)),
+      selectPolicies(options, POLICIES).map((policy) => runPolicy(user, policy, options)),
     ),
 };
--- a/packages/bench/src/experiments/short-work.ts
+++ b/packages/bench/src/experiments/short-work.ts
@@ -2,7 +2,7 @@
 import { createRandom } from '@baobabdeck/emulator';
 import {
   figure,
-  isAsked,
+  selectPolicies,
   type Experiment,
   type ExperimentOptions,
   type PolicyResult,
@@ -112,7 +112,7 @@
       ? runReal(user, trace, options.seed)
       : runModel(policy, user, trace, slots, reserved, options.seed);
   const bound = quantilesOf(waitsOfPolicy('central-queue'));
-  return POLICIES.filter((policy) => isAsked(options, policy)).map((policy) => {
+  return selectPolicies(options, POLICIES).map((policy) => {
     const waits = policy === 'central-queue' ? bound : quantilesOf(waitsOfPolicy(policy));
     return {
       user: `${user.user}, ${scenario.name}`,
--- a/packages/bench/src/trace.ts
+++ b/packages/bench/src/trace.ts
@@ -24,6 +24,9 @@
   readonly rateAt: (milliseconds: number) => number;
 }
 
+/** The part of a shape whose work is all short. */
+export const ONLY_SHORT = { longShare: 0, longFactor: 1 } as const;
+
 const CALLERS = 20;
 
 /** The mean run time of a trace's work. */
--- a/packages/core/src/control/control-state.ts
+++ b/packages/core/src/control/control-state.ts
@@ -12,7 +12,6 @@
 export interface ControlState {
   /** Time of the newest host list; null before the first. */
   readonly hostListAsOf: Date | null;
-  readonly hostListReadAt: Date | null;
   readonly sightings: PersistentMap<string, HostSighting>;
   /** Hosts whose presence in the list may differ from what is recorded. */
   readonly unrecordedHostIds: PersistentSet<string>;
@@ -30,7 +29,6 @@
 export function emptyControlState(): ControlState {
   return {
     hostListAsOf: null,
-    hostListReadAt: null,
     sightings: PersistentMap(),
     unrecordedHostIds: PersistentSet(),
     usage: PersistentMap(),
--- a/packages/core/src/control/hosts.ts
+++ b/packages/core/src/control/hosts.ts
@@ -24,7 +24,6 @@
     sightings,
     unrecordedHostIds,
     hostListAsOf: event.asOf,
-    hostListReadAt: event.at,
   };
   return { ...state, control };
 }
--- a/packages/core/src/requests/ask-slot.ts
+++ b/packages/core/src/requests/ask-slot.ts
@@ -17,7 +17,6 @@
     caller: description.caller,
     workKind: description.workKind,
     needs: description.needs,
-    repeatable: description.repeatable,
     hint: description.hint,
     longWorkThresholdMilliseconds: request.longWorkThresholdMilliseconds,
     remainingMilliseconds: Math.max(0, millisecondsBetween(state.now, request.deadlineAt)),
@@ -32,12 +31,17 @@
   return yield* deliver(state, dispatcher, message);
 }
 
+/** The request, waiting for a slot that was not asked for yet. */
+export function waitForNewSlot(state: State, request: RequestState): RequestState {
+  const slotRequests = request.slotRequests + 1;
+  const slotRequestId = `${request.description.requestId}#${slotRequests}`;
+  return { ...request, phase: { kind: 'waiting', slotRequestId, askedAt: state.now }, slotRequests };
+}
+
 /** Asks for a first slot, or for another one after an attempt. */
 export function* askForSlot(state: State, request: RequestState, deliver: Deliver): Step<State> {
-  const slotRequestId = `${request.description.requestId}#${request.slotRequests + 1}`;
-  const phase = { kind: 'waiting', slotRequestId, askedAt: state.now } as const;
-  const waiting: RequestState = { ...request, phase, slotRequests: request.slotRequests + 1 };
-  return yield* send(setRequest(state, waiting), waiting, slotRequestId, deliver);
+  const waiting = waitForNewSlot(state, request);
+  return yield* askAgain(state, waiting, deliver);
 }
 
 /** Asks again for the slot that a request waits for: the question or its answer may be lost. */
--- a/packages/core/src/requests/follow.ts
+++ b/packages/core/src/requests/follow.ts
@@ -10,7 +10,7 @@
 import { endRequest, refuse } from './refuse.js';
 import type { Deliver } from './release-slot.js';
 import { setRequest } from './request-table.js';
-import type { RemoteFollower, RequestState } from './requests-state.js';
+import type { RemoteFollower, RequestPhase, RequestState } from './requests-state.js';
 
 /** Time after which nobody expects word of work whose holder is gone. */
 const LAST_WORD_MILLISECONDS = 3_000;
@@ -46,6 +46,21 @@
   );
 }
 
+function followingPhase(
+  state: State,
+  holder: KeyState,
+  holderProcessId: string,
+  goneSince: Date | null,
+): RequestPhase {
+  return {
+    kind: 'following',
+    holderRequestId: holder.requestId,
+    holderProcessId,
+    askedAt: state.now,
+    goneSince,
+  };
+}
+
 function isHolderGone(state: State, holder: KeyState): boolean {
   const member = state.fold.fleet.members.get(holder.processId);
   return member === undefined || member.identity.incarnation !== holder.incarnation;
@@ -53,13 +68,7 @@
 
 function* askProcess(state: State, request: RequestState, holder: KeyState, processId: string): Step<State> {
   const { requestId, keyHash } = request.description;
-  const phase = {
-    kind: 'following',
-    holderRequestId: holder.requestId,
-    holderProcessId: processId,
-    askedAt: state.now,
-    goneSince: null,
-  } as const;
+  const phase = followingPhase(state, holder, processId, null);
   yield {
     kind: 'send',
     to: processId,
@@ -82,13 +91,7 @@
   if (millisecondsBetween(goneSince, state.now) >= LAST_WORD_MILLISECONDS) {
     return yield* refuseEnded(state, request, holder, deliver);
   }
-  const phase = {
-    kind: 'following',
-    holderRequestId: holder.requestId,
-    holderProcessId: holder.processId,
-    askedAt: state.now,
-    goneSince,
-  } as const;
+  const phase = followingPhase(state, holder, holder.processId, goneSince);
   return setRequest(state, { ...request, phase });
 }
 
@@ -104,13 +107,7 @@
 }
 
 function followLocally(state: State, request: RequestState, holder: KeyState): State {
-  const phase = {
-    kind: 'following',
-    holderRequestId: holder.requestId,
-    holderProcessId: holder.processId,
-    askedAt: state.now,
-    goneSince: null,
-  } as const;
+  const phase = followingPhase(state, holder, holder.processId, null);
   const followers = state.requests.localFollowers.get(holder.requestId) ?? PersistentSet<string>();
   const localFollowers = state.requests.localFollowers.set(
     holder.requestId,
--- a/packages/core/src/requests/grants.ts
+++ b/packages/core/src/requests/grants.ts
@@ -6,6 +6,7 @@
 import { yieldChecked } from '../invariants/check-effect.js';
 import { isLapsed } from '../membership/contact.js';
 import type { State } from '../state.js';
+import { waitForNewSlot } from './ask-slot.js';
 import { refuse, verdictOf } from './refuse.js';
 import type { Deliver } from './release-slot.js';
 import { selectRequestOf, setRequest, silenceTimer } from './request-table.js';
@@ -112,13 +113,7 @@
   const returned = yield* deliver(state, from, message);
   // The request is asked for again by the clock, so that a lapse or a lagging view does not spin.
   const again = returned.requests.byId.get(request?.description.requestId ?? '');
-  return wanted && again !== undefined ? renewSlotRequest(returned, again) : returned;
-}
-
-function renewSlotRequest(state: State, request: RequestState): State {
-  const slotRequestId = `${request.description.requestId}#${request.slotRequests + 1}`;
-  const phase = { kind: 'waiting', slotRequestId, askedAt: state.now } as const;
-  return setRequest(state, { ...request, phase, slotRequests: request.slotRequests + 1 });
+  return wanted && again !== undefined ? setRequest(returned, waitForNewSlot(returned, again)) : returned;
 }
 
 /** The dispatcher has no room for one more request. */
--- a/packages/types/src/peer-message.ts
+++ b/packages/types/src/peer-message.ts
@@ -9,7 +9,6 @@
   readonly caller: string;
   readonly workKind: string;
   readonly needs: readonly CapabilityNeed[];
-  readonly repeatable: boolean;
   /** The caller's word on how long the work runs; it may be wrong. */
   readonly hint: 'short' | 'long' | null;
   readonly longWorkThresholdMilliseconds: number;
