--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,7 @@
 };
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'results/**', 'target/**', 'journal/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -31,7 +31,7 @@
   ...configs.base.recommended,
   ...configs.base.typescript,
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: houseRules,
   },
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -7,7 +7,7 @@
   readonly message: string;
 }
 
-/** Every log event: 1xx processes, 2xx log and peers, 3xx requests, 4xx fleet, 9xx faults. */
+/** Every log event: 1xx processes, 2xx log and peers, 3xx requests, 4xx fleet, 5xx the scheduler, 9xx faults. */
 export const LOG_EVENTS = {
   processStarted: { number: 101, level: 'info', message: 'process started' },
   processStopping: { number: 102, level: 'info', message: 'stop requested; finishing what is in progress' },
@@ -51,6 +51,52 @@
   commandRejected: { number: 402, level: 'info', message: 'command rejected' },
   drainPermitted: { number: 403, level: 'info', message: 'drain permitted' },
   wavePaused: { number: 404, level: 'warn', message: 'maintenance wave stops by itself' },
+  jobAccepted: { number: 501, level: 'info', message: 'job is stored and accepted' },
+  jobRefused: { number: 502, level: 'info', message: 'job is refused and never runs' },
+  jobUnknown: { number: 503, level: 'warn', message: 'the store did not say whether a job was stored' },
+  cancelTaken: { number: 504, level: 'info', message: 'cancelling of a job was stored, or not' },
+  statusUnavailable: { number: 505, level: 'warn', message: 'no owner told the status of a job in time' },
+  jobQueued: {
+    number: 511,
+    level: 'info',
+    message: 'job was read from the log and waits for its tasks to start',
+  },
+  jobEnded: { number: 512, level: 'info', message: 'job is over' },
+  jobForgotten: { number: 513, level: 'info', message: 'status of an ended job is kept no longer' },
+  taskPlaced: {
+    number: 521,
+    level: 'info',
+    message: 'task is given to a worker; it starts once that is stored',
+  },
+  taskEnded: { number: 522, level: 'info', message: 'run of a task is over' },
+  taskStartRefused: { number: 523, level: 'warn', message: 'worker refused to start a task' },
+  taskStopOrdered: { number: 524, level: 'info', message: 'run of a task is stopped' },
+  strayRunStopped: {
+    number: 525,
+    level: 'warn',
+    message: 'worker runs what is not recorded for it; it is stopped',
+  },
+  workerFound: { number: 531, level: 'info', message: 'worker is in the register and is asked for its runs' },
+  workerLost: { number: 532, level: 'warn', message: 'life of a worker is over; its tasks wait again' },
+  workerSilent: { number: 533, level: 'warn', message: 'worker does not answer' },
+  workerBack: { number: 534, level: 'info', message: 'worker answers again' },
+  workerEjected: { number: 535, level: 'warn', message: 'worker gets no tasks after failures' },
+  leaseLapsed: {
+    number: 536,
+    level: 'warn',
+    message: 'lease of a worker out of reach is over; its tasks wait again',
+  },
+  hostReleased: { number: 537, level: 'info', message: 'host is free of tasks for good' },
+  serviceClaimed: { number: 541, level: 'info', message: 'this process owns a service now' },
+  serviceGivenUp: { number: 542, level: 'info', message: 'this process no longer owns a service' },
+  ownershipSuperseded: { number: 543, level: 'warn', message: 'another process has claimed a service' },
+  placesDealt: { number: 544, level: 'info', message: 'the store dealt logs to this process' },
+  storeUnreachable: { number: 551, level: 'warn', message: 'the store cannot be read' },
+  storeReachable: { number: 552, level: 'info', message: 'the store can be read again' },
+  logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
+  hostListFailed: { number: 554, level: 'warn', message: 'the list of hosts cannot be read' },
+  callerConnectionFailed: { number: 506, level: 'info', message: 'connection of a caller broke' },
+  waveAsked: { number: 561, level: 'info', message: 'the operator asks for a maintenance wave' },
   invariantViolated: { number: 901, level: 'error', message: 'something that must always hold does not' },
   unexpectedError: { number: 902, level: 'error', message: 'unexpected error' },
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
--- /dev/null
+++ b/packages/peer-protocol/src/call-server.ts
@@ -0,0 +1,79 @@
+/** Answers calls of peers: a frame with a number comes in, a frame with the same number goes back. */
+import { createServer, type Socket } from 'node:net';
+import { createFrameReader, encodeFrame } from './codec.js';
+
+/** Answers one call; what it resolves to goes back to the caller. */
+export type AnswerCall = (content: unknown) => Promise<unknown>;
+
+/** Time without a byte after which a connection is taken for dead. */
+const SILENCE_MILLISECONDS = 30_000;
+
+interface CallFrame {
+  readonly id: number;
+  readonly content: unknown;
+}
+
+/** The call in a frame, or null where there is none. */
+export function readCallFrame(content: unknown): CallFrame | null {
+  if (typeof content !== 'object' || content === null) return null;
+  const { id, content: inner } = content as Partial<CallFrame>;
+  return typeof id === 'number' && Number.isInteger(id) ? { id, content: inner } : null;
+}
+
+async function answerOne(socket: Socket, frame: CallFrame, answer: AnswerCall): Promise<void> {
+  const content = await answer(frame.content);
+  if (!socket.destroyed) socket.write(encodeFrame({ id: frame.id, content }));
+}
+
+function serveCalls(socket: Socket, answer: AnswerCall, onFault: (reason: string) => void): void {
+  const read = createFrameReader();
+  const reject = (reason: string): void => {
+    onFault(`${socket.remoteAddress ?? 'unknown'}: ${reason}`);
+    socket.destroy();
+  };
+  socket.setNoDelay(true);
+  socket.setTimeout(SILENCE_MILLISECONDS, () => socket.destroy());
+  socket.on('error', () => socket.destroy());
+  socket.on('data', (chunk: Buffer) => {
+    const { contents, fault } = read(chunk);
+    for (const content of contents) {
+      const frame = readCallFrame(content);
+      if (frame === null) reject('a frame holds no call');
+      else void answerOne(socket, frame, answer);
+    }
+    if (fault !== null) reject(`frame ${fault}`);
+  });
+}
+
+/** A listening server for calls. */
+export interface CallServer {
+  readonly port: number;
+  readonly close: () => void;
+}
+
+/** Listens for calls of peers. Rejects when the port is taken. */
+export async function listenForCalls(
+  ip: string,
+  port: number,
+  answer: AnswerCall,
+  onFault: (reason: string) => void,
+): Promise<CallServer> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('close', () => sockets.delete(socket));
+    serveCalls(socket, answer, onFault);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, ip, resolve);
+  });
+  const address = server.address();
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : port,
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+}
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,4 +1,6 @@
 /** Framed messages between the processes of the system. */
+export * from './call-client.js';
+export { listenForCalls, type AnswerCall, type CallServer } from './call-server.js';
 export * from './codec.js';
 export * from './hello.js';
 export * from './link.js';
--- a/packages/peer-protocol/src/link.ts
+++ b/packages/peer-protocol/src/link.ts
@@ -18,7 +18,8 @@
   readonly close: () => void;
 }
 
-function splitAddress(address: string): { readonly host: string; readonly port: number } {
+/** IP number and port of an address as `127.0.0.1:7000`. */
+export function splitAddress(address: string): { readonly host: string; readonly port: number } {
   const colon = address.lastIndexOf(':');
   return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) };
 }
--- /dev/null
+++ b/packages/scheduler/src/front/find-queue.ts
@@ -0,0 +1,19 @@
+/** Which queue a caller's request is for: by host name and the longest prefix of its path. */
+import type { Queue, QueueConfiguration, QueueLookup } from '../ports/index.js';
+
+/** Finds the queue of a request; `rest` is the path behind the queue's prefix. */
+export function findQueue(
+  configuration: QueueConfiguration | null,
+  hostName: string,
+  path: string,
+): QueueLookup {
+  if (configuration === null) return { kind: 'no-configuration' };
+  let best: Queue | null = null;
+  for (const queue of configuration.queues) {
+    const isMatch = queue.hostName === hostName && path.startsWith(queue.pathPrefix);
+    if (isMatch && (best === null || queue.pathPrefix.length > best.pathPrefix.length)) best = queue;
+  }
+  return best === null
+    ? { kind: 'unknown' }
+    : { kind: 'found', queue: best, rest: path.slice(best.pathPrefix.length) };
+}
--- /dev/null
+++ b/packages/scheduler/src/front/front.ts
@@ -0,0 +1,196 @@
+/** Serves callers: stores what they hand in and asks the owners of services for the rest. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { WriteEvent } from '@baobabdeck/observability';
+import type { JobRequest } from '@baobabdeck/scheduling';
+import type { Layout } from '../node/layout.js';
+import { subjectOf } from '../node/layout.js';
+import type { SteadyClock } from '../node/steady-clock.js';
+import { encodeRecord } from '../owner/record-codec.js';
+import type { OwnerDirectory } from '../peers/directory.js';
+import { readAnswer, type PeerAnswer, type PeerQuestion } from '../peers/messages.js';
+import type {
+  CancelAnswer,
+  KeyedRecord,
+  LogPlace,
+  PendingAnswer,
+  Queue,
+  StatusAnswer,
+  SubmitAnswer,
+  SubmittedJob,
+} from '../ports/index.js';
+import type { SubmissionWriter } from './submission-writer.js';
+
+/** Time that an answer needs to reach the caller before its patience ends. */
+const ANSWER_MARGIN_MILLISECONDS = 100;
+
+/** Time for one question to an owner; owners answer from memory. */
+const QUESTION_MILLISECONDS = 400;
+
+const RETRY_PAUSE_MILLISECONDS = 60;
+
+/** When a caller is to come back after the store refused to take its job. */
+const STORE_REFUSED_RETRY_SECONDS = 1;
+
+/** Share of a caller's patience for which a job is offered to a store that refuses it. */
+const STORE_PATIENCE_SHARE = 0.5;
+
+/** What the front needs. */
+export interface FrontParts {
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  readonly writer: SubmissionWriter;
+  readonly directory: OwnerDirectory;
+  readonly layout: () => Layout;
+  /** Answers a question from this process's own state; null where it does not own the service. */
+  readonly answerHere: (question: PeerQuestion) => Promise<PeerAnswer>;
+  readonly isOwnedHere: (place: LogPlace) => boolean;
+}
+
+/** What callers can have done. */
+export interface Front {
+  readonly submit: (queue: Queue, job: SubmittedJob, patienceMilliseconds: number) => Promise<SubmitAnswer>;
+  readonly askStatus: (queue: Queue, jobId: string, patienceMilliseconds: number) => Promise<StatusAnswer>;
+  readonly cancel: (queue: Queue, jobId: string, patienceMilliseconds: number) => Promise<CancelAnswer>;
+  readonly countPending: (queue: Queue, patienceMilliseconds: number) => Promise<PendingAnswer>;
+}
+
+function requestOf(queue: Queue, job: SubmittedJob, now: Date, patienceMilliseconds: number): JobRequest {
+  return {
+    ...job,
+    service: queue.service,
+    queue: queue.name,
+    priority: queue.priority,
+    maximumFailedRuns: queue.maximumFailedRuns,
+    stretch: queue.stretch,
+    targetMilliseconds: queue.targetMilliseconds,
+    advice: queue.advice,
+    // The caller's patience is what is left of the queue's timeout since its first try.
+    ageMilliseconds: Math.max(0, queue.timeoutMilliseconds - patienceMilliseconds),
+    acceptedAt: now,
+  };
+}
+
+/** Creates the front. */
+export function createFront(parts: FrontParts): Front {
+  const { clock, writeEvent, writer, directory } = parts;
+
+  const placeOf = (queue: Queue): LogPlace | null => parts.layout().get(subjectOf(queue.service)) ?? null;
+
+  const untilOf = (patienceMilliseconds: number): number =>
+    clock.steadyNow() + Math.max(0, patienceMilliseconds - ANSWER_MARGIN_MILLISECONDS);
+
+  /** Appends until it is stored, or until it is too late to tell; `doubtful` once an answer was lost. */
+  const store = async (
+    place: LogPlace,
+    records: readonly KeyedRecord[],
+    until: number,
+    refuseAt: number,
+  ): Promise<SubmitAnswer & { readonly offset?: number }> => {
+    let doubtful = false;
+    for (;;) {
+      const outcome = await writer.append(place, records);
+      if (outcome.kind === 'stored') return { kind: 'accepted', offset: outcome.firstOffset };
+      doubtful ||= outcome.kind === 'unknown';
+      const now = clock.steadyNow();
+      if (!doubtful && now >= refuseAt) {
+        return {
+          kind: 'refused',
+          reason: 'the store takes nothing now',
+          retryAfterSeconds: STORE_REFUSED_RETRY_SECONDS,
+        };
+      }
+      if (now >= until) return { kind: 'unknown' };
+      await sleep(RETRY_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const submit = async (
+    queue: Queue,
+    job: SubmittedJob,
+    patienceMilliseconds: number,
+  ): Promise<SubmitAnswer> => {
+    const place = placeOf(queue);
+    const startedAt = clock.steadyNow();
+    const request = requestOf(queue, job, clock.now(), patienceMilliseconds);
+    const fields = { jobId: job.jobId, queue: queue.name, service: queue.service };
+    if (place === null) {
+      writeEvent('jobRefused', { ...fields, reason: 'the service has no log yet' });
+      return { kind: 'refused', reason: 'the service has no log yet', retryAfterSeconds: 1 };
+    }
+    const refuseAt = startedAt + patienceMilliseconds * STORE_PATIENCE_SHARE;
+    const records = encodeRecord({ kind: 'job-accepted', request });
+    const answer = await store(place, records, untilOf(patienceMilliseconds), refuseAt);
+    const milliseconds = Math.round(clock.steadyNow() - startedAt);
+    if (answer.kind === 'accepted') {
+      writeEvent('jobAccepted', { ...fields, offset: answer.offset, milliseconds });
+    } else if (answer.kind === 'refused') {
+      writeEvent('jobRefused', { ...fields, reason: answer.reason, milliseconds });
+    } else {
+      writeEvent('jobUnknown', { ...fields, milliseconds });
+    }
+    return answer;
+  };
+
+  const askOnce = async (place: LogPlace, question: PeerQuestion): Promise<PeerAnswer | null> => {
+    if (parts.isOwnedHere(place)) {
+      const own = await parts.answerHere(question);
+      if (own.kind !== 'not-owner') return own;
+    }
+    const owner = await directory.ownerOf(place);
+    if (owner === null) return null;
+    return readAnswer(await directory.ask(owner, question, QUESTION_MILLISECONDS));
+  };
+
+  const ask = async (
+    queue: Queue,
+    question: PeerQuestion,
+    patienceMilliseconds: number,
+  ): Promise<PeerAnswer | null> => {
+    const until = untilOf(patienceMilliseconds);
+    const place = placeOf(queue);
+    if (place === null) return null;
+    for (;;) {
+      const answer = await askOnce(place, question);
+      if (answer !== null && answer.kind !== 'not-owner') return answer;
+      directory.distrust();
+      if (clock.steadyNow() >= until) return null;
+      await sleep(RETRY_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const askStatus = async (
+    queue: Queue,
+    jobId: string,
+    patienceMilliseconds: number,
+  ): Promise<StatusAnswer> => {
+    const question = { kind: 'job-status' as const, service: queue.service, queue: queue.name, jobId };
+    const answer = await ask(queue, question, patienceMilliseconds);
+    if (answer?.kind === 'job-status') return { kind: 'known', status: answer.status };
+    if (answer?.kind === 'unknown-job') return { kind: 'unknown-job' };
+    writeEvent('statusUnavailable', { jobId, queue: queue.name });
+    return { kind: 'unavailable' };
+  };
+
+  const cancel = async (queue: Queue, jobId: string, patienceMilliseconds: number): Promise<CancelAnswer> => {
+    const startedAt = clock.steadyNow();
+    const status = await askStatus(queue, jobId, patienceMilliseconds / 2);
+    if (status.kind === 'unknown-job') return { kind: 'unknown-job' };
+    const place = placeOf(queue);
+    if (place === null) return { kind: 'unavailable' };
+    const left = patienceMilliseconds - (clock.steadyNow() - startedAt);
+    const until = untilOf(left);
+    const stored = await store(place, encodeRecord({ kind: 'job-cancelled', jobId }), until, until);
+    writeEvent('cancelTaken', { jobId, queue: queue.name, outcome: stored.kind });
+    return { kind: stored.kind === 'accepted' ? 'cancelled' : 'unavailable' };
+  };
+
+  const countPending = async (queue: Queue, patienceMilliseconds: number): Promise<PendingAnswer> => {
+    const question = { kind: 'pending-count' as const, service: queue.service, queue: queue.name };
+    const answer = await ask(queue, question, patienceMilliseconds);
+    return answer?.kind === 'pending-count'
+      ? { kind: 'counted', pending: answer.pending }
+      : { kind: 'unavailable' };
+  };
+
+  return { submit, askStatus, cancel, countPending };
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,5 @@
+/** The scheduler's process over ports. */
+export { startNode, type NodeParts, type SchedulerNode } from './node/node.js';
+export type { SchedulerSettings } from './node/settings.js';
+export { machineClock, type SteadyClock } from './node/steady-clock.js';
+export * from './ports/index.js';
--- /dev/null
+++ b/packages/scheduler/src/node/configuration.ts
@@ -0,0 +1,106 @@
+/** Follows what the operator publishes. A configuration never gives way to an older one. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { WriteEvent } from '@baobabdeck/observability';
+import type {
+  OperatorEntry,
+  OperatorFeed,
+  OperatorOutcome,
+  QueueConfiguration,
+  WaveRequest,
+} from '../ports/index.js';
+import type { SteadyClock } from './steady-clock.js';
+
+const READ_WAIT_MILLISECONDS = 5_000;
+const FAILURE_PAUSE_MILLISECONDS = 150;
+
+/** What is in force. */
+export interface ConfigurationFollower {
+  readonly current: () => QueueConfiguration | null;
+  readonly waves: () => readonly WaveRequest[];
+  /** When the operator's entries were last read in full, on the steady clock; null before. */
+  readonly readAt: () => number | null;
+  /** Takes a configuration that a peer has. */
+  readonly offer: (configuration: QueueConfiguration, source: string) => void;
+  readonly close: () => void;
+}
+
+/** What the follower needs. */
+export interface ConfigurationParts {
+  readonly feed: OperatorFeed;
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  readonly onConfiguration: (configuration: QueueConfiguration) => void;
+  readonly onWave: (wave: WaveRequest) => void;
+}
+
+/** Begins to follow. */
+export function followConfiguration(parts: ConfigurationParts): ConfigurationFollower {
+  const { feed, clock, writeEvent } = parts;
+  const waves = new Map<number, WaveRequest>();
+  let current: QueueConfiguration | null = null;
+  let readAt: number | null = null;
+  let nextOffset: number | null = null;
+  let closed = false;
+  let wasReachable = true;
+
+  const offer = (configuration: QueueConfiguration, source: string): void => {
+    if (current !== null && configuration.version <= current.version) return;
+    const { version, queues, services } = configuration;
+    writeEvent('configurationInForce', {
+      version,
+      source,
+      former: current?.version ?? null,
+      queues: queues.length,
+      services: services.length,
+    });
+    current = configuration;
+    parts.onConfiguration(configuration);
+  };
+
+  const take = (entry: OperatorEntry): void => {
+    if (entry.kind === 'configuration') {
+      offer(entry.configuration, 'store');
+    } else if (!waves.has(entry.wave.wave)) {
+      waves.set(entry.wave.wave, entry.wave);
+      parts.onWave(entry.wave);
+    }
+  };
+
+  const noteReachable = (outcome: OperatorOutcome): void => {
+    const isReachable = outcome.kind === 'read';
+    if (isReachable !== wasReachable && outcome.kind !== 'expired') {
+      writeEvent(isReachable ? 'storeReachable' : 'storeUnreachable', { outcome: outcome.kind });
+      wasReachable = isReachable;
+    }
+  };
+
+  const readOnce = async (): Promise<void> => {
+    const askedAt = clock.steadyNow();
+    const wait = wasReachable ? READ_WAIT_MILLISECONDS : 0;
+    const outcome = nextOffset === null ? await feed.readNewest() : await feed.read(nextOffset, wait);
+    noteReachable(outcome);
+    if (outcome.kind === 'read') {
+      outcome.entries.forEach(take);
+      nextOffset = outcome.nextOffset;
+      readAt = askedAt;
+    } else if (outcome.kind === 'expired') {
+      nextOffset = null;
+    } else {
+      await sleep(FAILURE_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const follow = async (): Promise<void> => {
+    while (!closed) await readOnce();
+  };
+  void follow();
+  return {
+    current: () => current,
+    waves: () => [...waves.values()],
+    readAt: () => readAt,
+    offer,
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/node/layout.ts
@@ -0,0 +1,96 @@
+/** Which log holds which service. Assigned once for good, by the first process that sees a service without one. */
+import { Decoder, Encoder } from 'cbor-x';
+import type { LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
+
+/** The topic that says where each service's log is. */
+export const LAYOUT_PLACE: LogPlace = { topic: 'keyed.layout', partition: 0 };
+
+/** Subject of the layout that stands for the fleet's own log: host moves and waves. */
+export const FLEET_SUBJECT = 'fleet';
+
+const SERVICE_PREFIX = 'service/';
+const TOPIC_PREFIX = 'keyed.work.';
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false });
+
+/** The log of each subject. */
+export type Layout = ReadonlyMap<string, LogPlace>;
+
+/** The subject of a service. */
+export function subjectOf(service: string): string {
+  return SERVICE_PREFIX + service;
+}
+
+/** The service behind a subject, or null for the fleet. */
+export function serviceOf(subject: string): string | null {
+  return subject.startsWith(SERVICE_PREFIX) ? subject.slice(SERVICE_PREFIX.length) : null;
+}
+
+/** Whether two places are the same. */
+export function isSamePlace(left: LogPlace, right: LogPlace): boolean {
+  return left.topic === right.topic && left.partition === right.partition;
+}
+
+/** A place as text, for maps. */
+export function placeKey({ topic, partition }: LogPlace): string {
+  return `${topic}/${partition}`;
+}
+
+/** The topics that the places of a layout lie in; there is always one. */
+export function topicsOf(layout: Layout): readonly string[] {
+  return [...new Set([`${TOPIC_PREFIX}0`, ...[...layout.values()].map((place) => place.topic)])].sort();
+}
+
+function decodeLayout(records: readonly StoredKeyedRecord[]): Layout {
+  const oldestFirst = [...records].sort((left, right) => left.offset - right.offset);
+  const layout = new Map<string, LogPlace>();
+  for (const { key, value } of oldestFirst) {
+    if (value !== null && !layout.has(key)) {
+      const [topic, partition] = decoder.decode(value) as readonly [string, number];
+      layout.set(key, { topic, partition });
+    }
+  }
+  return layout;
+}
+
+/** Places for subjects that have none, each the first that is free. */
+export function assignPlaces(
+  layout: Layout,
+  subjects: readonly string[],
+  partitionCount: number,
+): readonly (readonly [subject: string, place: LogPlace])[] {
+  const taken = new Set([...layout.values()].map(placeKey));
+  const assigned: (readonly [string, LogPlace])[] = [];
+  let candidate = 0;
+  for (const subject of subjects.filter((one) => !layout.has(one))) {
+    let place: LogPlace;
+    do {
+      const topic = `${TOPIC_PREFIX}${Math.floor(candidate / partitionCount)}`;
+      place = { topic, partition: candidate % partitionCount };
+      candidate += 1;
+    } while (taken.has(placeKey(place)));
+    assigned.push([subject, place]);
+  }
+  return assigned;
+}
+
+/** The layout with a place for every subject; null where the store does not answer. */
+export async function ensureLayout(store: Store, subjects: readonly string[]): Promise<Layout | null> {
+  const page = await store.readNewest(LAYOUT_PLACE);
+  if (page.kind !== 'read') return null;
+  const layout = decodeLayout(page.records);
+  const assigned = assignPlaces(layout, subjects, store.partitionCount);
+  if (assigned.length === 0) return layout;
+  const outcome = await store.append({
+    place: LAYOUT_PLACE,
+    records: assigned.map(([key, place]) => ({
+      key,
+      value: encoder.encode([place.topic, place.partition]),
+    })),
+    producer: null,
+    expectedEnd: page.nextOffset,
+  });
+  // Whoever was first has assigned them: the next look tells.
+  return outcome.kind === 'stored' ? new Map([...layout, ...assigned]) : null;
+}
--- /dev/null
+++ b/packages/scheduler/src/node/node.ts
@@ -0,0 +1,248 @@
+/** One process of the scheduler: its part of the services, its peers and its callers. */
+import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { listenForCalls, type CallServer } from '@baobabdeck/peer-protocol';
+import type { WriteEvent } from '@baobabdeck/observability';
+import {
+  selectJobStatus,
+  selectPendingCount,
+  type ServiceState,
+} from '@baobabdeck/scheduling';
+import { findQueue } from '../front/find-queue.js';
+import { createFront } from '../front/front.js';
+import { createSubmissionWriter } from '../front/submission-writer.js';
+import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
+import { createDirectory } from '../peers/directory.js';
+import { readQuestion, type PeerAnswer, type PeerQuestion } from '../peers/messages.js';
+import type {
+  CallerService,
+  HostService,
+  LogPlace,
+  OperatorFeed,
+  QueueConfiguration,
+  Store,
+  WorkerOrders,
+  WorkerRegister,
+} from '../ports/index.js';
+import { followConfiguration } from './configuration.js';
+import { createHostLists } from './host-lists.js';
+import {
+  ensureLayout,
+  FLEET_SUBJECT,
+  isSamePlace,
+  placeKey,
+  serviceOf,
+  subjectOf,
+  topicsOf,
+  type Layout,
+} from './layout.js';
+import { formatMember } from './member-name.js';
+import { takeMembership } from './membership.js';
+import { followRegister } from './register.js';
+import type { SchedulerSettings } from './settings.js';
+import type { SteadyClock } from './steady-clock.js';
+
+const LAYOUT_RETRY_MILLISECONDS = 100;
+
+/** Time after which a claim that was superseded is tried again, if the log is still dealt to this process. */
+const RECLAIM_PAUSE_MILLISECONDS = 1_000;
+
+/** Time that a stopping process goes on serving, so that the balancer sees it and sends no one. */
+const DRAIN_MILLISECONDS = 2_500;
+
+/** What a process is built from. */
+export interface NodeParts {
+  readonly settings: SchedulerSettings;
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  readonly store: Store;
+  readonly feed: OperatorFeed;
+  readonly register: WorkerRegister;
+  readonly workers: WorkerOrders;
+  readonly hosts: HostService;
+}
+
+/** A running process. */
+export interface SchedulerNode {
+  readonly callers: CallerService;
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a process. Rejects when its port is taken. */
+export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
+  const { settings, clock, writeEvent, store } = parts;
+  const owners = new Map<string, ServiceOwner>();
+  const supersededAt = new Map<string, number>();
+  let layout: Layout = new Map();
+  let stopping = false;
+
+  const lists = createHostLists(parts.hosts, clock, writeEvent, (hosts, askedAt) => {
+    owners.forEach((owner) =>
+      owner.dispatch({ kind: 'hosts-listed', hosts, askedAt }),
+    );
+  });
+
+  const register = followRegister(
+    parts.register,
+    () => owners.size > 0,
+    (pools) => owners.forEach((owner) => pools.has(owner.service) && tellWorkers(owner)),
+  );
+  function tellWorkers(owner: ServiceOwner): void {
+    const workers = register.workersOf(owner.service);
+    if (workers !== null && owner.state() !== null) owner.dispatch({ kind: 'workers-listed', workers });
+  }
+
+  const answerQuestion = async (question: PeerQuestion): Promise<PeerAnswer> => {
+    const owner = [...owners.values()].find((one) => one.service === question.service);
+    const state = owner?.state() ?? null;
+    if (owner === undefined || state === null) return { kind: 'not-owner' };
+    if (question.kind === 'pending-count') {
+      return { kind: 'pending-count', pending: selectPendingCount(state, question.queue) };
+    }
+    return answerStatus(owner, state, question.queue, question.jobId);
+  };
+
+  const incarnation = randomUUID();
+  const callServer: CallServer = await listenForCalls(
+    settings.ip,
+    settings.peerPort,
+    async (content) => {
+      const question = readQuestion(content);
+      return question === null ? { kind: 'not-owner' } : answerQuestion(question);
+    },
+    (reason) => writeEvent('peerFault', { reason }),
+  );
+  const peerAddress = `${settings.ip}:${callServer.port}`;
+  const member = formatMember({ nodeName: settings.nodeName, peerAddress, incarnation });
+
+  const placesOf = (configuration: QueueConfiguration): readonly string[] => [
+    FLEET_SUBJECT,
+    ...configuration.services
+      .filter((service) => !service.isStandby)
+      .map((service) => subjectOf(service.name)),
+  ];
+
+  const adaptLayout = async (configuration: QueueConfiguration): Promise<void> => {
+    const subjects = placesOf(configuration);
+    const hasPlaces = (): boolean => subjects.every((subject) => layout.has(subject));
+    while (!stopping && !hasPlaces()) {
+      const found = await ensureLayout(store, subjects);
+      if (found !== null) layout = found;
+      else await sleep(LAYOUT_RETRY_MILLISECONDS);
+    }
+  };
+
+  const follower = followConfiguration({
+    feed: parts.feed,
+    clock,
+    writeEvent,
+    onConfiguration: (configuration) => {
+      void adaptLayout(configuration);
+    },
+    onWave: (wave) => writeEvent('waveAsked', { ...wave }),
+  });
+
+  const openOwner = (place: LogPlace, service: string): void => {
+    const key = placeKey(place);
+    const owner = createServiceOwner({
+      service,
+      place,
+      member,
+      parameters: settings.scheduling,
+      store,
+      workers: parts.workers,
+      clock,
+      writeEvent,
+      listHosts: lists.ask,
+      onClaimed: () => tellWorkers(owner),
+      onHostReleased: () => undefined,
+      onSuperseded: () => {
+        owners.delete(key);
+        supersededAt.set(key, clock.steadyNow());
+      },
+    });
+    owners.set(key, owner);
+  };
+
+  const workWithDealt = async (places: readonly LogPlace[]): Promise<void> => {
+    const lost = [...owners.values()].filter(
+      (owner) => !places.some((place) => isSamePlace(place, owner.place)),
+    );
+    await Promise.all(
+      lost.map(async (owner) => {
+        await owner.stop();
+        owners.delete(placeKey(owner.place));
+      }),
+    );
+    if (stopping) return;
+    for (const [subject, place] of layout) {
+      const service = serviceOf(subject);
+      const isDealt = places.some((dealt) => isSamePlace(dealt, place));
+      const waitsUntil = (supersededAt.get(placeKey(place)) ?? -Infinity) + RECLAIM_PAUSE_MILLISECONDS;
+      const isOpen = owners.has(placeKey(place));
+      if (service !== null && isDealt && !isOpen && clock.steadyNow() > waitsUntil) openOwner(place, service);
+    }
+  };
+
+  const membership = takeMembership({
+    store,
+    member,
+    writeEvent,
+    topics: () => topicsOf(layout),
+    onDealt: workWithDealt,
+  });
+
+  const directory = createDirectory(store, clock);
+  const front = createFront({
+    clock,
+    writeEvent,
+    writer: createSubmissionWriter(store),
+    directory,
+    layout: () => layout,
+    answerHere: answerQuestion,
+    isOwnedHere: (place) => owners.has(placeKey(place)),
+  });
+
+  const readiness = (): ReturnType<CallerService['readiness']> => {
+    if (stopping) return { isReady: false, reason: 'stopping' };
+    if (follower.current() === null) return { isReady: false, reason: 'no configuration yet' };
+    return { isReady: true, reason: 'ready' };
+  };
+
+  return {
+    callers: {
+      ...front,
+      findQueue: (hostName, path) => findQueue(follower.current(), hostName, path),
+      readiness,
+      isStopping: () => stopping,
+      bodyLimitBytes: () => follower.current()?.limits.bodyBytes ?? null,
+    },
+    stop: async () => {
+      stopping = true;
+      await Promise.all([...owners.values()].map((owner) => owner.stop()));
+      owners.clear();
+      await membership.leave();
+      await sleep(DRAIN_MILLISECONDS);
+      follower.close();
+      register.close();
+      directory.close();
+      callServer.close();
+    },
+  };
+}
+
+/** A job that the state does not know may have been accepted a moment ago: the log is read to its end first. */
+async function answerStatus(
+  owner: ServiceOwner,
+  state: ServiceState,
+  queue: string,
+  jobId: string,
+): Promise<PeerAnswer> {
+  const known = selectJobStatus(state, queue, jobId);
+  if (known !== null) return { kind: 'job-status', status: known };
+  const isCaughtUp = await owner.catchUp();
+  const caughtUp = owner.state();
+  if (!isCaughtUp || caughtUp === null) return { kind: 'not-owner' };
+  const status = selectJobStatus(caughtUp, queue, jobId);
+  return status === null ? { kind: 'unknown-job' } : { kind: 'job-status', status };
+}
--- /dev/null
+++ b/packages/scheduler/src/node/settings.ts
@@ -0,0 +1,16 @@
+/** What a scheduler's process is told at its start. */
+import type { SchedulingParameters } from '@baobabdeck/scheduling';
+
+/** Settings of one process. */
+export interface SchedulerSettings {
+  readonly nodeName: string;
+  readonly dataCentre: string;
+  readonly ip: string;
+  /** The port for peers. */
+  readonly peerPort: number;
+  /** The port for metrics; null serves none. */
+  readonly metricsPort: number | null;
+  /** Time that a stop may take. */
+  readonly graceMilliseconds: number;
+  readonly scheduling: SchedulingParameters;
+}
--- /dev/null
+++ b/packages/scheduler/src/node/steady-clock.ts
@@ -0,0 +1,13 @@
+/** The clocks of a process, passed in so that a test can stand in for them. */
+import { performance } from 'node:perf_hooks';
+import type { Clock } from '@baobabdeck/types';
+import { systemClock } from '@baobabdeck/types';
+
+/** The time of day, and a steady clock that never jumps. */
+export interface SteadyClock extends Clock {
+  /** Milliseconds on the steady clock. */
+  readonly steadyNow: () => number;
+}
+
+/** The machine's clocks. */
+export const machineClock: SteadyClock = { ...systemClock, steadyNow: () => performance.now() };
--- /dev/null
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -0,0 +1,160 @@
+/** Service records as keyed records of the store: one key a subject, values in CBOR. */
+import { Decoder, Encoder } from 'cbor-x';
+import type {
+  JobProgress,
+  JobRequest,
+  ServiceRecord,
+  StoredServiceRecord,
+  TaskProgress,
+} from '@baobabdeck/scheduling';
+import type { KeyedRecord, StoredKeyedRecord } from '../ports/index.js';
+
+const OPTIONS = { useRecords: false, mapsAsObjects: true } as const;
+const encoder = new Encoder(OPTIONS);
+const decoder = new Decoder(OPTIONS);
+
+const OWNER_KEY = 'owner';
+const REQUEST_PREFIX = 'request/';
+const CANCEL_PREFIX = 'cancel/';
+const PROGRESS_PREFIX = 'progress/';
+const RELEASE_PREFIX = 'release/';
+
+/** A job's request with its times as whole milliseconds. */
+type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition'> & {
+  readonly acceptedAt: number;
+  readonly repetition: {
+    readonly times: number;
+    readonly firstDueAt: number;
+    readonly intervalMilliseconds: number;
+  } | null;
+};
+
+/** A task's progress as a row: a row is half as long as an object with names. */
+type EncodedTask = readonly [
+  index: number,
+  isDone: boolean,
+  lastRun: number,
+  failedRuns: number,
+  checkpoint: string,
+  runs: readonly (readonly [run: number, workerId: string, incarnation: number])[],
+];
+
+type EncodedProgress = readonly [
+  phase: JobProgress['phase'],
+  queue: string,
+  occurrencesDone: readonly number[],
+  occurrencesDoneBelow: number,
+  occurrences: readonly (readonly [occurrence: number, steps: readonly (readonly EncodedTask[])[]])[],
+];
+
+function encodeRequest(request: JobRequest): EncodedRequest {
+  const { acceptedAt, repetition } = request;
+  return {
+    ...request,
+    acceptedAt: acceptedAt.getTime(),
+    repetition: repetition === null ? null : { ...repetition, firstDueAt: repetition.firstDueAt.getTime() },
+  };
+}
+
+function decodeRequest(encoded: EncodedRequest): JobRequest {
+  const { acceptedAt, repetition } = encoded;
+  return {
+    ...encoded,
+    acceptedAt: new Date(acceptedAt),
+    repetition: repetition === null ? null : { ...repetition, firstDueAt: new Date(repetition.firstDueAt) },
+  };
+}
+
+function encodeTask({ index, isDone, lastRun, failedRuns, checkpoint, runs }: TaskProgress): EncodedTask {
+  const rows = runs.map(({ run, workerId, incarnation }) => [run, workerId, incarnation] as const);
+  return [index, isDone, lastRun, failedRuns, checkpoint, rows];
+}
+
+function decodeTask([index, isDone, lastRun, failedRuns, checkpoint, rows]: EncodedTask): TaskProgress {
+  const runs = rows.map(([run, workerId, incarnation]) => ({ run, workerId, incarnation }));
+  return { index, isDone, lastRun, failedRuns, checkpoint, runs };
+}
+
+function encodeProgress(progress: JobProgress): EncodedProgress {
+  const occurrences = progress.occurrences.map(
+    ({ occurrence, steps }) => [occurrence, steps.map((tasks) => tasks.map(encodeTask))] as const,
+  );
+  const { phase, queue, occurrencesDone, occurrencesDoneBelow } = progress;
+  return [phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences];
+}
+
+function decodeProgress(encoded: EncodedProgress): JobProgress {
+  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows] = encoded;
+  const occurrences = rows.map(([occurrence, steps]) => ({
+    occurrence,
+    steps: steps.map((tasks) => tasks.map(decodeTask)),
+  }));
+  return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences };
+}
+
+/** The keyed records that store a service record. */
+export function encodeRecord(record: ServiceRecord): readonly KeyedRecord[] {
+  switch (record.kind) {
+    case 'job-accepted':
+      return [
+        { key: REQUEST_PREFIX + record.request.jobId, value: encoder.encode(encodeRequest(record.request)) },
+      ];
+    case 'job-cancelled':
+      return [{ key: CANCEL_PREFIX + record.jobId, value: encoder.encode(true) }];
+    case 'job-progress':
+      return [
+        { key: PROGRESS_PREFIX + record.jobId, value: encoder.encode(encodeProgress(record.progress)) },
+      ];
+    case 'job-forgotten':
+      return [REQUEST_PREFIX, CANCEL_PREFIX, PROGRESS_PREFIX].map((prefix) => ({
+        key: prefix + record.jobId,
+        value: null,
+      }));
+    case 'worker-released':
+      return [{ key: RELEASE_PREFIX + record.workerId, value: encoder.encode(record.incarnation) }];
+    case 'worker-returned':
+      return [{ key: RELEASE_PREFIX + record.workerId, value: null }];
+    case 'ownership-claimed':
+      return [{ key: OWNER_KEY, value: encoder.encode(record.owner) }];
+    default:
+      return [];
+  }
+}
+
+function decodeValue(key: string, value: Uint8Array): ServiceRecord | null {
+  const content = decoder.decode(value) as unknown;
+  if (key === OWNER_KEY) return { kind: 'ownership-claimed', owner: String(content) };
+  const slash = key.indexOf('/') + 1;
+  const subject = key.slice(slash);
+  switch (key.slice(0, slash)) {
+    case REQUEST_PREFIX:
+      return { kind: 'job-accepted', request: decodeRequest(content as EncodedRequest) };
+    case CANCEL_PREFIX:
+      return { kind: 'job-cancelled', jobId: subject };
+    case PROGRESS_PREFIX:
+      return { kind: 'job-progress', jobId: subject, progress: decodeProgress(content as EncodedProgress) };
+    case RELEASE_PREFIX:
+      return { kind: 'worker-released', workerId: subject, incarnation: Number(content) };
+    default:
+      return null;
+  }
+}
+
+/** What came out of a stored record: a service record, nothing that matters, or bytes that cannot be read. */
+export type DecodedRecord =
+  | { readonly kind: 'record'; readonly stored: StoredServiceRecord }
+  | { readonly kind: 'dropped-key' }
+  | { readonly kind: 'unreadable'; readonly offset: number; readonly key: string };
+
+/** Decodes one stored record. */
+export function decodeRecord({ offset, key, value }: StoredKeyedRecord): DecodedRecord {
+  if (value === null) return { kind: 'dropped-key' };
+  try {
+    const record = decodeValue(key, value);
+    return record === null
+      ? { kind: 'unreadable', offset, key }
+      : { kind: 'record', stored: { offset, record } };
+  } catch {
+    return { kind: 'unreadable', offset, key };
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -0,0 +1,214 @@
+/** Owns one service: claims its log, runs its scheduler and carries out what that decides. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { WriteEvent } from '@baobabdeck/observability';
+import {
+  restoreService,
+  type SchedulingParameters,
+  type ServiceEffect,
+  type ServiceState,
+  type StoredServiceRecord,
+} from '@baobabdeck/scheduling';
+import type { LogPlace, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import type { SteadyClock } from '../node/steady-clock.js';
+import { claimLog, OWNER_PRODUCER, type ClaimedLog } from './claim.js';
+import { createOwnerLoop, type OwnerLoop, type ServiceEventBody } from './owner-loop.js';
+import { decodeRecord, encodeRecord } from './record-codec.js';
+import { performWorkerEffect } from './worker-effects.js';
+
+const READ_WAIT_MILLISECONDS = 1_000;
+const FAILURE_PAUSE_MILLISECONDS = 100;
+const TICK_MILLISECONDS = 100;
+
+/** What an owner needs. */
+export interface ServiceOwnerParts {
+  readonly service: string;
+  readonly place: LogPlace;
+  /** How others reach this process. */
+  readonly member: string;
+  readonly parameters: SchedulingParameters;
+  readonly store: Store;
+  readonly workers: WorkerOrders;
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  /** Asks for a look at the platform's list of hosts. */
+  readonly listHosts: () => void;
+  /** The claim stands. */
+  readonly onClaimed: () => void;
+  readonly onHostReleased: (hostId: string) => void;
+  /** The ownership was lost: another process has claimed it. */
+  readonly onSuperseded: () => void;
+}
+
+/** One owned service. */
+export interface ServiceOwner {
+  readonly service: string;
+  readonly place: LogPlace;
+  /** The scheduler's state; null until the claim stands. */
+  readonly state: () => ServiceState | null;
+  readonly dispatch: (event: ServiceEventBody) => void;
+  /** Reads the log up to its end as of now; false where it cannot be read. */
+  readonly catchUp: () => Promise<boolean>;
+  /** Stops: what is being stored is waited for, up to a limit. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Time that a stopping owner waits for a batch under way. */
+const STOP_WAIT_MILLISECONDS = 1_000;
+
+/** Creates the owner of a service and begins to claim it. */
+export function createServiceOwner(parts: ServiceOwnerParts): ServiceOwner {
+  const { service, place, member, parameters, store, clock, writeEvent } = parts;
+  let loop: OwnerLoop | null = null;
+  let claimed: ClaimedLog | null = null;
+  let nextOffset = 0;
+  let nextSequence = 1;
+  let closed = false;
+  let appending: Promise<void> = Promise.resolve();
+
+  const isOpen = (): boolean => !closed;
+
+  const decodeAll = (records: readonly StoredKeyedRecord[]): readonly StoredServiceRecord[] =>
+    records.flatMap((record) => {
+      const decoded = decodeRecord(record);
+      if (decoded.kind === 'unreadable') {
+        writeEvent('recordUnreadable', { service, offset: decoded.offset, key: decoded.key });
+      }
+      return decoded.kind === 'record' ? [decoded.stored] : [];
+    });
+
+  const dispatch = (event: ServiceEventBody): void => {
+    if (!closed) loop?.dispatch(event);
+  };
+
+  const appendUntilStored = async (
+    effect: Extract<ServiceEffect, { kind: 'store-records' }>,
+  ): Promise<void> => {
+    const records = effect.records.flatMap(encodeRecord);
+    const sequence = nextSequence;
+    nextSequence += 1;
+    while (claimed !== null && !closed) {
+      const askedAt = clock.steadyNow();
+      const producer = { name: OWNER_PRODUCER, epoch: claimed.epoch, sequence };
+      const outcome = await store.append({ place, records, producer, expectedEnd: null });
+      if (outcome.kind === 'stored') {
+        dispatch({ kind: 'records-stored', appendId: effect.appendId, askedAt });
+        return;
+      }
+      if (outcome.kind === 'fenced') {
+        dispatch({ kind: 'ownership-lost' });
+        return;
+      }
+      writeEvent('appendFailed', { service, appendId: effect.appendId, outcome });
+      await sleep(FAILURE_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const stopNow = (): void => {
+    closed = true;
+  };
+
+  const perform = (effect: ServiceEffect): void => {
+    switch (effect.kind) {
+      case 'store-records':
+        appending = appendUntilStored(effect);
+        break;
+      case 'log':
+        writeEvent(effect.decision, { service, ...effect.fields });
+        break;
+      case 'list-hosts':
+        parts.listHosts();
+        break;
+      case 'host-released':
+        parts.onHostReleased(effect.hostId);
+        break;
+      case 'give-up-ownership':
+        stopNow();
+        parts.onSuperseded();
+        break;
+      default:
+        void performWorkerEffect(effect, parts.workers, clock, dispatch, isOpen);
+    }
+  };
+
+  const readOnce = async (waitMilliseconds: number): Promise<boolean> => {
+    const askedAt = clock.steadyNow();
+    const fromOffset = nextOffset;
+    const page = await store.read(place, fromOffset, waitMilliseconds);
+    if (page.kind !== 'read') {
+      writeEvent('logUnreadable', { service, fromOffset, outcome: page });
+      return false;
+    }
+    // A second read may have come first.
+    const fresh = page.records.filter((record) => record.offset >= nextOffset);
+    nextOffset = Math.max(nextOffset, page.nextOffset);
+    dispatch({ kind: 'records-read', records: decodeAll(fresh), askedAt });
+    return true;
+  };
+
+  const follow = async (): Promise<void> => {
+    while (isOpen()) {
+      const wasRead = await readOnce(READ_WAIT_MILLISECONDS);
+      if (!wasRead) await sleep(FAILURE_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const tick = async (): Promise<void> => {
+    while (isOpen()) {
+      await sleep(TICK_MILLISECONDS);
+      dispatch({ kind: 'ticked' });
+    }
+  };
+
+  const begin = async (): Promise<void> => {
+    const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: member });
+    if (claimRecord === undefined) return;
+    claimed = await claimLog({ store, clock, place, claimRecord, isWanted: isOpen });
+    if (claimed === null) {
+      if (isOpen()) parts.onSuperseded();
+      return;
+    }
+    nextOffset = claimed.nextOffset;
+    const { state, cancelledJobIds } = restoreService({
+      service,
+      parameters,
+      fencingToken: claimed.epoch,
+      now: clock.steadyNow(),
+      timeOfDay: clock.now(),
+      claimedAt: claimed.claimedAt,
+      provenAt: claimed.provenAt,
+      records: decodeAll(claimed.records),
+    });
+    writeEvent('serviceClaimed', {
+      service,
+      epoch: claimed.epoch,
+      jobs: state.jobs.size,
+      activeJobs: state.activeJobIds.size,
+      nextOffset,
+    });
+    loop = createOwnerLoop(state, clock, writeEvent, perform);
+    const cancels = cancelledJobIds.map((jobId) => ({
+      offset: 0,
+      record: { kind: 'job-cancelled' as const, jobId },
+    }));
+    dispatch({ kind: 'records-read', records: cancels, askedAt: claimed.provenAt });
+    parts.onClaimed();
+    parts.listHosts();
+    void follow();
+    void tick();
+  };
+
+  void begin();
+  return {
+    service,
+    place,
+    state: () => loop?.state() ?? null,
+    dispatch,
+    catchUp: () => (loop === null ? Promise.resolve(false) : readOnce(0)),
+    stop: async () => {
+      dispatch({ kind: 'stop-requested' });
+      await Promise.race([appending, sleep(STOP_WAIT_MILLISECONDS)]);
+      stopNow();
+      writeEvent('serviceGivenUp', { service, epoch: claimed?.epoch ?? null });
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/ports/index.ts
@@ -0,0 +1,6 @@
+/** The interfaces through which the scheduler meets the platform. */
+export * from './callers.js';
+export * from './hosts.js';
+export * from './operator.js';
+export * from './store.js';
+export * from './workers.js';
--- /dev/null
+++ b/packages/scheduler/src/ports/workers.ts
@@ -0,0 +1,67 @@
+/** Workers and their register. */
+import type { StartOutcome, StopOutcome, TaskKey, WorkerListing, WorkerReport } from '@baobabdeck/scheduling';
+
+/** A change of the register: a worker's newest entry, or its removal. */
+export type RegisterChange =
+  | { readonly kind: 'listed'; readonly listing: WorkerListing }
+  | { readonly kind: 'removed'; readonly workerId: string };
+
+/** How a read of the register ended. */
+export type RegisterOutcome =
+  | { readonly kind: 'read'; readonly changes: readonly RegisterChange[]; readonly nextOffset: number }
+  | { readonly kind: 'expired' }
+  | { readonly kind: 'failed'; readonly detail: string };
+
+/** The register of workers. No method throws. */
+export interface WorkerRegister {
+  readonly readNewest: () => Promise<RegisterOutcome>;
+  readonly read: (fromOffset: number) => Promise<RegisterOutcome>;
+}
+
+/** Which life of which worker an order is for, and with which right. */
+export interface OrderHead {
+  readonly workerId: string;
+  readonly address: string;
+  readonly fencingToken: number;
+}
+
+/** An order to renew a lease. */
+export interface RenewOrder extends OrderHead {
+  readonly leaseUntil: number | null;
+  readonly acknowledgedEnd: number;
+  readonly waitMilliseconds: number;
+}
+
+/** An order to start a run. */
+export interface StartOrder extends OrderHead {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly specification: string;
+  readonly leaseUntil: number;
+  readonly checkpoint: string;
+  readonly ticket: string | null;
+}
+
+/** An order to stop a run. */
+export interface StopOrder extends OrderHead {
+  readonly task: TaskKey;
+  readonly run: number;
+}
+
+/** How a renewal ended. */
+export type RenewOutcome =
+  | { readonly kind: 'reported'; readonly report: WorkerReport }
+  | { readonly kind: 'fenced' }
+  | { readonly kind: 'other-incarnation' }
+  | { readonly kind: 'unanswered'; readonly detail: string };
+
+/** Orders to workers. No method throws. */
+export interface WorkerOrders {
+  readonly renewLease: (order: RenewOrder) => Promise<RenewOutcome>;
+  readonly startRun: (
+    order: StartOrder,
+  ) => Promise<{ readonly outcome: StartOutcome; readonly clockMilliseconds: number | null }>;
+  readonly stopRun: (order: StopOrder) => Promise<StopOutcome>;
+  /** Closes the connections to a worker that is gone. */
+  readonly forget: (address: string) => void;
+}
--- /dev/null
+++ b/packages/scheduling/src/decide/room.ts
@@ -0,0 +1,58 @@
+/** Which workers may take tasks at all, and how much room each has left. */
+import type { StepRequest } from '../model/job.js';
+import { fits, subtractResources, type Resources } from '../model/resources.js';
+import type { ServiceState, WorkerState } from '../service/state.js';
+import { roomOf } from '../service/tasks.js';
+
+/** A worker that may take tasks, with its free room. */
+export interface Candidate {
+  readonly worker: WorkerState;
+  readonly room: Resources;
+}
+
+/** Whether a worker may get new tasks now. */
+export function isUsable(state: ServiceState, worker: WorkerState): boolean {
+  const { listing } = worker;
+  const isReleased = state.releasedWorkers.get(listing.workerId) === listing.incarnation;
+  return (
+    worker.isListed &&
+    worker.isHeld &&
+    !worker.isGone &&
+    worker.silentSince === null &&
+    worker.hold.kind === 'none' &&
+    worker.restUntil <= state.now &&
+    !listing.isDraining &&
+    !isReleased
+  );
+}
+
+/** Room that is free on a worker. */
+export function freeRoomOf(worker: WorkerState): Resources {
+  return subtractResources(worker.listing.capacity, worker.committed);
+}
+
+/** Every worker that may get tasks. */
+export function candidatesOf(state: ServiceState): readonly Candidate[] {
+  return [...state.workers.values()]
+    .filter((worker) => isUsable(state, worker))
+    .map((worker) => ({ worker, room: freeRoomOf(worker) }));
+}
+
+/** Whether a worker has what a step asks of every worker, room aside. */
+export function isSuitable(request: StepRequest, worker: WorkerState): boolean {
+  return request.requiredLabel === null || worker.listing.labels.includes(request.requiredLabel);
+}
+
+/** Whether a task of a step fits beside what runs there. */
+export function hasRoom(request: StepRequest, candidate: Candidate): boolean {
+  return fits(roomOf(request), candidate.room);
+}
+
+/** Whether any worker of the pool could ever hold a task of the step, empty as it may become. */
+export function canEverFit(state: ServiceState, request: StepRequest): boolean {
+  return [...state.workers.values()].some(
+    ({ listing }) =>
+      (request.requiredLabel === null || listing.labels.includes(request.requiredLabel)) &&
+      fits(roomOf(request), listing.capacity),
+  );
+}
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,12 @@
+/** The pure scheduler of one service. */
+export * from './model/job.js';
+export * from './model/records.js';
+export * from './model/resources.js';
+export * from './model/worker.js';
+export type { SchedulingDecision, SchedulingFields, ServiceEffect, ServiceStep } from './service/effect.js';
+export type { RunAddress, ServiceEvent, ServiceEventOf, StartOutcome, StopOutcome } from './service/event.js';
+export type { SchedulingParameters } from './service/parameters.js';
+export { reduceService } from './service/reduce.js';
+export { restoreService, type RestoreParts } from './service/restore.js';
+export { selectJobStatus, selectPendingCount } from './service/selectors.js';
+export type { Instant, ServiceState } from './service/state.js';
--- /dev/null
+++ b/packages/scheduling/src/model/resources.ts
@@ -0,0 +1,49 @@
+/** Room on a worker and what a task needs of it. */
+
+/** An amount of each resource. */
+export interface Resources {
+  /** Thousandths of a core. */
+  readonly milliCores: number;
+  readonly memoryMegabytes: number;
+  readonly accelerators: number;
+}
+
+/** Nothing of anything. */
+export const NO_RESOURCES: Resources = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
+
+/** Cores that one accelerator is worth when work is weighed. */
+const CORES_OF_AN_ACCELERATOR = 8;
+
+const MILLI_CORES_OF_A_CORE = 1_000;
+
+/** The sum of both. */
+export function addResources(left: Resources, right: Resources): Resources {
+  return {
+    milliCores: left.milliCores + right.milliCores,
+    memoryMegabytes: left.memoryMegabytes + right.memoryMegabytes,
+    accelerators: left.accelerators + right.accelerators,
+  };
+}
+
+/** What is left of `left` without `right`. */
+export function subtractResources(left: Resources, right: Resources): Resources {
+  return {
+    milliCores: left.milliCores - right.milliCores,
+    memoryMegabytes: left.memoryMegabytes - right.memoryMegabytes,
+    accelerators: left.accelerators - right.accelerators,
+  };
+}
+
+/** Whether `room` holds `needs`. */
+export function fits(needs: Resources, room: Resources): boolean {
+  return (
+    needs.milliCores <= room.milliCores &&
+    needs.memoryMegabytes <= room.memoryMegabytes &&
+    needs.accelerators <= room.accelerators
+  );
+}
+
+/** Cores that resources are worth: an accelerator counts as several. */
+export function weighResources({ milliCores, accelerators }: Resources): number {
+  return milliCores / MILLI_CORES_OF_A_CORE + accelerators * CORES_OF_AN_ACCELERATOR;
+}
--- /dev/null
+++ b/packages/scheduling/src/service/ends.ts
@@ -0,0 +1,115 @@
+/** Works in how runs ended. */
+import type { RunEnd, TaskKey } from '../model/job.js';
+import type { ServiceStep } from './effect.js';
+import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
+import { orderStop, runFields } from './runs.js';
+import type { JobState, Run, ServiceState, StepState, TaskState } from './state.js';
+import { findTask, removeRun, setJob, setWorker, stepRequestOf, withStep } from './tasks.js';
+
+/** How many workers a task remembers to avoid. */
+const AVOIDED_WORKERS = 3;
+
+function keepCheckpoint(task: TaskState, checkpoint: string): TaskState {
+  return checkpoint === '' ? task : { ...task, checkpoint };
+}
+
+function countOutcome(state: ServiceState, workerId: string, succeeded: boolean): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  return setWorker(state, {
+    ...worker,
+    failuresInARow: succeeded ? 0 : worker.failuresInARow + 1,
+    lastSuccessAt: succeeded ? state.now : worker.lastSuccessAt,
+  });
+}
+
+function countDone(step: StepState): StepState {
+  return { ...step, doneCount: step.tasks.filter((task) => task.isDone).length };
+}
+
+function refreshSteps(job: JobState, key: TaskKey, state: ServiceState): JobState {
+  const counted = withStep(job, key, countDone);
+  const occurrence = counted.occurrences.get(key.occurrence);
+  if (occurrence === undefined) return counted;
+  const ready = markReadySteps(job.request, occurrence, state.now);
+  return { ...counted, occurrences: counted.occurrences.set(key.occurrence, ready) };
+}
+
+function* stopCopies(state: ServiceState, key: TaskKey): ServiceStep<ServiceState> {
+  let next = state;
+  for (const run of findTask(state, key)?.runs ?? []) {
+    next = yield* orderStop(next, key, run, 'another copy is done');
+  }
+  return next;
+}
+
+function* completeTask(state: ServiceState, key: TaskKey): ServiceStep<ServiceState> {
+  const stopped = yield* stopCopies(state, key);
+  const job = stopped.jobs.get(key.jobId);
+  if (job === undefined) return stopped;
+  const refreshed = setJob(stopped, refreshSteps(job, key, stopped));
+  return yield* finishOccurrence(refreshed, key.jobId, key.occurrence);
+}
+
+function markGangDone(job: JobState, key: TaskKey): JobState {
+  return withStep(job, key, (step) => ({
+    ...step,
+    tasks: step.tasks.map((task) => ({ ...task, isDone: true })),
+  }));
+}
+
+function* handleDone(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
+  const counted = countOutcome(state, run.workerId, true);
+  const removed = removeRun(counted, key, run, (task) => ({ ...task, isDone: true }));
+  const job = removed.jobs.get(key.jobId);
+  if (job === undefined) return removed;
+  const {isGang} = stepRequestOf(job.request, key.step);
+  return yield* completeTask(isGang ? setJob(removed, markGangDone(job, key)) : removed, key);
+}
+
+function* handleFailed(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  checkpoint: string,
+): ServiceStep<ServiceState> {
+  const counted = countOutcome(state, run.workerId, false);
+  const removed = removeRun(counted, key, run, (task) => ({
+    ...keepCheckpoint(task, checkpoint),
+    failedRuns: task.failedRuns + 1,
+    avoidedWorkers: [...task.avoidedWorkers, run.workerId].slice(-AVOIDED_WORKERS),
+  }));
+  const job = removed.jobs.get(key.jobId);
+  const task = findTask(removed, key);
+  if (job === undefined || task === null || task.isDone) return removed;
+  const request = stepRequestOf(job.request, key.step);
+  if (request.isLasting || failedRunsOf(job, key, request.isGang) < job.request.maximumFailedRuns)
+    {return removed;}
+  return yield* endJob(removed, key.jobId, 'failed', `a task failed ${job.request.maximumFailedRuns} times`);
+}
+
+function failedRunsOf(job: JobState, key: TaskKey, isGang: boolean): number {
+  const tasks = job.occurrences.get(key.occurrence)?.steps[key.step]?.tasks ?? [];
+  if (!isGang) return tasks[key.index]?.failedRuns ?? 0;
+  return tasks.reduce((sum, task) => sum + task.failedRuns, 0);
+}
+
+/** Works in the end of a run. */
+export function* handleRunEnd(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  end: RunEnd,
+  checkpoint: string,
+): ServiceStep<ServiceState> {
+  yield { kind: 'log', decision: 'taskEnded', fields: { ...runFields(key, run), end } };
+  if (findTask(state, key)?.isDone === true) return yield* afterLateEnd(removeRun(state, key, run), key);
+  if (end === 'done') return yield* handleDone(state, key, run);
+  if (end === 'failed') return yield* handleFailed(state, key, run, checkpoint);
+  return removeRun(state, key, run, (task) => keepCheckpoint(task, checkpoint));
+}
+
+/** A copy of a task that is done has ended: its occurrence may be over now. */
+function* afterLateEnd(state: ServiceState, key: TaskKey): ServiceStep<ServiceState> {
+  return yield* finishOccurrence(state, key.jobId, key.occurrence);
+}
--- /dev/null
+++ b/packages/scheduling/src/service/jobs.ts
@@ -0,0 +1,205 @@
+/** The life of a job: acceptance, occurrences, steps that become ready, and its end. */
+import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
+import type { JobRequest, JobStatus, TaskKey } from '../model/job.js';
+import type { JobPhase } from '../model/records.js';
+import type { ServiceStep } from './effect.js';
+import { estimateChainMilliseconds } from '../decide/chain.js';
+import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
+import { removeRun, setJob, touchJob } from './tasks.js';
+import { orderStop } from './runs.js';
+
+/** A task that has not started. */
+export function newTask(now: Instant): TaskState {
+  return {
+    runs: [],
+    isDone: false,
+    lastRun: 0,
+    failedRuns: 0,
+    checkpoint: '',
+    waitingSince: now,
+    avoidedWorkers: [],
+  };
+}
+
+function isStepDone(step: StepState | undefined): boolean {
+  return step !== undefined && step.doneCount === step.tasks.length;
+}
+
+/** Marks the steps whose earlier steps are all done as ready. */
+export function markReadySteps(
+  request: JobRequest,
+  occurrence: OccurrenceState,
+  now: Instant,
+): OccurrenceState {
+  const steps = occurrence.steps.map((step, index) => {
+    if (step.readySince !== null) return step;
+    const waitsFor = request.steps[index]?.after ?? [];
+    return waitsFor.every((earlier) => isStepDone(occurrence.steps[earlier]))
+      ? { ...step, readySince: now }
+      : step;
+  });
+  return { ...occurrence, steps };
+}
+
+/** An occurrence none of whose tasks has started. */
+export function newOccurrence(
+  request: JobRequest,
+  occurrence: number,
+  dueAt: Instant,
+  now: Instant,
+): OccurrenceState {
+  const steps = request.steps.map(({ taskCount }) => ({
+    tasks: Array.from({ length: taskCount }, () => newTask(now)),
+    doneCount: 0,
+    readySince: null,
+  }));
+  return markReadySteps(request, { occurrence, dueAt, steps }, now);
+}
+
+/** The number of times that the job's steps run. */
+export function occurrenceCount({ repetition }: JobRequest): number {
+  return repetition?.times ?? 1;
+}
+
+function objectiveOf(request: JobRequest, firstSentAt: Instant, remoteFactor: number): Instant {
+  const chain = estimateChainMilliseconds(request.steps, remoteFactor);
+  return firstSentAt + request.stretch * chain + request.targetMilliseconds;
+}
+
+/** A job as it is when its acceptance has just been read. */
+export function newJob(state: ServiceState, request: JobRequest): JobState {
+  const arrivedAt = state.now;
+  const firstSentAt = arrivedAt - request.ageMilliseconds;
+  const begun = request.repetition === null ? [newOccurrence(request, 0, firstSentAt, arrivedAt)] : [];
+  return {
+    request,
+    arrivedAt,
+    objectiveAt: objectiveOf(request, firstSentAt, state.parameters.remoteFactor),
+    phase: 'active',
+    recordedPhase: 'active',
+    cancelRequested: false,
+    occurrences: PersistentMap(begun.map((one) => [one.occurrence, one])),
+    occurrencesDone: PersistentSet(),
+    occurrencesDoneBelow: 0,
+    hasStarted: false,
+    version: 0,
+    endedInVersion: null,
+    endedAt: null,
+  };
+}
+
+/** When an occurrence is due, by the time of day. */
+export function dueTimeOf(request: JobRequest, occurrence: number): Date | null {
+  const { repetition } = request;
+  if (repetition === null) return null;
+  return new Date(repetition.firstDueAt.getTime() + occurrence * repetition.intervalMilliseconds);
+}
+
+function hasBegun(job: JobState, occurrence: number): boolean {
+  return (
+    occurrence < job.occurrencesDoneBelow ||
+    job.occurrencesDone.has(occurrence) ||
+    job.occurrences.has(occurrence)
+  );
+}
+
+/** Begins the occurrences that are due. */
+export function beginDueOccurrences(state: ServiceState, job: JobState): ServiceState {
+  const { request } = job;
+  if (request.repetition === null || job.phase !== 'active' || job.cancelRequested) return state;
+  let { occurrences } = job;
+  for (let occurrence = job.occurrencesDoneBelow; occurrence < request.repetition.times; occurrence += 1) {
+    const due = dueTimeOf(request, occurrence);
+    if (due === null || due > state.timeOfDay) break;
+    if (!hasBegun(job, occurrence)) {
+      const dueAt = state.now - (state.timeOfDay.getTime() - due.getTime());
+      occurrences = occurrences.set(occurrence, newOccurrence(request, occurrence, dueAt, state.now));
+    }
+  }
+  return occurrences === job.occurrences ? state : setJob(state, { ...job, occurrences });
+}
+
+/** Takes an accepted job in; a second acceptance of the same job changes nothing. */
+export function* acceptJob(state: ServiceState, request: JobRequest): ServiceStep<ServiceState> {
+  const { jobId } = request;
+  if (state.jobs.has(jobId)) return state;
+  yield {
+    kind: 'log',
+    decision: 'jobQueued',
+    fields: { jobId, queue: request.queue, ageMilliseconds: Math.round(request.ageMilliseconds) },
+  };
+  const job = newJob(state, request);
+  const accepted = setJob({ ...state, activeJobIds: state.activeJobIds.add(jobId) }, job);
+  if (state.earlyCancels.has(jobId)) {
+    return yield* cancelJob({ ...accepted, earlyCancels: state.earlyCancels.remove(jobId) }, jobId);
+  }
+  return beginDueOccurrences(accepted, job);
+}
+
+/** The runs of a job that are not over. */
+export function runsOfJob(job: JobState): readonly (readonly [key: TaskKey, run: Run])[] {
+  const { jobId } = job.request;
+  return [...job.occurrences.values()].flatMap(({ occurrence, steps }) =>
+    steps.flatMap(({ tasks }, step) =>
+      tasks.flatMap(({ runs }, index) =>
+        runs.map((run) => [{ jobId, occurrence, step, index }, run] as const),
+      ),
+    ),
+  );
+}
+
+/** Ends a job: what still runs of it is stopped, what waits is dropped. */
+export function* endJob(
+  state: ServiceState,
+  jobId: string,
+  phase: Exclude<JobPhase, 'active'>,
+  reason: string,
+): ServiceStep<ServiceState> {
+  const job = state.jobs.get(jobId);
+  if (job === undefined || job.phase !== 'active') return state;
+  yield { kind: 'log', decision: 'jobEnded', fields: { jobId, phase, reason } };
+  let next = touchJob(state, { ...job, phase, endedInVersion: job.version + 1 });
+  for (const [key, run] of runsOfJob(job)) {
+    next = run.phase === 'recording' ? removeRun(next, key, run) : yield* orderStop(next, key, run, reason);
+  }
+  return next;
+}
+
+/** Cancels a job. A cancelling that comes before its job is remembered. */
+export function* cancelJob(state: ServiceState, jobId: string): ServiceStep<ServiceState> {
+  const job = state.jobs.get(jobId);
+  if (job === undefined) return { ...state, earlyCancels: state.earlyCancels.set(jobId, state.now) };
+  if (job.phase !== 'active') return state;
+  const marked = setJob(state, { ...job, cancelRequested: true });
+  return yield* endJob(marked, jobId, 'cancelled', 'cancelled by its caller');
+}
+
+/** Records that an occurrence is done, and with the last one the job. */
+export function* finishOccurrence(
+  state: ServiceState,
+  jobId: string,
+  occurrence: number,
+): ServiceStep<ServiceState> {
+  const job = state.jobs.get(jobId);
+  if (job === undefined || !job.occurrences.has(occurrence)) return state;
+  const isOver = job.occurrences.get(occurrence)?.steps.every(isStepDone) ?? false;
+  if (!isOver) return state;
+  let below = job.occurrencesDoneBelow;
+  let done = occurrence < below ? job.occurrencesDone : job.occurrencesDone.add(occurrence);
+  while (done.has(below)) {
+    done = done.remove(below);
+    below += 1;
+  }
+  const finished: JobState = { ...job, occurrencesDone: done, occurrencesDoneBelow: below };
+  const isLast = below >= occurrenceCount(job.request);
+  if (isLast) return yield* endJob(setJob(state, finished), jobId, 'completed', 'every task is done');
+  const copiesOver = runsOfJob(finished).every(([key]) => key.occurrence !== occurrence);
+  const kept = copiesOver ? finished.occurrences.remove(occurrence) : finished.occurrences;
+  return touchJob(state, { ...finished, occurrences: kept });
+}
+
+/** What a caller is told of a job: no phase before it is stored. */
+export function statusOf(job: JobState): JobStatus {
+  if (job.recordedPhase !== 'active') return job.recordedPhase;
+  return job.hasStarted ? 'running' : 'queued';
+}
--- /dev/null
+++ b/packages/scheduling/src/service/lease.ts
@@ -0,0 +1,70 @@
+/** Leases of workers, reckoned on the workers' own clocks, which may be slow. */
+import { LEASE_MARGIN_MILLISECONDS, WORKER_CLOCK_DRIFT, type SchedulingParameters } from './parameters.js';
+import type { Instant, ServiceState, WorkerState } from './state.js';
+import { setWorker } from './tasks.js';
+
+/** Whether our ownership is proven recently enough to act on it. */
+export function mayAct(state: ServiceState): boolean {
+  const isProven = state.now - state.provenAt < state.parameters.ownershipProofMilliseconds;
+  return isProven && !state.isSuperseded && !state.isStopping;
+}
+
+/** The worker's clock at a time, if it runs as fast as ours. */
+function estimateClock(worker: WorkerState, at: Instant): number | null {
+  const { clockReading } = worker;
+  return clockReading === null ? null : clockReading.milliseconds + (at - clockReading.at);
+}
+
+/** The least that the worker's clock can show at a time. */
+function leastClock(worker: WorkerState, at: Instant): number | null {
+  const { clockReading } = worker;
+  if (clockReading === null) return null;
+  return clockReading.milliseconds + (at - clockReading.at) * (1 - WORKER_CLOCK_DRIFT);
+}
+
+/** The worker with a lease from now on, and the lease's end on its clock. */
+export function offerLease(
+  state: ServiceState,
+  worker: WorkerState,
+): readonly [worker: WorkerState, leaseUntil: number] {
+  const clock = estimateClock(worker, state.now);
+  if (clock === null || !mayAct(state)) return [worker, worker.leaseUntil];
+  const leaseUntil = Math.max(worker.leaseUntil, Math.round(clock + state.parameters.leaseMilliseconds));
+  return [{ ...worker, leaseUntil }, leaseUntil];
+}
+
+/** Whether every lease that we gave the worker is certainly over. */
+export function hasLeaseLapsed(worker: WorkerState, at: Instant): boolean {
+  const clock = leastClock(worker, at);
+  return clock !== null && clock > worker.leaseUntil + LEASE_MARGIN_MILLISECONDS;
+}
+
+/** When every lease that an earlier owner can have given is over. */
+export function earlierLeasesOverAt(claimedAt: Instant, parameters: SchedulingParameters): Instant {
+  const longest = parameters.ownershipProofMilliseconds + parameters.leaseMilliseconds;
+  return claimedAt + longest * (1 + 2 * WORKER_CLOCK_DRIFT) + LEASE_MARGIN_MILLISECONDS;
+}
+
+/** Whether nothing that was started on the worker before can still run there. */
+export function isWorkOver(state: ServiceState, worker: WorkerState | null): boolean {
+  const earlierOver = state.now > earlierLeasesOverAt(state.claimedAt, state.parameters);
+  if (worker === null || worker.leaseUntil === 0) return earlierOver;
+  // A worker that answered us took a lease from us that ends after every earlier one.
+  return (worker.isHeld || earlierOver) && hasLeaseLapsed(worker, state.now);
+}
+
+/** Notes a reading of a worker's clock. */
+export function readClock(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  milliseconds: number | null,
+  at: Instant,
+): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined || milliseconds === null || worker.listing.incarnation !== incarnation)
+    {return state;}
+  const known = leastClock(worker, at);
+  if (known !== null && milliseconds < known) return state;
+  return setWorker(state, { ...worker, clockReading: { milliseconds, at } });
+}
--- /dev/null
+++ b/packages/scheduling/src/service/outbox.ts
@@ -0,0 +1,132 @@
+/** What waits to be recorded: one batch is under way at a time, and what depends on it waits. */
+import { Map as PersistentMap } from 'immutable';
+import type { JobProgress, ServiceRecord, TaskProgress } from '../model/records.js';
+import type { ServiceStep } from './effect.js';
+import type { ServiceEventOf } from './event.js';
+import { runsOfJob } from './jobs.js';
+import { orderStart } from './runs.js';
+import type { AppendInFlight, JobState, ServiceState, TaskState } from './state.js';
+import { setWorker } from './tasks.js';
+
+/** Jobs whose progress goes into one batch; more would make the batch late. */
+const JOBS_PER_BATCH = 100;
+
+function hasProgress(task: TaskState): boolean {
+  return task.isDone || task.lastRun > 0 || task.runs.length > 0;
+}
+
+function progressOfTask(task: TaskState, index: number): TaskProgress {
+  return {
+    index,
+    isDone: task.isDone,
+    lastRun: task.lastRun,
+    failedRuns: task.failedRuns,
+    checkpoint: task.isDone ? '' : task.checkpoint,
+    runs: task.runs.map(({ run, workerId, incarnation }) => ({ run, workerId, incarnation })),
+  };
+}
+
+/** What is recorded of a job. */
+export function progressOf(job: JobState): JobProgress {
+  return {
+    phase: job.phase,
+    queue: job.request.queue,
+    occurrencesDone: job.occurrencesDone.toArray(),
+    occurrencesDoneBelow: job.occurrencesDoneBelow,
+    occurrences: [...job.occurrences.values()].map(({ occurrence, steps }) => ({
+      occurrence,
+      steps: steps.map(({ tasks }) =>
+        tasks.flatMap((task, index) => (hasProgress(task) ? [progressOfTask(task, index)] : [])),
+      ),
+    })),
+  };
+}
+
+function processedEndsOf(state: ServiceState): PersistentMap<string, number> {
+  return state.workers.map((worker) => worker.processedEnd);
+}
+
+function storeEnds(state: ServiceState, ends: PersistentMap<string, number>): ServiceState {
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const storedEnd = Math.min(worker.processedEnd, ends.get(worker.listing.workerId) ?? 0);
+    if (storedEnd > worker.storedEnd) next = setWorker(next, { ...worker, storedEnd });
+  }
+  return next;
+}
+
+/** Stores what has changed, unless a batch is under way. */
+export function* flushOutbox(state: ServiceState): ServiceStep<ServiceState> {
+  if (state.appendInFlight !== null || state.isSuperseded) return state;
+  if (state.dirtyJobIds.isEmpty() && state.forgottenJobIds.isEmpty()) {
+    return storeEnds(state, processedEndsOf(state));
+  }
+  const jobIds = state.dirtyJobIds.take(JOBS_PER_BATCH);
+  const jobs = jobIds.toArray().flatMap((jobId) => state.jobs.get(jobId) ?? []);
+  const records: readonly ServiceRecord[] = [
+    ...jobs.map((job) => ({
+      kind: 'job-progress' as const,
+      jobId: job.request.jobId,
+      progress: progressOf(job),
+    })),
+    ...state.forgottenJobIds.toArray().map((jobId) => ({ kind: 'job-forgotten' as const, jobId })),
+  ];
+  const appendId = state.nextAppendId;
+  yield { kind: 'store-records', appendId, records };
+  const coversAll = jobIds.size === state.dirtyJobIds.size;
+  const appendInFlight: AppendInFlight = {
+    appendId,
+    jobVersions: PersistentMap(jobs.map((job) => [job.request.jobId, job.version])),
+    processedEnds: coversAll ? processedEndsOf(state) : PersistentMap(),
+  };
+  return {
+    ...state,
+    appendInFlight,
+    nextAppendId: appendId + 1,
+    dirtyJobIds: state.dirtyJobIds.subtract(jobIds),
+    forgottenJobIds: state.forgottenJobIds.clear(),
+  };
+}
+
+function* startRecordedRuns(
+  state: ServiceState,
+  versions: PersistentMap<string, number>,
+): ServiceStep<ServiceState> {
+  let next = state;
+  for (const [jobId, version] of versions) {
+    const job = next.jobs.get(jobId);
+    for (const [key, run] of job === undefined ? [] : runsOfJob(job)) {
+      if (run.phase === 'recording' && run.placedInVersion <= version)
+        {next = yield* orderStart(next, key, run);}
+    }
+  }
+  return next;
+}
+
+function noteRecordedPhases(state: ServiceState, versions: PersistentMap<string, number>): ServiceState {
+  let { jobs } = state;
+  for (const [jobId, version] of versions) {
+    const job = jobs.get(jobId);
+    const isRecorded = job !== undefined && job.endedInVersion !== null && job.endedInVersion <= version;
+    if (isRecorded && job.recordedPhase !== job.phase) {
+      jobs = jobs.set(jobId, { ...job, recordedPhase: job.phase, endedAt: state.now });
+    }
+  }
+  return { ...state, jobs };
+}
+
+/** Works in that a batch is stored: runs that it holds may start, and callers may be told of ends. */
+export function* handleRecordsStored(
+  state: ServiceState,
+  { appendId, askedAt }: ServiceEventOf<'records-stored'>,
+): ServiceStep<ServiceState> {
+  const stored = state.appendInFlight;
+  if (stored === null || stored.appendId !== appendId) return state;
+  const settled: ServiceState = {
+    ...state,
+    appendInFlight: null,
+    provenAt: Math.max(state.provenAt, askedAt),
+  };
+  const noted = noteRecordedPhases(storeEnds(settled, stored.processedEnds), stored.jobVersions);
+  return yield* startRecordedRuns(noted, stored.jobVersions);
+}
--- /dev/null
+++ b/packages/scheduling/src/service/reduce.ts
@@ -0,0 +1,127 @@
+/** The reducer of a service's scheduler: one event in, effects out, and the next state. */
+import type { StoredServiceRecord } from '../model/records.js';
+import { placeWaitingTasks } from '../decide/place.js';
+import type { ServiceStep } from './effect.js';
+import type { ServiceEvent } from './event.js';
+import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
+import { flushOutbox, handleRecordsStored } from './outbox.js';
+import { handleStartSettled, handleStopSettled } from './runs.js';
+import type { ServiceState } from './state.js';
+import {
+  dropLapsedRuns,
+  handleHostsListed,
+  handleWorkerReported,
+  handleWorkersListed,
+  handleWorkerSilent,
+} from './workers.js';
+
+function* giveUp(state: ServiceState, reason: string): ServiceStep<ServiceState> {
+  if (state.isSuperseded) return state;
+  yield { kind: 'log', decision: 'ownershipSuperseded', fields: { service: state.service, reason } };
+  yield { kind: 'give-up-ownership', reason };
+  return { ...state, isSuperseded: true };
+}
+
+function* handleRecord(
+  state: ServiceState,
+  { offset, record }: StoredServiceRecord,
+): ServiceStep<ServiceState> {
+  switch (record.kind) {
+    case 'job-accepted':
+      return record.request.service === state.service ? yield* acceptJob(state, record.request) : state;
+    case 'job-cancelled':
+      return yield* cancelJob(state, record.jobId);
+    case 'ownership-claimed':
+      return offset > state.fencingToken ? yield* giveUp(state, 'a newer claim was read') : state;
+    default:
+      return state;
+  }
+}
+
+function* handleRecords(
+  state: ServiceState,
+  records: readonly StoredServiceRecord[],
+  askedAt: number,
+): ServiceStep<ServiceState> {
+  let next = state;
+  for (const stored of records) next = yield* handleRecord(next, stored);
+  return next.isSuperseded ? next : { ...next, provenAt: Math.max(next.provenAt, askedAt) };
+}
+
+/** Forgets ended jobs whose runs are over: first their runs, later their status. */
+function* forgetJobs(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const jobId of state.activeJobIds) {
+    const job = state.jobs.get(jobId);
+    const isOver = job === undefined || (job.recordedPhase !== 'active' && runsOfJob(job).length === 0);
+    if (isOver && !next.dirtyJobIds.has(jobId)) {
+      next = { ...next, activeJobIds: next.activeJobIds.remove(jobId) };
+      if (job !== undefined) {
+        next = { ...next, jobs: next.jobs.set(jobId, { ...job, occurrences: job.occurrences.clear() }) };
+      }
+    }
+  }
+  const forgetBefore = state.now - state.parameters.statusRetentionMilliseconds;
+  for (const [jobId, job] of state.jobs) {
+    if (job.endedAt !== null && job.endedAt < forgetBefore && !next.activeJobIds.has(jobId)) {
+      yield { kind: 'log', decision: 'jobForgotten', fields: { jobId, phase: job.phase } };
+      next = { ...next, jobs: next.jobs.remove(jobId), forgottenJobIds: next.forgottenJobIds.add(jobId) };
+    }
+  }
+  const earlyCancels = next.earlyCancels.filter((since) => since >= forgetBefore);
+  return earlyCancels.size === next.earlyCancels.size ? next : { ...next, earlyCancels };
+}
+
+function* tick(state: ServiceState): ServiceStep<ServiceState> {
+  let next = yield* dropLapsedRuns(state);
+  for (const jobId of next.activeJobIds) {
+    const job = next.jobs.get(jobId);
+    if (job !== undefined) next = beginDueOccurrences(next, job);
+  }
+  return yield* forgetJobs(next);
+}
+
+function* handle(state: ServiceState, event: ServiceEvent): ServiceStep<ServiceState> {
+  switch (event.kind) {
+    case 'ticked':
+      return yield* tick(state);
+    case 'records-read':
+      return yield* handleRecords(state, event.records, event.askedAt);
+    case 'records-stored':
+      return yield* handleRecordsStored(state, event);
+    case 'ownership-lost':
+      return yield* giveUp(state, 'the store has seen a newer owner');
+    case 'workers-listed':
+      return yield* handleWorkersListed(state, event);
+    case 'hosts-listed':
+      return yield* handleHostsListed(state, event);
+    case 'worker-reported':
+      return yield* handleWorkerReported(state, event);
+    case 'worker-fenced':
+      return yield* giveUp(state, `worker ${event.workerId} has seen a newer owner`);
+    case 'worker-silent':
+      return yield* handleWorkerSilent(state, event);
+    case 'start-settled':
+      return event.outcome === 'fenced'
+        ? yield* giveUp(state, `worker ${event.address.workerId} has seen a newer owner`)
+        : yield* handleStartSettled(state, event);
+    case 'stop-settled':
+      return event.outcome === 'fenced'
+        ? yield* giveUp(state, `worker ${event.address.workerId} has seen a newer owner`)
+        : yield* handleStopSettled(state, event);
+    case 'stop-requested':
+      return { ...state, isStopping: true };
+    default:
+      return state;
+  }
+}
+
+/** Reduces one event. Pure: equal states and events give equal effects and states. */
+export function* reduceService(before: ServiceState, event: ServiceEvent): ServiceStep<ServiceState> {
+  if (before.isSuperseded) return before;
+  const now = Math.max(before.now, event.at);
+  const handled = yield* handle({ ...before, now, timeOfDay: event.timeOfDay }, event);
+  if (handled.isSuperseded) return handled;
+  const placed = yield* placeWaitingTasks(handled);
+  return yield* flushOutbox(placed);
+}
--- /dev/null
+++ b/packages/scheduling/src/service/restore.ts
@@ -0,0 +1,160 @@
+/** Builds the state of a new owner from what is recorded. */
+import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
+import type { JobRequest } from '../model/job.js';
+import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
+import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
+import type { SchedulingParameters } from './parameters.js';
+import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
+
+/** What a new owner starts from. */
+export interface RestoreParts {
+  readonly service: string;
+  readonly parameters: SchedulingParameters;
+  readonly fencingToken: number;
+  readonly now: Instant;
+  readonly timeOfDay: Date;
+  readonly claimedAt: Instant;
+  readonly provenAt: Instant;
+  /** The newest record of each subject, in the order of their offsets. */
+  readonly records: readonly StoredServiceRecord[];
+}
+
+function emptyState(parts: RestoreParts): ServiceState {
+  const { service, parameters, fencingToken, now, timeOfDay, claimedAt, provenAt } = parts;
+  return {
+    service,
+    parameters,
+    fencingToken,
+    now,
+    timeOfDay,
+    claimedAt,
+    provenAt,
+    jobs: PersistentMap(),
+    activeJobIds: PersistentOrderedSet(),
+    earlyCancels: PersistentMap(),
+    workers: PersistentMap(),
+    releasedWorkers: PersistentMap(),
+    dirtyJobIds: PersistentSet(),
+    forgottenJobIds: PersistentSet(),
+    releaseRecords: [],
+    appendInFlight: null,
+    nextAppendId: 1,
+    isSuperseded: false,
+    isStopping: false,
+  };
+}
+
+function restoreRun(recorded: TaskProgress['runs'][number], now: Instant): Run {
+  return {
+    ...recorded,
+    phase: 'running',
+    placedAt: now,
+    placedInVersion: 0,
+    settledAt: null,
+    mayStartLate: false,
+    startedAt: null,
+    percent: 0,
+  };
+}
+
+function restoreTask(progress: TaskProgress, now: Instant): TaskState {
+  return {
+    ...newTask(now),
+    isDone: progress.isDone,
+    lastRun: progress.lastRun,
+    failedRuns: progress.failedRuns,
+    checkpoint: progress.checkpoint,
+    runs: progress.runs.map((run) => restoreRun(run, now)),
+  };
+}
+
+function restoreStep(step: StepState, recorded: readonly TaskProgress[], now: Instant): StepState {
+  const byIndex = new Map(recorded.map((task) => [task.index, task]));
+  const tasks = step.tasks.map((task, index) => {
+    const known = byIndex.get(index);
+    return known === undefined ? task : restoreTask(known, now);
+  });
+  return { ...step, tasks, doneCount: tasks.filter((task) => task.isDone).length };
+}
+
+function restoreOccurrences(
+  request: JobRequest,
+  progress: JobProgress,
+  dueAt: Instant,
+  now: Instant,
+): PersistentMap<number, OccurrenceState> {
+  const restored = progress.occurrences.map(({ occurrence, steps }) => {
+    const fresh = newOccurrence(request, occurrence, dueAt, now);
+    const filled: OccurrenceState = {
+      ...fresh,
+      steps: fresh.steps.map((step, index) => restoreStep(step, steps[index] ?? [], now)),
+    };
+    return [occurrence, markReadySteps(request, filled, now)] as const;
+  });
+  return PersistentMap(restored);
+}
+
+/** The longest time between the acceptance of a job and now that is believed, in case a clock jumped. */
+const LONGEST_BELIEVED_AGE_MILLISECONDS = 60_000;
+
+function restoreJob(state: ServiceState, request: JobRequest, progress: JobProgress | undefined): JobState {
+  const acceptedAgo = state.timeOfDay.getTime() - request.acceptedAt.getTime();
+  const age = Math.min(LONGEST_BELIEVED_AGE_MILLISECONDS, Math.max(0, acceptedAgo));
+  const fresh = newJob({ ...state, now: state.now - age }, request);
+  if (progress === undefined) return fresh;
+  const dueAt = state.now - age;
+  const isActive = progress.phase === 'active';
+  const recorded = restoreOccurrences(request, progress, dueAt, state.now);
+  // An active job's first occurrence exists from its acceptance, also before anything of it is recorded.
+  const occurrences = isActive && recorded.isEmpty() ? fresh.occurrences : recorded;
+  return {
+    ...fresh,
+    phase: progress.phase,
+    recordedPhase: progress.phase,
+    cancelRequested: progress.phase === 'cancelled',
+    occurrences,
+    occurrencesDone: PersistentSet(progress.occurrencesDone),
+    occurrencesDoneBelow: progress.occurrencesDoneBelow,
+    hasStarted: progress.occurrences.length > 0 || progress.occurrencesDoneBelow > 0,
+    endedInVersion: isActive ? null : 0,
+    endedAt: isActive ? null : state.now,
+  };
+}
+
+interface Gathered {
+  readonly requests: Map<string, JobRequest>;
+  readonly progress: Map<string, JobProgress>;
+  readonly cancelled: Set<string>;
+  readonly released: Map<string, number>;
+}
+
+function gather(records: readonly StoredServiceRecord[]): Gathered {
+  const requests = new Map<string, JobRequest>();
+  const progress = new Map<string, JobProgress>();
+  const cancelled = new Set<string>();
+  const released = new Map<string, number>();
+  for (const { record } of records) {
+    if (record.kind === 'job-accepted' && !requests.has(record.request.jobId)) {
+      requests.set(record.request.jobId, record.request);
+    }
+    if (record.kind === 'job-progress') progress.set(record.jobId, record.progress);
+    if (record.kind === 'job-cancelled') cancelled.add(record.jobId);
+    if (record.kind === 'worker-released') released.set(record.workerId, record.incarnation);
+    if (record.kind === 'worker-returned') released.delete(record.workerId);
+  }
+  return { requests, progress, cancelled, released };
+}
+
+/** The state of a new owner. Cancellations among the records still have to be worked in. */
+export function restoreService(parts: RestoreParts): {
+  readonly state: ServiceState;
+  readonly cancelledJobIds: readonly string[];
+} {
+  const { requests, progress, cancelled, released } = gather(parts.records);
+  let state = { ...emptyState(parts), releasedWorkers: PersistentMap(released) };
+  for (const [jobId, request] of requests) {
+    const job = restoreJob(state, request, progress.get(jobId));
+    state = { ...state, jobs: state.jobs.set(jobId, job), activeJobIds: state.activeJobIds.add(jobId) };
+  }
+  return { state, cancelledJobIds: [...cancelled] };
+}
--- /dev/null
+++ b/packages/scheduling/src/service/runs.ts
@@ -0,0 +1,177 @@
+/** Starts and stops runs, and works in what workers answer to that. */
+import type { TaskKey } from '../model/job.js';
+import { taskIdOf } from '../model/job.js';
+import type { SchedulingFields, ServiceStep } from './effect.js';
+import type { RunAddress, ServiceEventOf, StartOutcome } from './event.js';
+import { offerLease, readClock } from './lease.js';
+import type { Run, ServiceState, WorkerState } from './state.js';
+import { changeRun, findRun, findTask, removeRun, setWorker } from './tasks.js';
+
+/** Pause before an order without an answer is sent again. */
+const REPEAT_PAUSE_MILLISECONDS = 100;
+
+/** Time for which a worker that had no room gets no other task. */
+const NO_ROOM_REST_MILLISECONDS = 250;
+
+/** Time for which a worker that calls itself unhealthy gets no other task. */
+const UNHEALTHY_REST_MILLISECONDS = 1_000;
+
+/** How many workers a task remembers to avoid. */
+const AVOIDED_WORKERS = 3;
+
+function addressOf(key: TaskKey, run: Run): RunAddress {
+  return { task: key, run: run.run, workerId: run.workerId, incarnation: run.incarnation };
+}
+
+/** What a log line tells of a run. */
+export function runFields(key: TaskKey, run: Run): SchedulingFields {
+  return { jobId: key.jobId, task: taskIdOf(key), run: run.run, workerId: run.workerId };
+}
+
+/** The worker of a run, if it is still the same life. */
+export function workerOf(state: ServiceState, run: Run): WorkerState | null {
+  const worker = state.workers.get(run.workerId);
+  return worker?.listing.incarnation === run.incarnation ? worker : null;
+}
+
+function* sendStart(state: ServiceState, key: TaskKey, run: Run, delay: number): ServiceStep<ServiceState> {
+  const worker = workerOf(state, run);
+  const job = state.jobs.get(key.jobId);
+  const task = findTask(state, key);
+  if (worker === null || job === undefined || task === null) return state;
+  const [offered, leaseUntil] = offerLease(state, worker);
+  yield {
+    kind: 'start-run',
+    address: addressOf(key, run),
+    workerAddress: worker.listing.address,
+    fencingToken: state.fencingToken,
+    specification: job.request.specification,
+    leaseUntil,
+    checkpoint: task.checkpoint,
+    ticket: null,
+    delayMilliseconds: delay,
+  };
+  return setWorker(state, offered);
+}
+
+function* sendStop(state: ServiceState, key: TaskKey, run: Run, delay: number): ServiceStep<void> {
+  const worker = state.workers.get(run.workerId);
+  if (worker === undefined || worker.listing.incarnation !== run.incarnation) return;
+  yield {
+    kind: 'stop-run',
+    address: addressOf(key, run),
+    workerAddress: worker.listing.address,
+    fencingToken: state.fencingToken,
+    delayMilliseconds: delay,
+  };
+}
+
+/** Starts a run whose record is stored. */
+export function* orderStart(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
+  const starting: Run = { ...run, phase: 'starting', settledAt: null };
+  const changed = changeRun(state, key, run, () => starting);
+  return yield* sendStart(changed, key, starting, 0);
+}
+
+/** Stops a run. One that was never sent is dropped at once. */
+export function* orderStop(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  reason: string,
+): ServiceStep<ServiceState> {
+  if (run.phase === 'stopping') return state;
+  if (run.phase === 'recording') return removeRun(state, key, run);
+  yield { kind: 'log', decision: 'taskStopOrdered', fields: { ...runFields(key, run), reason } };
+  yield* sendStop(state, key, run, 0);
+  return changeRun(state, key, run, (one) => ({ ...one, phase: 'stopping', settledAt: null }));
+}
+
+function restWorker(state: ServiceState, workerId: string, milliseconds: number): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  const restUntil = Math.max(worker.restUntil, state.now + milliseconds);
+  return setWorker(state, { ...worker, restUntil });
+}
+
+/** The run did not start and, unless an earlier order may come late, never will: the task waits again. */
+function* dropRefused(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  outcome: StartOutcome,
+): ServiceStep<ServiceState> {
+  yield { kind: 'log', decision: 'taskStartRefused', fields: { ...runFields(key, run), outcome } };
+  if (run.mayStartLate) {
+    yield* sendStop(state, key, run, 0);
+    return changeRun(state, key, run, (one) => ({ ...one, phase: 'stopping', settledAt: null }));
+  }
+  return removeRun(state, key, run, (task) => ({
+    ...task,
+    avoidedWorkers: [...task.avoidedWorkers, run.workerId].slice(-AVOIDED_WORKERS),
+  }));
+}
+
+function* repeatStart(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  mayStartLate: boolean,
+): ServiceStep<ServiceState> {
+  const repeated: Run = { ...run, mayStartLate: run.mayStartLate || mayStartLate };
+  const changed = changeRun(state, key, run, () => repeated);
+  return yield* sendStart(changed, key, repeated, REPEAT_PAUSE_MILLISECONDS);
+}
+
+function settle(state: ServiceState, key: TaskKey, run: Run): ServiceState {
+  return changeRun(state, key, run, (one) => ({ ...one, phase: 'running', settledAt: state.now }));
+}
+
+/** Works in how a worker answered an order to start. */
+export function* handleStartSettled(
+  before: ServiceState,
+  event: ServiceEventOf<'start-settled'>,
+): ServiceStep<ServiceState> {
+  const { address, outcome, clockMilliseconds } = event;
+  const { task: key, workerId, incarnation } = address;
+  const state = readClock(before, workerId, incarnation, clockMilliseconds, event.at);
+  const run = findRun(findTask(state, key), workerId, incarnation, address.run);
+  if (run === null || run.phase !== 'starting') return state;
+  switch (outcome) {
+    case 'started':
+    case 'superseded':
+      // A superseded run has ended there, or its end is already listed: the next lists tell.
+      return settle(state, key, run);
+    case 'unanswered':
+      return yield* repeatStart(state, key, run, true);
+    case 'late':
+      return yield* repeatStart(state, key, run, false);
+    case 'no-room':
+      return yield* dropRefused(restWorker(state, workerId, NO_ROOM_REST_MILLISECONDS), key, run, outcome);
+    case 'unhealthy':
+    case 'invalid':
+      return yield* dropRefused(restWorker(state, workerId, UNHEALTHY_REST_MILLISECONDS), key, run, outcome);
+    case 'no-ticket':
+    case 'other-incarnation':
+    case 'fenced':
+      return yield* dropRefused(state, key, run, outcome);
+    default:
+      return state;
+  }
+}
+
+/** Works in how a worker answered an order to stop. */
+export function* handleStopSettled(
+  state: ServiceState,
+  { address, outcome }: ServiceEventOf<'stop-settled'>,
+): ServiceStep<ServiceState> {
+  const { task: key, workerId, incarnation } = address;
+  const run = findRun(findTask(state, key), workerId, incarnation, address.run);
+  if (run === null || run.phase !== 'stopping') return state;
+  if (outcome === 'unanswered') {
+    yield* sendStop(state, key, run, REPEAT_PAUSE_MILLISECONDS);
+    return state;
+  }
+  // The worker's lists from now on tell whether the run has ended or never was.
+  return changeRun(state, key, run, (one) => ({ ...one, settledAt: state.now, mayStartLate: false }));
+}
--- /dev/null
+++ b/packages/scheduling/src/service/state.ts
@@ -0,0 +1,184 @@
+/** The state of one service's scheduler: its jobs, its workers and what waits to be recorded. */
+import type {
+  Map as PersistentMap,
+  OrderedSet as PersistentOrderedSet,
+  Set as PersistentSet,
+} from 'immutable';
+import type { JobRequest } from '../model/job.js';
+import type { JobPhase, ServiceRecord } from '../model/records.js';
+import type { Resources } from '../model/resources.js';
+import type { WorkerListing } from '../model/worker.js';
+import type { SchedulingParameters } from './parameters.js';
+
+/** Milliseconds on the steady clock of the process. */
+export type Instant = number;
+
+/** How far the start or stop of a run has come. */
+export type RunPhase =
+  /** Placed; its record is not stored yet, so nothing was sent. */
+  | 'recording'
+  /** The start was sent, or will be sent again. */
+  | 'starting'
+  | 'running'
+  /** A stop was sent, or will be sent again. */
+  | 'stopping';
+
+/** One run of a task on a worker. */
+export interface Run {
+  readonly run: number;
+  readonly workerId: string;
+  readonly incarnation: number;
+  readonly phase: RunPhase;
+  readonly placedAt: Instant;
+  /** The first version of its job that holds it: once that is stored, the run may start. */
+  readonly placedInVersion: number;
+  /** When the worker answered the newest order; its lists from then on tell the truth about the run. */
+  readonly settledAt: Instant | null;
+  /** An order to start was sent and not answered: it may still be carried out. */
+  readonly mayStartLate: boolean;
+  /** When the worker was first seen at work on it. */
+  readonly startedAt: Instant | null;
+  /** Share of full speed that the worker last reported. */
+  readonly percent: number;
+}
+
+/** One task of a step. */
+export interface TaskState {
+  readonly runs: readonly Run[];
+  readonly isDone: boolean;
+  readonly lastRun: number;
+  readonly failedRuns: number;
+  /** The newest checkpoint known; empty for none. */
+  readonly checkpoint: string;
+  /** Since when it waits for a worker, or when it was last away. */
+  readonly waitingSince: Instant;
+  /** Workers on which a run failed or was refused, newest last. */
+  readonly avoidedWorkers: readonly string[];
+}
+
+/** One step of an occurrence. */
+export interface StepState {
+  readonly tasks: readonly TaskState[];
+  readonly doneCount: number;
+  /** When the steps that it waits for were done; null before. */
+  readonly readySince: Instant | null;
+}
+
+/** One occurrence of a job's steps. */
+export interface OccurrenceState {
+  readonly occurrence: number;
+  /** When it was due or accepted. */
+  readonly dueAt: Instant;
+  readonly steps: readonly StepState[];
+}
+
+/** One job. */
+export interface JobState {
+  readonly request: JobRequest;
+  readonly arrivedAt: Instant;
+  /** By when its caller should have its result. */
+  readonly objectiveAt: Instant;
+  readonly phase: JobPhase;
+  /** The phase that is stored: callers are told no other. */
+  readonly recordedPhase: JobPhase;
+  readonly cancelRequested: boolean;
+  /** Occurrences that have begun and are not done. */
+  readonly occurrences: PersistentMap<number, OccurrenceState>;
+  readonly occurrencesDone: PersistentSet<number>;
+  readonly occurrencesDoneBelow: number;
+  readonly hasStarted: boolean;
+  /** Rises with each change that must be recorded. */
+  readonly version: number;
+  /** The first version that holds the job's end; null while it is active. */
+  readonly endedInVersion: number | null;
+  /** When the job's end was stored; null while it is active. */
+  readonly endedAt: Instant | null;
+}
+
+/** Why a worker gets no new tasks although it is there. */
+export type WorkerHold =
+  | { readonly kind: 'none' }
+  /** Its host is wanted for something else. */
+  | { readonly kind: 'leaving'; readonly purpose: 'move' | 'maintenance'; readonly since: Instant }
+  /** Recorded as free of tasks for good: its host may be taken at any moment. */
+  | { readonly kind: 'released' };
+
+/** One worker. */
+export interface WorkerState {
+  readonly listing: WorkerListing;
+  readonly foundAt: Instant;
+  /** Whether the register still has it. */
+  readonly isListed: boolean;
+  /** Its life is over, by the platform's list of hosts; the register may still have it. */
+  readonly isGone: boolean;
+  /** It has answered under our fencing token in this life. */
+  readonly isHeld: boolean;
+  /** A renewal is under way. */
+  readonly reportPending: boolean;
+  readonly lastReportAt: Instant | null;
+  /** Since when it does not answer; null while it does. */
+  readonly silentSince: Instant | null;
+  /** A reading of its clock and when it was read. */
+  readonly clockReading: { readonly milliseconds: number; readonly at: Instant } | null;
+  /** Lease end on the worker's clock: the latest that was ever sent. */
+  readonly leaseUntil: number;
+  /** Ends up to this number are worked in. */
+  readonly processedEnd: number;
+  /** Ends up to this number are stored, so that the worker may forget them. */
+  readonly storedEnd: number;
+  readonly hold: WorkerHold;
+  /** Room taken by runs that are on it or may be. */
+  readonly committed: Resources;
+  /** Tasks with a run on it, by their text. */
+  readonly taskIds: PersistentSet<string>;
+  /** No task is placed before. */
+  readonly restUntil: Instant;
+  /** Runs that ended well or failed in a row on it; drives ejection. */
+  readonly failuresInARow: number;
+  readonly lastSuccessAt: Instant | null;
+}
+
+/** A record of a worker that its service gives away or takes back. */
+export type ReleaseRecord = Extract<
+  ServiceRecord,
+  { readonly kind: 'worker-released' } | { readonly kind: 'worker-returned' }
+>;
+
+/** Records that are being stored. */
+export interface AppendInFlight {
+  readonly appendId: number;
+  /** Version of each job that the records hold. */
+  readonly jobVersions: PersistentMap<string, number>;
+  /** Ends that the records cover, by worker. */
+  readonly processedEnds: PersistentMap<string, number>;
+}
+
+/** The whole state. */
+export interface ServiceState {
+  readonly service: string;
+  readonly parameters: SchedulingParameters;
+  /** Our fencing token: orders with a lower one are refused. */
+  readonly fencingToken: number;
+  readonly now: Instant;
+  readonly timeOfDay: Date;
+  /** When the ownership was claimed. */
+  readonly claimedAt: Instant;
+  /** When the newest proof of ownership was asked for. */
+  readonly provenAt: Instant;
+  readonly jobs: PersistentMap<string, JobState>;
+  /** Jobs that are not over or still have runs, in the order of their acceptance. */
+  readonly activeJobIds: PersistentOrderedSet<string>;
+  /** Jobs that were cancelled before they were seen. */
+  readonly earlyCancels: PersistentMap<string, Instant>;
+  readonly workers: PersistentMap<string, WorkerState>;
+  /** Workers that are recorded as free for good, with their incarnation. */
+  readonly releasedWorkers: PersistentMap<string, number>;
+  readonly dirtyJobIds: PersistentSet<string>;
+  readonly forgottenJobIds: PersistentSet<string>;
+  /** Releases and returns of workers that wait to be recorded. */
+  readonly releaseRecords: readonly ReleaseRecord[];
+  readonly appendInFlight: AppendInFlight | null;
+  readonly nextAppendId: number;
+  readonly isSuperseded: boolean;
+  readonly isStopping: boolean;
+}
--- /dev/null
+++ b/packages/scheduling/src/service/tasks.ts
@@ -0,0 +1,211 @@
+/** Finds and changes tasks and their runs, and keeps the room of workers in step. */
+import type { JobRequest, StepRequest, TaskKey } from '../model/job.js';
+import { taskIdOf } from '../model/job.js';
+import { addResources, subtractResources, type Resources } from '../model/resources.js';
+import type {
+  JobState,
+  OccurrenceState,
+  Run,
+  ServiceState,
+  StepState,
+  TaskState,
+  WorkerState,
+} from './state.js';
+
+/** What a task takes of its worker's room. */
+export function roomOf(step: StepRequest): Resources {
+  return step.usesSpareCapacity ? { ...step.needs, milliCores: 0 } : step.needs;
+}
+
+/** The request of a task's step. */
+export function stepRequestOf(request: JobRequest, step: number): StepRequest {
+  const found = request.steps[step];
+  if (found === undefined) throw new RangeError(`Job ${request.jobId} has no step ${step}`);
+  return found;
+}
+
+/** A task, or null where there is none of this key. */
+export function findTask(state: ServiceState, key: TaskKey): TaskState | null {
+  const steps = state.jobs.get(key.jobId)?.occurrences.get(key.occurrence)?.steps;
+  return steps?.[key.step]?.tasks[key.index] ?? null;
+}
+
+/** A task's run on one life of one worker, or null. */
+export function findRun(
+  task: TaskState | null,
+  workerId: string,
+  incarnation: number,
+  run: number,
+): Run | null {
+  return (
+    task?.runs.find(
+      (one) => one.workerId === workerId && one.incarnation === incarnation && one.run === run,
+    ) ?? null
+  );
+}
+
+function replaceAt<T>(items: readonly T[], index: number, item: T): readonly T[] {
+  const copy = items.slice();
+  copy[index] = item;
+  return copy;
+}
+
+/** Sets a job. */
+export function setJob(state: ServiceState, job: JobState): ServiceState {
+  return { ...state, jobs: state.jobs.set(job.request.jobId, job) };
+}
+
+/** Marks a job as changed: its progress is to be recorded. */
+export function touchJob(state: ServiceState, job: JobState): ServiceState {
+  const { jobId } = job.request;
+  const touched = { ...job, version: job.version + 1 };
+  return { ...setJob(state, touched), dirtyJobIds: state.dirtyJobIds.add(jobId) };
+}
+
+/** Sets a worker. */
+export function setWorker(state: ServiceState, worker: WorkerState): ServiceState {
+  return { ...state, workers: state.workers.set(worker.listing.workerId, worker) };
+}
+
+/** The job with one step of one occurrence changed. */
+export function withStep(job: JobState, key: TaskKey, change: (step: StepState) => StepState): JobState {
+  const occurrence = job.occurrences.get(key.occurrence);
+  const step = occurrence?.steps[key.step];
+  if (occurrence === undefined || step === undefined) return job;
+  const changed: OccurrenceState = {
+    ...occurrence,
+    steps: replaceAt(occurrence.steps, key.step, change(step)),
+  };
+  return { ...job, occurrences: job.occurrences.set(key.occurrence, changed) };
+}
+
+/** The job with one task changed. */
+export function withTask(job: JobState, key: TaskKey, change: (task: TaskState) => TaskState): JobState {
+  return withStep(job, key, (step) => {
+    const task = step.tasks[key.index];
+    return task === undefined ? step : { ...step, tasks: replaceAt(step.tasks, key.index, change(task)) };
+  });
+}
+
+function isSameRun(left: Run, right: Run): boolean {
+  return left.run === right.run && left.workerId === right.workerId && left.incarnation === right.incarnation;
+}
+
+/** Changes one run, which does not change what is recorded. */
+export function changeRun(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  change: (run: Run) => Run,
+): ServiceState {
+  const job = state.jobs.get(key.jobId);
+  if (job === undefined) return state;
+  const changed = withTask(job, key, (task) => ({
+    ...task,
+    runs: task.runs.map((one) => (isSameRun(one, run) ? change(one) : one)),
+  }));
+  return setJob(state, changed);
+}
+
+function commitRoom(state: ServiceState, key: TaskKey, workerId: string, needs: Resources): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  return setWorker(state, {
+    ...worker,
+    committed: addResources(worker.committed, needs),
+    taskIds: worker.taskIds.add(taskIdOf(key)),
+  });
+}
+
+function freeRoom(state: ServiceState, key: TaskKey, run: Run, needs: Resources): ServiceState {
+  const worker = state.workers.get(run.workerId);
+  if (worker === undefined || worker.listing.incarnation !== run.incarnation) return state;
+  return setWorker(state, {
+    ...worker,
+    committed: subtractResources(worker.committed, needs),
+    taskIds: worker.taskIds.remove(taskIdOf(key)),
+  });
+}
+
+/** Adds a run to a task and takes its room. The progress is to be recorded before the run starts. */
+export function addRun(state: ServiceState, key: TaskKey, run: Omit<Run, 'placedInVersion'>): ServiceState {
+  const job = state.jobs.get(key.jobId);
+  if (job === undefined) return state;
+  const changed = withTask(job, key, (task) => ({
+    ...task,
+    runs: [...task.runs, { ...run, placedInVersion: job.version + 1 }],
+    lastRun: Math.max(task.lastRun, run.run),
+  }));
+  const touched = touchJob(state, { ...changed, hasStarted: true });
+  return commitRoom(touched, key, run.workerId, roomOf(stepRequestOf(job.request, key.step)));
+}
+
+/** Takes a run away from its task and gives its room back. The task may wait again. */
+export function removeRun(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  change: (task: TaskState) => TaskState = (task) => task,
+): ServiceState {
+  const job = state.jobs.get(key.jobId);
+  if (job === undefined) return state;
+  const changed = withTask(job, key, (task) =>
+    change({
+      ...task,
+      runs: task.runs.filter((one) => !isSameRun(one, run)),
+      waitingSince: state.now,
+    }),
+  );
+  return freeRoom(touchJob(state, changed), key, run, roomOf(stepRequestOf(job.request, key.step)));
+}
+
+/** Takes up the room of runs that a restored job has on its workers. */
+export function commitRestoredRuns(state: ServiceState, workerId: string, incarnation: number): ServiceState {
+  let next = state;
+  for (const [key, task, request] of allTasks(state)) {
+    const onWorker = task.runs.filter((run) => run.workerId === workerId && run.incarnation === incarnation);
+    if (onWorker.length > 0) next = commitRoom(next, key, workerId, roomOf(request));
+  }
+  return next;
+}
+
+/** Every task that has begun to matter: those of occurrences in progress of jobs that are not over. */
+export function* allTasks(
+  state: ServiceState,
+): Generator<readonly [key: TaskKey, task: TaskState, request: StepRequest, job: JobState], void, void> {
+  for (const jobId of state.activeJobIds) {
+    const job = state.jobs.get(jobId);
+    if (job !== undefined) {
+      for (const { occurrence, steps } of job.occurrences.values()) {
+        for (const [step, { tasks }] of steps.entries()) {
+          const request = stepRequestOf(job.request, step);
+          for (const [index, task] of tasks.entries()) {
+            yield [{ jobId, occurrence, step, index }, task, request, job];
+          }
+        }
+      }
+    }
+  }
+}
+
+/** The runs on one worker, with their tasks' keys. */
+export function* runsOn(
+  state: ServiceState,
+  worker: WorkerState,
+): Generator<readonly [key: TaskKey, run: Run], void, void> {
+  for (const taskId of worker.taskIds) {
+    const key = parseTaskId(taskId);
+    const task = findTask(state, key);
+    for (const run of task?.runs ?? []) {
+      if (run.workerId === worker.listing.workerId && run.incarnation === worker.listing.incarnation) {
+        yield [key, run];
+      }
+    }
+  }
+}
+
+/** The key behind a text that `taskIdOf` made. */
+export function parseTaskId(taskId: string): TaskKey {
+  const [jobId = '', occurrence, step, index] = taskId.split('/');
+  return { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
+}
--- /dev/null
+++ b/packages/scheduling/src/service/workers.ts
@@ -0,0 +1,404 @@
+/** Keeps what is known of workers: the register, their reports, their silence and their loss. */
+import { Set as PersistentSet } from 'immutable';
+import { taskIdOf } from '../model/job.js';
+import { NO_RESOURCES } from '../model/resources.js';
+import type { EndedReport, RunningReport, WorkerListing, WorkerReport } from '../model/worker.js';
+import type { ServiceStep } from './effect.js';
+import { handleRunEnd } from './ends.js';
+import type { ServiceEventOf } from './event.js';
+import { isWorkOver, offerLease, readClock } from './lease.js';
+import { orderStop, runFields } from './runs.js';
+import type { Run, ServiceState, WorkerState } from './state.js';
+import {
+  allTasks,
+  changeRun,
+  commitRestoredRuns,
+  findRun,
+  findTask,
+  removeRun,
+  runsOn,
+  setWorker,
+} from './tasks.js';
+
+/** Pause before a worker that did not answer is asked again. */
+const SILENT_PAUSE_MILLISECONDS = 200;
+
+function newWorker(state: ServiceState, listing: WorkerListing): WorkerState {
+  const { clockMilliseconds } = listing;
+  return {
+    listing,
+    foundAt: state.now,
+    isListed: true,
+    isGone: false,
+    isHeld: false,
+    reportPending: false,
+    lastReportAt: null,
+    silentSince: null,
+    clockReading: clockMilliseconds === null ? null : { milliseconds: clockMilliseconds, at: state.now },
+    leaseUntil: 0,
+    processedEnd: 0,
+    storedEnd: 0,
+    hold: { kind: 'none' },
+    committed: NO_RESOURCES,
+    taskIds: PersistentSet(),
+    restUntil: 0,
+    failuresInARow: 0,
+    lastSuccessAt: null,
+  };
+}
+
+/** Asks a worker for its lists and renews its lease. */
+export function* renewLease(
+  state: ServiceState,
+  workerId: string,
+  delayMilliseconds: number,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined || worker.reportPending || worker.isGone) return state;
+  const [offered, leaseUntil] = offerLease(state, worker);
+  const { address, incarnation } = worker.listing;
+  yield {
+    kind: 'renew-lease',
+    workerId,
+    address,
+    incarnation,
+    fencingToken: state.fencingToken,
+    leaseUntil: leaseUntil > 0 ? leaseUntil : null,
+    acknowledgedEnd: worker.storedEnd,
+    waitMilliseconds: worker.isHeld ? state.parameters.reportWaitMilliseconds : 0,
+    delayMilliseconds,
+  };
+  return setWorker(state, { ...offered, reportPending: true });
+}
+
+/** Every run that is recorded on one life of a worker. */
+function* runsOfIncarnation(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+): Generator<readonly [key: Parameters<typeof removeRun>[1], run: Run], void, void> {
+  for (const [key, task] of allTasks(state)) {
+    for (const run of task.runs) {
+      if (run.workerId === workerId && run.incarnation === incarnation) yield [key, run];
+    }
+  }
+}
+
+/** Takes the runs of a worker's life that is over away: their tasks wait again. */
+export function* dropRuns(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  reason: string,
+): ServiceStep<ServiceState> {
+  let next = state;
+  for (const [key, run] of [...runsOfIncarnation(state, workerId, incarnation)]) {
+    yield { kind: 'log', decision: 'taskEnded', fields: { ...runFields(key, run), end: reason } };
+    next = removeRun(next, key, run);
+  }
+  return next;
+}
+
+function* addWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
+  const { workerId, hostId, incarnation } = listing;
+  yield { kind: 'log', decision: 'workerFound', fields: { workerId, hostId, incarnation } };
+  const added = setWorker(state, newWorker(state, listing));
+  return yield* renewLease(commitRestoredRuns(added, workerId, incarnation), workerId, 0);
+}
+
+/**
+ * A worker came back under its old id. Orders that were sent to its former life may still reach it, since they
+ * name the id: each such run is stopped there first.
+ */
+function* replaceWorker(
+  state: ServiceState,
+  former: WorkerState,
+  listing: WorkerListing,
+): ServiceStep<ServiceState> {
+  const { workerId } = listing;
+  yield {
+    kind: 'log',
+    decision: 'workerLost',
+    fields: {
+      workerId,
+      hostId: listing.hostId,
+      reason: 'it started again',
+      incarnation: former.listing.incarnation,
+    },
+  };
+  const doubtful = [...runsOn(state, former)].filter(
+    ([, run]) => run.mayStartLate || run.phase === 'starting',
+  );
+  let next = state;
+  for (const [key, run] of doubtful) {
+    next = changeRun(next, key, run, (one) => ({
+      ...one,
+      incarnation: listing.incarnation,
+      phase: 'running',
+    }));
+  }
+  next = yield* dropRuns(next, workerId, former.listing.incarnation, 'its worker started again');
+  next = yield* addWorker({ ...next, workers: next.workers.remove(workerId) }, listing);
+  for (const [key] of doubtful) {
+    const moved = findTask(next, key)?.runs.find((one) => one.workerId === workerId);
+    if (moved !== undefined) next = yield* orderStop(next, key, moved, 'its worker started again');
+  }
+  return next;
+}
+
+function* listWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
+  const known = state.workers.get(listing.workerId);
+  if (known === undefined) return yield* addWorker(state, listing);
+  if (known.listing.incarnation < listing.incarnation) return yield* replaceWorker(state, known, listing);
+  if (known.listing.incarnation > listing.incarnation) return state;
+  return setWorker(state, { ...known, listing, isListed: true });
+}
+
+/** A worker's life is over: nothing runs on it any more. */
+export function* loseWorker(
+  state: ServiceState,
+  workerId: string,
+  reason: string,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  const { hostId, incarnation } = worker.listing;
+  yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
+  const gone = setWorker(state, { ...worker, isGone: true });
+  return yield* dropRuns(gone, workerId, incarnation, reason);
+}
+
+/** Forgets workers that neither the register nor any run needs. */
+function forgetWorkers(state: ServiceState): ServiceState {
+  const workers = state.workers.filter(
+    (worker) =>
+      worker.isListed || !worker.taskIds.isEmpty() || (!worker.isGone && worker.silentSince === null),
+  );
+  return workers.size === state.workers.size ? state : { ...state, workers };
+}
+
+/** Works in the register of workers. */
+export function* handleWorkersListed(
+  state: ServiceState,
+  { workers }: ServiceEventOf<'workers-listed'>,
+): ServiceStep<ServiceState> {
+  const listedIds = new Set(workers.map((listing) => listing.workerId));
+  let next = state;
+  for (const worker of state.workers.values()) {
+    if (worker.isListed && !listedIds.has(worker.listing.workerId)) {
+      next = setWorker(next, { ...worker, isListed: false });
+    }
+  }
+  for (const listing of workers) next = yield* listWorker(next, listing);
+  return forgetWorkers(next);
+}
+
+/** Works in the platform's list of hosts, which tells the lives of workers that are over. */
+export function* handleHostsListed(
+  state: ServiceState,
+  { hosts, askedAt }: ServiceEventOf<'hosts-listed'>,
+): ServiceStep<ServiceState> {
+  const alive = new Set(hosts.map((host) => host.workerId));
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const { workerId } = worker.listing;
+    const isAlive = alive.has(workerId);
+    const wasKnown = Math.max(worker.foundAt, worker.lastReportAt ?? 0) < askedAt;
+    if (!isAlive && wasKnown && !worker.isGone) {
+      next = yield* loseWorker(next, workerId, 'its host runs it no more');
+    }
+    if (isAlive && worker.isGone) {
+      next = yield* renewLease(setWorker(next, { ...worker, isGone: false }), workerId, 0);
+    }
+  }
+  if (askedAt <= state.claimedAt) return next;
+  return yield* dropRunsOfUnknownWorkers(
+    next,
+    (workerId) => !alive.has(workerId),
+    'its host runs it no more',
+  );
+}
+
+function* dropRunsOfUnknownWorkers(
+  state: ServiceState,
+  isOver: (workerId: string) => boolean,
+  reason: string,
+): ServiceStep<ServiceState> {
+  let next = state;
+  for (const [key, task] of allTasks(state)) {
+    for (const run of task.runs) {
+      const isUnknown = state.workers.get(run.workerId)?.listing.incarnation !== run.incarnation;
+      if (isUnknown && isOver(run.workerId)) {
+        yield { kind: 'log', decision: 'taskEnded', fields: { ...runFields(key, run), end: reason } };
+        next = removeRun(next, key, run);
+      }
+    }
+  }
+  return next;
+}
+
+/** Gives up runs on workers out of reach whose leases are certainly over. */
+export function* dropLapsedRuns(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const worker of state.workers.values()) {
+    if (worker.silentSince !== null && !worker.taskIds.isEmpty() && isWorkOver(state, worker)) {
+      const { workerId, incarnation } = worker.listing;
+      yield { kind: 'log', decision: 'leaseLapsed', fields: { workerId, leaseUntil: worker.leaseUntil } };
+      next = yield* dropRuns(next, workerId, incarnation, 'its lease is over');
+    }
+  }
+  if (!isWorkOver(state, null)) return next;
+  return yield* dropRunsOfUnknownWorkers(next, () => true, 'its lease is over');
+}
+
+function* workInEnds(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  ended: readonly EndedReport[],
+): ServiceStep<ServiceState> {
+  const processed = state.workers.get(workerId)?.processedEnd ?? 0;
+  let next = state;
+  for (const { number, task, run: runNumber, end, checkpoint } of ended) {
+    const run = number > processed ? findRun(findTask(next, task), workerId, incarnation, runNumber) : null;
+    if (run !== null) next = yield* handleRunEnd(next, task, run, end, checkpoint);
+  }
+  const worker = next.workers.get(workerId);
+  if (worker === undefined) return next;
+  const processedEnd = Math.max(processed, ...ended.map(({ number }) => number));
+  return setWorker(next, { ...worker, processedEnd });
+}
+
+function noteRunning(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  row: RunningReport,
+): ServiceState {
+  const run = findRun(findTask(state, row.task), workerId, incarnation, row.run);
+  if (run === null) return state;
+  return changeRun(state, row.task, run, (one) => ({
+    ...one,
+    phase: one.phase === 'starting' || one.phase === 'recording' ? 'running' : one.phase,
+    settledAt: one.settledAt ?? state.now,
+    startedAt: one.startedAt ?? state.now,
+    percent: row.percent,
+  }));
+}
+
+/** A worker runs what we have no run for: an order that was carried out late, or a job that is forgotten. */
+function* stopStray(state: ServiceState, worker: WorkerState, row: RunningReport): ServiceStep<void> {
+  const { workerId, incarnation, address } = worker.listing;
+  yield {
+    kind: 'log',
+    decision: 'strayRunStopped',
+    fields: { jobId: row.task.jobId, run: row.run, workerId },
+  };
+  yield {
+    kind: 'stop-run',
+    address: { task: row.task, run: row.run, workerId, incarnation },
+    workerAddress: address,
+    fencingToken: state.fencingToken,
+    delayMilliseconds: 0,
+  };
+}
+
+/** Works in the runs that a report lists as going on, and those that it should list and does not. */
+function* workInRunning(
+  state: ServiceState,
+  workerId: string,
+  report: WorkerReport,
+  askedAt: number,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  const { incarnation } = report;
+  let next = state;
+  for (const row of report.running) {
+    const run = findRun(findTask(next, row.task), workerId, incarnation, row.run);
+    if (run === null) yield* stopStray(next, worker, row);
+    else next = noteRunning(next, workerId, incarnation, row);
+  }
+  const isListed = new Set(report.running.map(({ task, run }) => `${taskIdOf(task)} ${run}`));
+  for (const [key, run] of [...runsOn(next, worker)]) {
+    const isSettled = run.settledAt !== null && run.settledAt < askedAt;
+    const isInherited = run.phase === 'running' && run.settledAt === null;
+    if (!isListed.has(`${taskIdOf(key)} ${run.run}`) && (isSettled || isInherited)) {
+      yield {
+        kind: 'log',
+        decision: 'taskEnded',
+        fields: { ...runFields(key, run), end: 'not on its worker' },
+      };
+      next = removeRun(next, key, run);
+    }
+  }
+  return next;
+}
+
+/** Works in a worker's report and asks for the next one. */
+export function* handleWorkerReported(
+  before: ServiceState,
+  { workerId, report, askedAt }: ServiceEventOf<'worker-reported'>,
+): ServiceStep<ServiceState> {
+  const worker = before.workers.get(workerId);
+  if (worker === undefined) return before;
+  if (report.incarnation !== worker.listing.incarnation)
+    {return yield* handleOtherLife(before, worker, report);}
+  if (worker.silentSince !== null) {
+    const silentMilliseconds = Math.round(before.now - worker.silentSince);
+    yield { kind: 'log', decision: 'workerBack', fields: { workerId, silentMilliseconds } };
+  }
+  const noted = setWorker(before, {
+    ...worker,
+    reportPending: false,
+    isHeld: true,
+    silentSince: null,
+    lastReportAt: before.now,
+  });
+  const clocked = readClock(noted, workerId, report.incarnation, report.clockMilliseconds, before.now);
+  const former = yield* dropRunsOfUnknownWorkers(
+    clocked,
+    (id) => id === workerId,
+    'its worker started again',
+  );
+  const ended = yield* workInEnds(former, workerId, report.incarnation, report.ended);
+  const running = yield* workInRunning(ended, workerId, report, askedAt);
+  return yield* renewLease(running, workerId, 0);
+}
+
+/** The worker is another life than the register says: a newer one, or the register is ahead. */
+function* handleOtherLife(
+  state: ServiceState,
+  worker: WorkerState,
+  report: WorkerReport,
+): ServiceStep<ServiceState> {
+  const settled = setWorker(state, { ...worker, reportPending: false });
+  if (report.incarnation < worker.listing.incarnation) {
+    return yield* renewLease(settled, worker.listing.workerId, SILENT_PAUSE_MILLISECONDS);
+  }
+  const listing = {
+    ...worker.listing,
+    incarnation: report.incarnation,
+    clockMilliseconds: report.clockMilliseconds,
+  };
+  return yield* replaceWorker(settled, { ...worker, reportPending: false }, listing);
+}
+
+/** A worker did not answer: it is asked again, and the list of hosts is looked at. */
+export function* handleWorkerSilent(
+  state: ServiceState,
+  { workerId, askedAt }: ServiceEventOf<'worker-silent'>,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  if (worker.silentSince === null) {
+    yield { kind: 'log', decision: 'workerSilent', fields: { workerId, tasks: worker.taskIds.size } };
+    yield { kind: 'list-hosts' };
+  }
+  const silent = setWorker(state, {
+    ...worker,
+    reportPending: false,
+    silentSince: worker.silentSince ?? askedAt,
+  });
+  return yield* renewLease(silent, workerId, SILENT_PAUSE_MILLISECONDS);
+}
