--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -1,9 +1,10 @@
 /** Builds the state of a new owner from what is recorded. */
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
-import type { JobRequest } from '../model/job.js';
+import { taskIdOf, type JobRequest } from '../model/job.js';
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
+import { allTasks } from './tasks.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
 
 /** What a new owner starts from. */
@@ -33,6 +34,7 @@
     activeJobIds: PersistentOrderedSet(),
     earlyCancels: PersistentMap(),
     workers: PersistentMap(),
+    orphanTaskIds: PersistentSet(),
     releasedWorkers: PersistentMap(),
     dirtyJobIds: PersistentSet(),
     forgottenJobIds: PersistentSet(),
@@ -156,5 +158,6 @@
     const job = restoreJob(state, request, progress.get(jobId));
     state = { ...state, jobs: state.jobs.set(jobId, job), activeJobIds: state.activeJobIds.add(jobId) };
   }
-  return { state, cancelledJobIds: [...cancelled] };
+  const orphans = [...allTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [taskIdOf(key)] : []));
+  return { state: { ...state, orphanTaskIds: PersistentSet(orphans) }, cancelledJobIds: [...cancelled] };
 }
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -171,6 +171,8 @@
   /** Jobs that were cancelled before they were seen. */
   readonly earlyCancels: PersistentMap<string, Instant>;
   readonly workers: PersistentMap<string, WorkerState>;
+  /** Tasks with recorded runs on workers that have not been seen since the service was claimed. */
+  readonly orphanTaskIds: PersistentSet<string>;
   /** Workers that are recorded as free for good, with their incarnation. */
   readonly releasedWorkers: PersistentMap<string, number>;
   readonly dirtyJobIds: PersistentSet<string>;
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -156,15 +156,43 @@
       waitingSince: state.now,
     }),
   );
-  return freeRoom(touchJob(state, changed), key, run, roomOf(stepRequestOf(job.request, key.step)));
+  const freed = freeRoom(touchJob(state, changed), key, run, roomOf(stepRequestOf(job.request, key.step)));
+  return clearOrphan(freed, key);
 }
 
-/** Takes up the room of runs that a restored job has on its workers. */
-export function commitRestoredRuns(state: ServiceState, workerId: string, incarnation: number): ServiceState {
+/** The runs on workers that have not been seen since the service was claimed. */
+export function orphanRuns(
+  state: ServiceState,
+  isWanted: (run: Run) => boolean,
+): readonly (readonly [key: TaskKey, run: Run])[] {
+  return [...state.orphanTaskIds].flatMap((taskId) => {
+    const key = parseTaskId(taskId);
+    return (findTask(state, key)?.runs ?? []).filter(isWanted).map((run) => [key, run] as const);
+  });
+}
+
+function isOrphan(state: ServiceState, run: Run): boolean {
+  return state.workers.get(run.workerId)?.listing.incarnation !== run.incarnation;
+}
+
+/** Drops from the orphans what has no run on an unseen worker any more. */
+function clearOrphan(state: ServiceState, key: TaskKey): ServiceState {
+  if (!state.orphanTaskIds.has(taskIdOf(key))) return state;
+  const runs = findTask(state, key)?.runs ?? [];
+  if (runs.some((run) => isOrphan(state, run))) return state;
+  return { ...state, orphanTaskIds: state.orphanTaskIds.remove(taskIdOf(key)) };
+}
+
+/** Takes up the room of recorded runs on a worker that is seen for the first time. */
+export function adoptOrphans(state: ServiceState, workerId: string, incarnation: number): ServiceState {
+  const onWorker = orphanRuns(state, (run) => run.workerId === workerId && run.incarnation === incarnation);
   let next = state;
-  for (const [key, task, request] of allTasks(state)) {
-    const onWorker = task.runs.filter((run) => run.workerId === workerId && run.incarnation === incarnation);
-    if (onWorker.length > 0) next = commitRoom(next, key, workerId, roomOf(request));
+  for (const [key] of onWorker) {
+    const job = next.jobs.get(key.jobId);
+    if (job !== undefined) {
+      next = commitRoom(next, key, workerId, roomOf(stepRequestOf(job.request, key.step)));
+    }
+    next = clearOrphan(next, key);
   }
   return next;
 }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -1,6 +1,6 @@
 /** Keeps what is known of workers: the register, their reports, their silence and their loss. */
 import { Set as PersistentSet } from 'immutable';
-import { taskIdOf } from '../model/job.js';
+import { taskIdOf, type TaskKey } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
 import type { EndedReport, RunningReport, WorkerListing, WorkerReport } from '../model/worker.js';
 import type { ServiceStep } from './effect.js';
@@ -10,11 +10,11 @@
 import { orderStop, runFields } from './runs.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
 import {
-  allTasks,
+  adoptOrphans,
   changeRun,
-  commitRestoredRuns,
   findRun,
   findTask,
+  orphanRuns,
   removeRun,
   runsOn,
   setWorker,
@@ -71,39 +71,29 @@
   return setWorker(state, { ...offered, reportPending: true });
 }
 
-/** Every run that is recorded on one life of a worker. */
-function* runsOfIncarnation(
+function* dropEach(
   state: ServiceState,
-  workerId: string,
-  incarnation: number,
-): Generator<readonly [key: Parameters<typeof removeRun>[1], run: Run], void, void> {
-  for (const [key, task] of allTasks(state)) {
-    for (const run of task.runs) {
-      if (run.workerId === workerId && run.incarnation === incarnation) yield [key, run];
-    }
-  }
-}
-
-/** Takes the runs of a worker's life that is over away: their tasks wait again. */
-export function* dropRuns(
-  state: ServiceState,
-  workerId: string,
-  incarnation: number,
+  runs: readonly (readonly [key: TaskKey, run: Run])[],
   reason: string,
 ): ServiceStep<ServiceState> {
   let next = state;
-  for (const [key, run] of [...runsOfIncarnation(state, workerId, incarnation)]) {
+  for (const [key, run] of runs) {
     yield { kind: 'log', decision: 'taskEnded', fields: { ...runFields(key, run), end: reason } };
     next = removeRun(next, key, run);
   }
   return next;
 }
 
+/** Takes the runs on a worker whose life is over away: their tasks wait again. */
+function* dropRuns(state: ServiceState, worker: WorkerState, reason: string): ServiceStep<ServiceState> {
+  return yield* dropEach(state, [...runsOn(state, worker)], reason);
+}
+
 function* addWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
   const { workerId, hostId, incarnation } = listing;
   yield { kind: 'log', decision: 'workerFound', fields: { workerId, hostId, incarnation } };
   const added = setWorker(state, newWorker(state, listing));
-  return yield* renewLease(commitRestoredRuns(added, workerId, incarnation), workerId, 0);
+  return yield* renewLease(adoptOrphans(added, workerId, incarnation), workerId, 0);
 }
 
 /**
@@ -129,7 +119,9 @@
   const doubtful = [...runsOn(state, former)].filter(
     ([, run]) => run.mayStartLate || run.phase === 'starting',
   );
-  let next = state;
+  const kept = new Set(doubtful.map(([, run]) => run));
+  const over = [...runsOn(state, former)].filter(([, run]) => !kept.has(run));
+  let next = yield* dropEach(state, over, 'its worker started again');
   for (const [key, run] of doubtful) {
     next = changeRun(next, key, run, (one) => ({
       ...one,
@@ -137,8 +129,8 @@
       phase: 'running',
     }));
   }
-  next = yield* dropRuns(next, workerId, former.listing.incarnation, 'its worker started again');
-  next = yield* addWorker({ ...next, workers: next.workers.remove(workerId) }, listing);
+  const orphanTaskIds = next.orphanTaskIds.union(doubtful.map(([key]) => taskIdOf(key)));
+  next = yield* addWorker({ ...next, orphanTaskIds, workers: next.workers.remove(workerId) }, listing);
   for (const [key] of doubtful) {
     const moved = findTask(next, key)?.runs.find((one) => one.workerId === workerId);
     if (moved !== undefined) next = yield* orderStop(next, key, moved, 'its worker started again');
@@ -165,7 +157,7 @@
   const { hostId, incarnation } = worker.listing;
   yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
   const gone = setWorker(state, { ...worker, isGone: true });
-  return yield* dropRuns(gone, workerId, incarnation, reason);
+  return yield* dropRuns(gone, { ...worker, isGone: true }, reason);
 }
 
 /** Forgets workers that neither the register nor any run needs. */
@@ -212,29 +204,24 @@
     }
   }
   if (askedAt <= state.claimedAt) return next;
-  return yield* dropRunsOfUnknownWorkers(
+  return yield* dropOrphans(
     next,
     (workerId) => !alive.has(workerId),
     'its host runs it no more',
   );
 }
 
-function* dropRunsOfUnknownWorkers(
+function* dropOrphans(
   state: ServiceState,
   isOver: (workerId: string) => boolean,
   reason: string,
 ): ServiceStep<ServiceState> {
-  let next = state;
-  for (const [key, task] of allTasks(state)) {
-    for (const run of task.runs) {
-      const isUnknown = state.workers.get(run.workerId)?.listing.incarnation !== run.incarnation;
-      if (isUnknown && isOver(run.workerId)) {
-        yield { kind: 'log', decision: 'taskEnded', fields: { ...runFields(key, run), end: reason } };
-        next = removeRun(next, key, run);
-      }
-    }
-  }
-  return next;
+  const over = orphanRuns(
+    state,
+    ({ workerId, incarnation }) =>
+      state.workers.get(workerId)?.listing.incarnation !== incarnation && isOver(workerId),
+  );
+  return yield* dropEach(state, over, reason);
 }
 
 /** Gives up runs on workers out of reach whose leases are certainly over. */
@@ -242,13 +229,13 @@
   let next = state;
   for (const worker of state.workers.values()) {
     if (worker.silentSince !== null && !worker.taskIds.isEmpty() && isWorkOver(state, worker)) {
-      const { workerId, incarnation } = worker.listing;
+      const { workerId } = worker.listing;
       yield { kind: 'log', decision: 'leaseLapsed', fields: { workerId, leaseUntil: worker.leaseUntil } };
-      next = yield* dropRuns(next, workerId, incarnation, 'its lease is over');
+      next = yield* dropRuns(next, worker, 'its lease is over');
     }
   }
   if (!isWorkOver(state, null)) return next;
-  return yield* dropRunsOfUnknownWorkers(next, () => true, 'its lease is over');
+  return yield* dropOrphans(next, () => true, 'its lease is over');
 }
 
 function* workInEnds(
@@ -356,7 +343,7 @@
     lastReportAt: before.now,
   });
   const clocked = readClock(noted, workerId, report.incarnation, report.clockMilliseconds, before.now);
-  const former = yield* dropRunsOfUnknownWorkers(
+  const former = yield* dropOrphans(
     clocked,
     (id) => id === workerId,
     'its worker started again',
