Ask workers and the store less often

Cause: a worker answers at once while it holds ends that may not be forgotten yet, so each end was asked for again and again until it was stored; an owner's own records woke its read of the log; every report walked over all tasks and every event over all waiting ones.

--- a/packages/scheduler/src/node/layout.ts
+++ b/packages/scheduler/src/node/layout.ts
@@ -1,20 +1,25 @@
-/** Which log holds which service. Assigned once for good, by the first process that sees a service without one. */
+/** Which inbox belongs to which service. Assigned once for good, by the first process that sees a service without one. */
 import { Decoder, Encoder } from 'cbor-x';
 import type { LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
 
-/** The topic that says where each service's log is. */
+/** The topic that says where each service's inbox is. */
 export const LAYOUT_PLACE: LogPlace = { topic: 'keyed.layout', partition: 0 };
 
-/** Subject of the layout that stands for the fleet's own log: host moves and waves. */
+/** Subject of the layout that stands for the fleet: host moves and waves. */
 export const FLEET_SUBJECT = 'fleet';
 
 const SERVICE_PREFIX = 'service/';
-const TOPIC_PREFIX = 'keyed.work.';
+
+/** Topics of the logs that fronts append to; the store's group deals these out. */
+const INBOX_PREFIX = 'keyed.inbox.';
+
+/** Topics of the logs that owners append to. */
+const JOURNAL_PREFIX = 'keyed.journal.';
 
 const encoder = new Encoder({ useRecords: false });
 const decoder = new Decoder({ useRecords: false });
 
-/** The log of each subject. */
+/** The inbox of each subject. */
 export type Layout = ReadonlyMap<string, LogPlace>;
 
 /** The subject of a service. */
@@ -37,9 +42,14 @@
   return `${topic}/${partition}`;
 }
 
+/** The log that the owner of an inbox appends to. */
+export function journalOf({ topic, partition }: LogPlace): LogPlace {
+  return { topic: topic.replace(INBOX_PREFIX, JOURNAL_PREFIX), partition };
+}
+
 /** The topics that the places of a layout lie in; there is always one. */
 export function topicsOf(layout: Layout): readonly string[] {
-  return [...new Set([`${TOPIC_PREFIX}0`, ...[...layout.values()].map((place) => place.topic)])].sort();
+  return [...new Set([`${INBOX_PREFIX}0`, ...[...layout.values()].map((place) => place.topic)])].sort();
 }
 
 function decodeLayout(records: readonly StoredKeyedRecord[]): Layout {
@@ -66,7 +76,7 @@
   for (const subject of subjects.filter((one) => !layout.has(one))) {
     let place: LogPlace;
     do {
-      const topic = `${TOPIC_PREFIX}${Math.floor(candidate / partitionCount)}`;
+      const topic = `${INBOX_PREFIX}${Math.floor(candidate / partitionCount)}`;
       place = { topic, partition: candidate % partitionCount };
       candidate += 1;
     } while (taken.has(placeKey(place)));
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -3,11 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { listenForCalls, type CallServer } from '@baobabdeck/peer-protocol';
 import type { WriteEvent } from '@baobabdeck/observability';
-import {
-  selectJobStatus,
-  selectPendingCount,
-  type ServiceState,
-} from '@baobabdeck/scheduling';
+import { selectJobStatus, selectPendingCount, type ServiceState } from '@baobabdeck/scheduling';
 import { findQueue } from '../front/find-queue.js';
 import { createFront } from '../front/front.js';
 import { createSubmissionWriter } from '../front/submission-writer.js';
@@ -77,9 +73,7 @@
   let stopping = false;
 
   const lists = createHostLists(parts.hosts, clock, writeEvent, (hosts, askedAt) => {
-    owners.forEach((owner) =>
-      owner.dispatch({ kind: 'hosts-listed', hosts, askedAt }),
-    );
+    owners.forEach((owner) => owner.dispatch({ kind: 'hosts-listed', hosts, askedAt }));
   });
 
   const register = followRegister(
--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -1,4 +1,7 @@
-/** Claims a service's log: from then on the store refuses what earlier owners append. */
+/**
+ * Claims a service. It has two logs: fronts append to its inbox, its owner alone to its journal. From the claim on the
+ * store refuses what earlier owners append to the journal.
+ */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { KeyedRecord, LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
 import type { SteadyClock } from '../node/steady-clock.js';
@@ -12,20 +15,24 @@
 export interface ClaimParts {
   readonly store: Store;
   readonly clock: SteadyClock;
-  readonly place: LogPlace;
+  /** Where fronts append, and claims stand. */
+  readonly inbox: LogPlace;
+  /** Where the owner appends. */
+  readonly journal: LogPlace;
   readonly claimRecord: KeyedRecord;
-  /** Whether the log is still wanted; a claim is given up otherwise. */
+  /** Whether the service is still wanted; a claim is given up otherwise. */
   readonly isWanted: () => boolean;
 }
 
-/** A claimed log. */
-export interface ClaimedLog {
-  /** Rises with each claim of a log; serves as epoch and as fencing token. */
+/** A claimed service. */
+export interface ClaimedService {
+  /** Rises with each claim of a service; serves as epoch and as fencing token. */
   readonly epoch: number;
   readonly claimedAt: number;
   readonly provenAt: number;
-  /** The newest record of each key, in the order of their offsets. */
+  /** The newest record of each key of both logs, in the order of their offsets; the inbox comes first. */
   readonly records: readonly StoredKeyedRecord[];
+  /** Where to read the inbox on. */
   readonly nextOffset: number;
 }
 
@@ -39,54 +46,61 @@
 }
 
 /** The offset of a claim's record; a later one of the same claimant counts instead. */
-async function appendClaim({ store, place, claimRecord }: ClaimParts): Promise<number | null> {
-  const outcome = await store.append({ place, records: [claimRecord], producer: null, expectedEnd: null });
+async function appendClaim({ store, inbox, claimRecord }: ClaimParts): Promise<number | null> {
+  const outcome = await store.append({
+    place: inbox,
+    records: [claimRecord],
+    producer: null,
+    expectedEnd: null,
+  });
   return outcome.kind === 'stored' ? outcome.firstOffset : null;
 }
 
 type Fencing = { readonly kind: 'fencing'; readonly nextOffset: number } | { readonly kind: 'superseded' };
 
-async function fenceOff({ store, place }: ClaimParts, epoch: number): Promise<Fencing | null> {
+async function fenceOff({ store, journal }: ClaimParts, epoch: number): Promise<Fencing | null> {
   const producer = { name: OWNER_PRODUCER, epoch, sequence: 0 };
-  const outcome = await store.append({ place, records: [], producer, expectedEnd: null });
+  const outcome = await store.append({ place: journal, records: [], producer, expectedEnd: null });
   if (outcome.kind === 'fenced') return { kind: 'superseded' };
   return outcome.kind === 'stored' ? { kind: 'fencing', nextOffset: outcome.nextOffset } : null;
 }
 
-async function readTail(
-  parts: ClaimParts,
-  newest: Map<string, StoredKeyedRecord>,
-  from: number,
-  until: number,
-): Promise<number | null> {
-  let nextOffset = from;
+interface Log {
+  readonly records: readonly StoredKeyedRecord[];
+  readonly nextOffset: number;
+}
+
+/** The newest record of each key up to an offset at least; pages are no snapshot, so the log is read from them on. */
+async function readLog({ store }: ClaimParts, place: LogPlace, until: number): Promise<Log | null> {
+  const page = await store.readNewest(place);
+  if (page.kind !== 'read') return null;
+  const newest = new Map(page.records.map((record) => [record.key, record]));
+  let { nextOffset } = page;
   while (nextOffset < until) {
-    const page = await parts.store.read(parts.place, nextOffset, 0);
-    if (page.kind !== 'read') return null;
-    page.records.forEach((record) => newest.set(record.key, record));
-    nextOffset = page.nextOffset;
+    const tail = await store.read(place, nextOffset, 0);
+    if (tail.kind !== 'read') return null;
+    tail.records.forEach((record) => newest.set(record.key, record));
+    nextOffset = tail.nextOffset;
   }
-  return nextOffset;
+  const records = [...newest.values()].sort((left, right) => left.offset - right.offset);
+  return { records, nextOffset };
 }
 
-/** Claims a log and reads what it holds; null when it is not wanted any more or a newer claim stands. */
-export async function claimLog(parts: ClaimParts): Promise<ClaimedLog | null> {
-  const { store, place, clock } = parts;
+/** Claims a service and reads what is recorded of it; null when it is not wanted any more or a newer claim stands. */
+export async function claimService(parts: ClaimParts): Promise<ClaimedService | null> {
+  const { inbox, journal, clock } = parts;
   const offset = await retry(parts, () => appendClaim(parts));
   if (offset === null) return null;
   // Epoch 0 is that of orders without a token.
   const epoch = offset + 1;
-  const fenceAskedAt = clock.steadyNow();
+  const provenAt = clock.steadyNow();
   const fencing = await retry(parts, () => fenceOff(parts, epoch));
   if (fencing === null || fencing.kind === 'superseded') return null;
   const claimedAt = clock.steadyNow();
-  return retry(parts, async () => {
-    const page = await store.readNewest(place);
-    if (page.kind !== 'read') return null;
-    const newest = new Map(page.records.map((record) => [record.key, record]));
-    const nextOffset = await readTail(parts, newest, page.nextOffset, fencing.nextOffset);
-    if (nextOffset === null) return null;
-    const records = [...newest.values()].sort((left, right) => left.offset - right.offset);
-    return { epoch, claimedAt, provenAt: fenceAskedAt, records, nextOffset };
-  });
+  const ownLog = await retry(parts, () => readLog(parts, journal, fencing.nextOffset));
+  if (ownLog === null) return null;
+  const inboxLog = await retry(parts, () => readLog(parts, inbox, epoch));
+  if (inboxLog === null) return null;
+  const records = [...inboxLog.records, ...ownLog.records];
+  return { epoch, claimedAt, provenAt, records, nextOffset: inboxLog.nextOffset };
 }
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -1,4 +1,4 @@
-/** Owns one service: claims its log, runs its scheduler and carries out what that decides. */
+/** Owns one service: claims its logs, runs its scheduler and carries out what that decides. */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import {
@@ -9,8 +9,9 @@
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
 import type { LogPlace, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import { claimLog, OWNER_PRODUCER, type ClaimedLog } from './claim.js';
+import { claimService, OWNER_PRODUCER, type ClaimedService } from './claim.js';
 import { createOwnerLoop, type OwnerLoop, type ServiceEventBody } from './owner-loop.js';
 import { decodeRecord, encodeRecord } from './record-codec.js';
 import { performWorkerEffect } from './worker-effects.js';
@@ -22,6 +23,7 @@
 /** What an owner needs. */
 export interface ServiceOwnerParts {
   readonly service: string;
+  /** The service's inbox. */
   readonly place: LogPlace;
   /** How others reach this process. */
   readonly member: string;
@@ -59,7 +61,8 @@
 export function createServiceOwner(parts: ServiceOwnerParts): ServiceOwner {
   const { service, place, member, parameters, store, clock, writeEvent } = parts;
   let loop: OwnerLoop | null = null;
-  let claimed: ClaimedLog | null = null;
+  let claimed: ClaimedService | null = null;
+  const journal = journalOf(place);
   let nextOffset = 0;
   let nextSequence = 1;
   let closed = false;
@@ -89,7 +92,7 @@
     while (claimed !== null && !closed) {
       const askedAt = clock.steadyNow();
       const producer = { name: OWNER_PRODUCER, epoch: claimed.epoch, sequence };
-      const outcome = await store.append({ place, records, producer, expectedEnd: null });
+      const outcome = await store.append({ place: journal, records, producer, expectedEnd: null });
       if (outcome.kind === 'stored') {
         dispatch({ kind: 'records-stored', appendId: effect.appendId, askedAt });
         return;
@@ -162,7 +165,7 @@
   const begin = async (): Promise<void> => {
     const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: member });
     if (claimRecord === undefined) return;
-    claimed = await claimLog({ store, clock, place, claimRecord, isWanted: isOpen });
+    claimed = await claimService({ store, clock, inbox: place, journal, claimRecord, isWanted: isOpen });
     if (claimed === null) {
       if (isOpen()) parts.onSuperseded();
       return;
--- a/packages/scheduler/src/owner/worker-effects.ts
+++ b/packages/scheduler/src/owner/worker-effects.ts
@@ -18,9 +18,9 @@
   const { workerId } = effect;
   const askedAt = clock.steadyNow();
   const outcome = await workers.renewLease(effect);
-  if (outcome.kind === 'reported')
-    {dispatch({ kind: 'worker-reported', workerId, report: outcome.report, askedAt });}
-  else if (outcome.kind === 'fenced') dispatch({ kind: 'worker-fenced', workerId });
+  if (outcome.kind === 'reported') {
+    dispatch({ kind: 'worker-reported', workerId, report: outcome.report, askedAt });
+  } else if (outcome.kind === 'fenced') dispatch({ kind: 'worker-fenced', workerId });
   else dispatch({ kind: 'worker-silent', workerId, askedAt });
 }
 
--- a/packages/scheduling/src/decide/order.ts
+++ b/packages/scheduling/src/decide/order.ts
@@ -1,6 +1,5 @@
 /** In which order waiting tasks get room. */
 import type { StepRequest, TaskKey } from '../model/job.js';
-import { estimateRestMilliseconds } from './chain.js';
 import type { Instant, JobState, OccurrenceState, ServiceState, StepState } from '../service/state.js';
 import { stepRequestOf } from '../service/tasks.js';
 
@@ -16,7 +15,7 @@
 }
 
 function isWaiting(step: StepState): boolean {
-  return step.readySince !== null && step.tasks.some((task) => !task.isDone && task.runs.length === 0);
+  return step.readySince !== null && step.waitingCount > 0;
 }
 
 function objectiveOf(job: JobState, occurrence: OccurrenceState): Instant {
@@ -26,11 +25,7 @@
 }
 
 function slackOf(job: JobState, occurrence: OccurrenceState, now: Instant): number {
-  const isStepDone = (index: number): boolean => {
-    const step = occurrence.steps[index];
-    return step !== undefined && step.doneCount === step.tasks.length;
-  };
-  return objectiveOf(job, occurrence) - now - estimateRestMilliseconds(job.request.steps, isStepDone);
+  return objectiveOf(job, occurrence) - now - occurrence.restMilliseconds;
 }
 
 /** Every step with waiting tasks, in no order. */
--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -5,7 +5,7 @@
 import { mayAct } from '../service/lease.js';
 import { runFields } from '../service/runs.js';
 import type { Run, ServiceState, TaskState } from '../service/state.js';
-import { addRun, findTask, roomOf } from '../service/tasks.js';
+import { addRun, findTask, isTaskWaiting, roomOf } from '../service/tasks.js';
 import { keyOf, orderWaitingSteps, type WaitingStep } from './order.js';
 import { candidatesOf, hasRoom, isSuitable, type Candidate } from './room.js';
 
@@ -54,6 +54,11 @@
   return best;
 }
 
+function fitsSomewhere(request: StepRequest, candidates: Candidates): boolean {
+  for (const candidate of candidates.values()) if (hasRoom(request, candidate)) return true;
+  return false;
+}
+
 function takeRoom(candidates: Candidates, chosen: Candidate, request: StepRequest): void {
   const room = subtractResources(chosen.room, roomOf(request));
   candidates.set(chosen.worker.listing.workerId, { ...chosen, room });
@@ -104,7 +109,7 @@
   const counts = countOnWorkers(waiting);
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
-    if (!task.isDone && task.runs.length === 0) {
+    if (isTaskWaiting(task)) {
       const chosen = chooseWorker(waiting, task, candidates, counts);
       if (chosen === null) return next;
       const { workerId } = chosen.worker.listing;
@@ -146,14 +151,15 @@
 
 /** Places what waits, as far as there is room. */
 export function* placeWaitingTasks(state: ServiceState): ServiceStep<ServiceState> {
-  if (!mayAct(state)) return state;
+  if (!state.placementIsDue || !mayAct(state)) return state;
   const waitingSteps = orderWaitingSteps(state);
-  if (waitingSteps.length === 0) return state;
+  if (waitingSteps.length === 0) return { ...state, placementIsDue: false };
   const candidates: Candidates = new Map(
     candidatesOf(state).map((candidate) => [candidate.worker.listing.workerId, candidate]),
   );
-  let next = state;
+  let next: ServiceState = { ...state, placementIsDue: false };
   for (const waiting of waitingSteps) {
+    if (!fitsSomewhere(waiting.request, candidates)) continue;
     next = waiting.request.isGang
       ? yield* placeGang(next, waiting, candidates)
       : yield* placeTasks(next, waiting, candidates);
--- a/packages/scheduling/src/service/ends.ts
+++ b/packages/scheduling/src/service/ends.ts
@@ -29,6 +29,8 @@
 
 function refreshSteps(job: JobState, key: TaskKey, state: ServiceState): JobState {
   const counted = withStep(job, key, countDone);
+  const step = counted.occurrences.get(key.occurrence)?.steps[key.step];
+  if (step !== undefined && step.doneCount < step.tasks.length) return counted;
   const occurrence = counted.occurrences.get(key.occurrence);
   if (occurrence === undefined) return counted;
   const ready = markReadySteps(job.request, occurrence, state.now);
@@ -55,6 +57,7 @@
   return withStep(job, key, (step) => ({
     ...step,
     tasks: step.tasks.map((task) => ({ ...task, isDone: true })),
+    waitingCount: 0,
   }));
 }
 
@@ -63,7 +66,7 @@
   const removed = removeRun(counted, key, run, (task) => ({ ...task, isDone: true }));
   const job = removed.jobs.get(key.jobId);
   if (job === undefined) return removed;
-  const {isGang} = stepRequestOf(job.request, key.step);
+  const { isGang } = stepRequestOf(job.request, key.step);
   return yield* completeTask(isGang ? setJob(removed, markGangDone(job, key)) : removed, key);
 }
 
@@ -83,8 +86,9 @@
   const task = findTask(removed, key);
   if (job === undefined || task === null || task.isDone) return removed;
   const request = stepRequestOf(job.request, key.step);
-  if (request.isLasting || failedRunsOf(job, key, request.isGang) < job.request.maximumFailedRuns)
-    {return removed;}
+  if (request.isLasting || failedRunsOf(job, key, request.isGang) < job.request.maximumFailedRuns) {
+    return removed;
+  }
   return yield* endJob(removed, key.jobId, 'failed', `a task failed ${job.request.maximumFailedRuns} times`);
 }
 
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -3,7 +3,7 @@
 import type { JobRequest, JobStatus, TaskKey } from '../model/job.js';
 import type { JobPhase } from '../model/records.js';
 import type { ServiceStep } from './effect.js';
-import { estimateChainMilliseconds } from '../decide/chain.js';
+import { estimateChainMilliseconds, estimateRestMilliseconds } from '../decide/chain.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
 import { removeRun, setJob, touchJob } from './tasks.js';
 import { orderStop } from './runs.js';
@@ -38,7 +38,8 @@
       ? { ...step, readySince: now }
       : step;
   });
-  return { ...occurrence, steps };
+  const restMilliseconds = estimateRestMilliseconds(request.steps, (index) => isStepDone(steps[index]));
+  return { ...occurrence, steps, restMilliseconds };
 }
 
 /** An occurrence none of whose tasks has started. */
@@ -51,9 +52,10 @@
   const steps = request.steps.map(({ taskCount }) => ({
     tasks: Array.from({ length: taskCount }, () => newTask(now)),
     doneCount: 0,
+    waitingCount: taskCount,
     readySince: null,
   }));
-  return markReadySteps(request, { occurrence, dueAt, steps }, now);
+  return markReadySteps(request, { occurrence, dueAt, steps, restMilliseconds: 0 }, now);
 }
 
 /** The number of times that the job's steps run. */
@@ -129,7 +131,10 @@
     fields: { jobId, queue: request.queue, ageMilliseconds: Math.round(request.ageMilliseconds) },
   };
   const job = newJob(state, request);
-  const accepted = setJob({ ...state, activeJobIds: state.activeJobIds.add(jobId) }, job);
+  const accepted = setJob(
+    { ...state, activeJobIds: state.activeJobIds.add(jobId), placementIsDue: true },
+    job,
+  );
   if (state.earlyCancels.has(jobId)) {
     return yield* cancelJob({ ...accepted, earlyCancels: state.earlyCancels.remove(jobId) }, jobId);
   }
--- a/packages/scheduling/src/service/lease.ts
+++ b/packages/scheduling/src/service/lease.ts
@@ -62,8 +62,9 @@
   at: Instant,
 ): ServiceState {
   const worker = state.workers.get(workerId);
-  if (worker === undefined || milliseconds === null || worker.listing.incarnation !== incarnation)
-    {return state;}
+  if (worker === undefined || milliseconds === null || worker.listing.incarnation !== incarnation) {
+    return state;
+  }
   const known = leastClock(worker, at);
   if (known !== null && milliseconds < known) return state;
   return setWorker(state, { ...worker, clockReading: { milliseconds, at } });
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -96,8 +96,9 @@
   for (const [jobId, version] of versions) {
     const job = next.jobs.get(jobId);
     for (const [key, run] of job === undefined ? [] : runsOfJob(job)) {
-      if (run.phase === 'recording' && run.placedInVersion <= version)
-        {next = yield* orderStart(next, key, run);}
+      if (run.phase === 'recording' && run.placedInVersion <= version) {
+        next = yield* orderStart(next, key, run);
+      }
     }
   }
   return next;
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -13,6 +13,7 @@
   handleWorkerReported,
   handleWorkersListed,
   handleWorkerSilent,
+  renewIdleLeases,
 } from './workers.js';
 
 function* giveUp(state: ServiceState, reason: string): ServiceStep<ServiceState> {
@@ -73,12 +74,12 @@
 }
 
 function* tick(state: ServiceState): ServiceStep<ServiceState> {
-  let next = yield* dropLapsedRuns(state);
+  let next = yield* renewIdleLeases(yield* dropLapsedRuns(state));
   for (const jobId of next.activeJobIds) {
     const job = next.jobs.get(jobId);
     if (job !== undefined) next = beginDueOccurrences(next, job);
   }
-  return yield* forgetJobs(next);
+  return { ...(yield* forgetJobs(next)), placementIsDue: true };
 }
 
 function* handle(state: ServiceState, event: ServiceEvent): ServiceStep<ServiceState> {
@@ -88,7 +89,7 @@
     case 'records-read':
       return yield* handleRecords(state, event.records, event.askedAt);
     case 'records-stored':
-      return yield* handleRecordsStored(state, event);
+      return yield* renewIdleLeases(yield* handleRecordsStored(state, event));
     case 'ownership-lost':
       return yield* giveUp(state, 'the store has seen a newer owner');
     case 'workers-listed':
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -4,7 +4,7 @@
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
-import { allTasks } from './tasks.js';
+import { allTasks, isTaskWaiting } from './tasks.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
 
 /** What a new owner starts from. */
@@ -36,6 +36,7 @@
     workers: PersistentMap(),
     orphanTaskIds: PersistentSet(),
     releasedWorkers: PersistentMap(),
+    placementIsDue: true,
     dirtyJobIds: PersistentSet(),
     forgottenJobIds: PersistentSet(),
     releaseRecords: [],
@@ -76,7 +77,12 @@
     const known = byIndex.get(index);
     return known === undefined ? task : restoreTask(known, now);
   });
-  return { ...step, tasks, doneCount: tasks.filter((task) => task.isDone).length };
+  return {
+    ...step,
+    tasks,
+    doneCount: tasks.filter((task) => task.isDone).length,
+    waitingCount: tasks.filter(isTaskWaiting).length,
+  };
 }
 
 function restoreOccurrences(
@@ -158,6 +164,8 @@
     const job = restoreJob(state, request, progress.get(jobId));
     state = { ...state, jobs: state.jobs.set(jobId, job), activeJobIds: state.activeJobIds.add(jobId) };
   }
-  const orphans = [...allTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [taskIdOf(key)] : []));
+  const orphans = [...allTasks(state)].flatMap(([key, task]) =>
+    task.runs.length > 0 ? [taskIdOf(key)] : [],
+  );
   return { state: { ...state, orphanTaskIds: PersistentSet(orphans) }, cancelledJobIds: [...cancelled] };
 }
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -4,7 +4,7 @@
   OrderedSet as PersistentOrderedSet,
   Set as PersistentSet,
 } from 'immutable';
-import type { JobRequest } from '../model/job.js';
+import type { JobRequest, TaskKey } from '../model/job.js';
 import type { JobPhase, ServiceRecord } from '../model/records.js';
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
@@ -60,6 +60,8 @@
 export interface StepState {
   readonly tasks: readonly TaskState[];
   readonly doneCount: number;
+  /** Tasks that are neither done nor have a run. */
+  readonly waitingCount: number;
   /** When the steps that it waits for were done; null before. */
   readonly readySince: Instant | null;
 }
@@ -70,6 +72,8 @@
   /** When it was due or accepted. */
   readonly dueAt: Instant;
   readonly steps: readonly StepState[];
+  /** Estimated run time of the longest chain of steps that are not done. */
+  readonly restMilliseconds: number;
 }
 
 /** One job. */
@@ -130,7 +134,7 @@
   /** Room taken by runs that are on it or may be. */
   readonly committed: Resources;
   /** Tasks with a run on it, by their text. */
-  readonly taskIds: PersistentSet<string>;
+  readonly tasks: PersistentMap<string, TaskKey>;
   /** No task is placed before. */
   readonly restUntil: Instant;
   /** Runs that ended well or failed in a row on it; drives ejection. */
@@ -175,6 +179,8 @@
   readonly orphanTaskIds: PersistentSet<string>;
   /** Workers that are recorded as free for good, with their incarnation. */
   readonly releasedWorkers: PersistentMap<string, number>;
+  /** Something changed that may let waiting tasks be placed. */
+  readonly placementIsDue: boolean;
   readonly dirtyJobIds: PersistentSet<string>;
   readonly forgottenJobIds: PersistentSet<string>;
   /** Releases and returns of workers that wait to be recorded. */
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -79,11 +79,19 @@
   return { ...job, occurrences: job.occurrences.set(key.occurrence, changed) };
 }
 
+/** Whether a task waits for a worker. */
+export function isTaskWaiting(task: TaskState): boolean {
+  return !task.isDone && task.runs.length === 0;
+}
+
 /** The job with one task changed. */
 export function withTask(job: JobState, key: TaskKey, change: (task: TaskState) => TaskState): JobState {
   return withStep(job, key, (step) => {
     const task = step.tasks[key.index];
-    return task === undefined ? step : { ...step, tasks: replaceAt(step.tasks, key.index, change(task)) };
+    if (task === undefined) return step;
+    const changed = change(task);
+    const waitingCount = step.waitingCount + Number(isTaskWaiting(changed)) - Number(isTaskWaiting(task));
+    return { ...step, waitingCount, tasks: replaceAt(step.tasks, key.index, changed) };
   });
 }
 
@@ -113,7 +121,7 @@
   return setWorker(state, {
     ...worker,
     committed: addResources(worker.committed, needs),
-    taskIds: worker.taskIds.add(taskIdOf(key)),
+    tasks: worker.tasks.set(taskIdOf(key), key),
   });
 }
 
@@ -123,7 +131,7 @@
   return setWorker(state, {
     ...worker,
     committed: subtractResources(worker.committed, needs),
-    taskIds: worker.taskIds.remove(taskIdOf(key)),
+    tasks: worker.tasks.remove(taskIdOf(key)),
   });
 }
 
@@ -157,7 +165,7 @@
     }),
   );
   const freed = freeRoom(touchJob(state, changed), key, run, roomOf(stepRequestOf(job.request, key.step)));
-  return clearOrphan(freed, key);
+  return clearOrphan({ ...freed, placementIsDue: true }, key);
 }
 
 /** The runs on workers that have not been seen since the service was claimed. */
@@ -221,8 +229,7 @@
   state: ServiceState,
   worker: WorkerState,
 ): Generator<readonly [key: TaskKey, run: Run], void, void> {
-  for (const taskId of worker.taskIds) {
-    const key = parseTaskId(taskId);
+  for (const key of worker.tasks.values()) {
     const task = findTask(state, key);
     for (const run of task?.runs ?? []) {
       if (run.workerId === worker.listing.workerId && run.incarnation === worker.listing.incarnation) {
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -1,5 +1,5 @@
 /** Keeps what is known of workers: the register, their reports, their silence and their loss. */
-import { Set as PersistentSet } from 'immutable';
+import { Map as PersistentMap } from 'immutable';
 import { taskIdOf, type TaskKey } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
 import type { EndedReport, RunningReport, WorkerListing, WorkerReport } from '../model/worker.js';
@@ -40,13 +40,29 @@
     storedEnd: 0,
     hold: { kind: 'none' },
     committed: NO_RESOURCES,
-    taskIds: PersistentSet(),
+    tasks: PersistentMap(),
     restUntil: 0,
     failuresInARow: 0,
     lastSuccessAt: null,
   };
 }
 
+/** Time without a question to a worker after which it is asked although ends wait to be stored. */
+const LONGEST_PAUSE_MILLISECONDS = 300;
+
+/** Asks the workers that nobody asks now: at once where their ends are stored, else after a pause. */
+export function* renewIdleLeases(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const isStored = worker.processedEnd <= worker.storedEnd;
+    const pausedFor = state.now - (worker.lastReportAt ?? -Infinity);
+    if (!worker.reportPending && (isStored || pausedFor >= LONGEST_PAUSE_MILLISECONDS)) {
+      next = yield* renewLease(next, worker.listing.workerId, 0);
+    }
+  }
+  return next;
+}
+
 /** Asks a worker for its lists and renews its lease. */
 export function* renewLease(
   state: ServiceState,
@@ -163,8 +179,7 @@
 /** Forgets workers that neither the register nor any run needs. */
 function forgetWorkers(state: ServiceState): ServiceState {
   const workers = state.workers.filter(
-    (worker) =>
-      worker.isListed || !worker.taskIds.isEmpty() || (!worker.isGone && worker.silentSince === null),
+    (worker) => worker.isListed || !worker.tasks.isEmpty() || (!worker.isGone && worker.silentSince === null),
   );
   return workers.size === state.workers.size ? state : { ...state, workers };
 }
@@ -204,11 +219,7 @@
     }
   }
   if (askedAt <= state.claimedAt) return next;
-  return yield* dropOrphans(
-    next,
-    (workerId) => !alive.has(workerId),
-    'its host runs it no more',
-  );
+  return yield* dropOrphans(next, (workerId) => !alive.has(workerId), 'its host runs it no more');
 }
 
 function* dropOrphans(
@@ -228,7 +239,7 @@
 export function* dropLapsedRuns(state: ServiceState): ServiceStep<ServiceState> {
   let next = state;
   for (const worker of state.workers.values()) {
-    if (worker.silentSince !== null && !worker.taskIds.isEmpty() && isWorkOver(state, worker)) {
+    if (worker.silentSince !== null && !worker.tasks.isEmpty() && isWorkOver(state, worker)) {
       const { workerId } = worker.listing;
       yield { kind: 'log', decision: 'leaseLapsed', fields: { workerId, leaseUntil: worker.leaseUntil } };
       next = yield* dropRuns(next, worker, 'its lease is over');
@@ -263,7 +274,8 @@
   row: RunningReport,
 ): ServiceState {
   const run = findRun(findTask(state, row.task), workerId, incarnation, row.run);
-  if (run === null) return state;
+  const isKnown = run?.startedAt !== null && run?.percent === row.percent;
+  if (run === null || (isKnown && run.phase !== 'starting')) return state;
   return changeRun(state, row.task, run, (one) => ({
     ...one,
     phase: one.phase === 'starting' || one.phase === 'recording' ? 'running' : one.phase,
@@ -306,11 +318,11 @@
     if (run === null) yield* stopStray(next, worker, row);
     else next = noteRunning(next, workerId, incarnation, row);
   }
-  const isListed = new Set(report.running.map(({ task, run }) => `${taskIdOf(task)} ${run}`));
+  const listed = new Map(report.running.map(({ task, run }) => [taskIdOf(task), run]));
   for (const [key, run] of [...runsOn(next, worker)]) {
     const isSettled = run.settledAt !== null && run.settledAt < askedAt;
     const isInherited = run.phase === 'running' && run.settledAt === null;
-    if (!isListed.has(`${taskIdOf(key)} ${run.run}`) && (isSettled || isInherited)) {
+    if ((isSettled || isInherited) && listed.get(taskIdOf(key)) !== run.run) {
       yield {
         kind: 'log',
         decision: 'taskEnded',
@@ -329,13 +341,16 @@
 ): ServiceStep<ServiceState> {
   const worker = before.workers.get(workerId);
   if (worker === undefined) return before;
-  if (report.incarnation !== worker.listing.incarnation)
-    {return yield* handleOtherLife(before, worker, report);}
+  if (report.incarnation !== worker.listing.incarnation) {
+    return yield* handleOtherLife(before, worker, report);
+  }
   if (worker.silentSince !== null) {
     const silentMilliseconds = Math.round(before.now - worker.silentSince);
     yield { kind: 'log', decision: 'workerBack', fields: { workerId, silentMilliseconds } };
   }
-  const noted = setWorker(before, {
+  const isNew = !worker.isHeld || worker.silentSince !== null;
+  const due = { ...before, placementIsDue: before.placementIsDue || isNew };
+  const noted = setWorker(due, {
     ...worker,
     reportPending: false,
     isHeld: true,
@@ -343,14 +358,13 @@
     lastReportAt: before.now,
   });
   const clocked = readClock(noted, workerId, report.incarnation, report.clockMilliseconds, before.now);
-  const former = yield* dropOrphans(
-    clocked,
-    (id) => id === workerId,
-    'its worker started again',
-  );
+  const former = yield* dropOrphans(clocked, (id) => id === workerId, 'its worker started again');
   const ended = yield* workInEnds(former, workerId, report.incarnation, report.ended);
   const running = yield* workInRunning(ended, workerId, report, askedAt);
-  return yield* renewLease(running, workerId, 0);
+  const reported = running.workers.get(workerId);
+  // A worker answers at once while it holds ends that it may not forget: it is asked again once they are stored.
+  const awaitsStore = reported !== undefined && reported.processedEnd > reported.storedEnd;
+  return awaitsStore ? running : yield* renewLease(running, workerId, 0);
 }
 
 /** The worker is another life than the register says: a newer one, or the register is ahead. */
@@ -379,7 +393,7 @@
   const worker = state.workers.get(workerId);
   if (worker === undefined) return state;
   if (worker.silentSince === null) {
-    yield { kind: 'log', decision: 'workerSilent', fields: { workerId, tasks: worker.taskIds.size } };
+    yield { kind: 'log', decision: 'workerSilent', fields: { workerId, tasks: worker.tasks.size } };
     yield { kind: 'list-hosts' };
   }
   const silent = setWorker(state, {
