--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -97,6 +97,22 @@
   hostListFailed: { number: 554, level: 'warn', message: 'the list of hosts cannot be read' },
   callerConnectionFailed: { number: 506, level: 'info', message: 'connection of a caller broke' },
   waveAsked: { number: 561, level: 'info', message: 'the operator asks for a maintenance wave' },
+  releaseBegun: { number: 571, level: 'info', message: 'host is wanted; its worker gets no new tasks' },
+  releaseWithdrawn: {
+    number: 572,
+    level: 'info',
+    message: 'host is not wanted any more; its worker gets tasks again',
+  },
+  hostWanted: { number: 573, level: 'info', message: 'host is to move or to be maintained' },
+  hostOrdered: { number: 574, level: 'info', message: 'order on a host is given' },
+  hostOrderSettled: { number: 575, level: 'info', message: 'order on a host is answered' },
+  hostBack: { number: 576, level: 'info', message: 'order on a host is over; the host is up' },
+  waveBegun: { number: 577, level: 'info', message: 'maintenance wave is known and begins' },
+  waveEnded: {
+    number: 578,
+    level: 'info',
+    message: 'every host of a maintenance wave has begun its maintenance',
+  },
   invariantViolated: { number: 901, level: 'error', message: 'something that must always hold does not' },
   unexpectedError: { number: 902, level: 'error', message: 'unexpected error' },
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
--- /dev/null
+++ b/packages/scheduler/src/fleet/fleet-codec.ts
@@ -0,0 +1,56 @@
+/** Records of the fleet's journal as keyed records of the store. */
+import { Decoder, Encoder } from 'cbor-x';
+import type { FleetRecord, HostOrderKind } from '@baobabdeck/scheduling';
+import type { KeyedRecord, StoredKeyedRecord } from '../ports/index.js';
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false });
+
+const HOST_PREFIX = 'host/';
+const WAVE_PREFIX = 'wave/';
+
+/** Content of a host's record; `what` is null once the order is over. */
+interface EncodedHost {
+  readonly what: HostOrderKind | null;
+  readonly isAccepted: boolean;
+}
+
+interface EncodedWave {
+  readonly begunHostIds: readonly string[];
+  readonly isCompleted: boolean;
+}
+
+/** The keyed record that stores a fleet record. */
+export function encodeFleetRecord(record: FleetRecord): KeyedRecord {
+  switch (record.kind) {
+    case 'host-ordered': {
+      const content: EncodedHost = { what: record.what, isAccepted: record.isAccepted };
+      return { key: HOST_PREFIX + record.hostId, value: encoder.encode(content) };
+    }
+    case 'host-settled': {
+      const content: EncodedHost = { what: null, isAccepted: true };
+      return { key: HOST_PREFIX + record.hostId, value: encoder.encode(content) };
+    }
+    default: {
+      const content: EncodedWave = { begunHostIds: record.begunHostIds, isCompleted: record.isCompleted };
+      return { key: WAVE_PREFIX + record.wave, value: encoder.encode(content) };
+    }
+  }
+}
+
+function decodeHost(hostId: string, { what, isAccepted }: EncodedHost): FleetRecord {
+  return what === null
+    ? { kind: 'host-settled', hostId }
+    : { kind: 'host-ordered', hostId, what, isAccepted };
+}
+
+/** The fleet record in a stored record; null for a claim and for bytes that cannot be read. */
+export function decodeFleetRecord({ key, value }: StoredKeyedRecord): FleetRecord | null {
+  if (value === null) return null;
+  if (key.startsWith(HOST_PREFIX)) {
+    return decodeHost(key.slice(HOST_PREFIX.length), decoder.decode(value) as EncodedHost);
+  }
+  if (!key.startsWith(WAVE_PREFIX)) return null;
+  const { begunHostIds, isCompleted } = decoder.decode(value) as EncodedWave;
+  return { kind: 'wave-progress', wave: Number(key.slice(WAVE_PREFIX.length)), begunHostIds, isCompleted };
+}
--- /dev/null
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -0,0 +1,276 @@
+/** Owns the fleet: claims its logs, runs its reducer and carries out what that decides on hosts and waves. */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { WriteEvent } from '@baobabdeck/observability';
+import {
+  reduceFleet,
+  restoreFleet,
+  selectWishes,
+  type FleetEffect,
+  type FleetEvent,
+  type FleetParameters,
+  type FleetState,
+  type HostListing,
+  type ServiceReport,
+  type ServiceWishes,
+} from '@baobabdeck/scheduling';
+import { journalOf } from '../node/layout.js';
+import type { SteadyClock } from '../node/steady-clock.js';
+import { claimService, OWNER_PRODUCER, type ClaimedService } from '../owner/claim.js';
+import { encodeRecord } from '../owner/record-codec.js';
+import type {
+  HostService,
+  LogPlace,
+  OperatorFeed,
+  QueueConfiguration,
+  Store,
+  WaveRequest,
+} from '../ports/index.js';
+import { decodeFleetRecord, encodeFleetRecord } from './fleet-codec.js';
+
+const READ_WAIT_MILLISECONDS = 1_000;
+const FAILURE_PAUSE_MILLISECONDS = 100;
+
+/** Time between two looks at services, and between two decisions. */
+const TICK_MILLISECONDS = 250;
+
+/** Ticks between two looks at the list of hosts. */
+const TICKS_PER_LIST = 2;
+
+/** Time that a stopping owner waits for a batch under way. */
+const STOP_WAIT_MILLISECONDS = 1_000;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+type FleetEventBody = FleetEvent extends infer E ? (E extends FleetEvent ? Omit<E, 'at'> : never) : never;
+
+/** What an owner needs. */
+export interface FleetOwnerParts {
+  readonly place: LogPlace;
+  readonly member: string;
+  readonly nodeName: string;
+  readonly parameters: FleetParameters;
+  readonly store: Store;
+  readonly hosts: HostService;
+  readonly feed: OperatorFeed;
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  readonly configuration: () => QueueConfiguration | null;
+  readonly waves: () => readonly WaveRequest[];
+  /** Tells a service's owner its wishes and brings its report back; null where it does not answer. */
+  readonly askService: (service: string, wishes: ServiceWishes) => Promise<ServiceReport | null>;
+  /** Passes a list of hosts on to the owners of services. */
+  readonly onHostsListed: (hosts: readonly HostListing[], askedAt: number) => void;
+  readonly onSuperseded: () => void;
+}
+
+/** The owned fleet. */
+export interface FleetOwner {
+  readonly place: LogPlace;
+  readonly stop: () => Promise<void>;
+}
+
+/** Creates the owner of the fleet and begins to claim it. */
+export function createFleetOwner(parts: FleetOwnerParts): FleetOwner {
+  const { place, store, clock, writeEvent } = parts;
+  const journal = journalOf(place);
+  let claimed: ClaimedService | null = null;
+  let state: FleetState | null = null;
+  let nextOffset = 0;
+  let nextSequence = 1;
+  let closed = false;
+  let appending: Promise<void> = Promise.resolve();
+  const queue: FleetEventBody[] = [];
+  const isOpen = (): boolean => !closed;
+
+  const step = (body: FleetEventBody): void => {
+    if (state === null || closed) return;
+    const effects: FleetEffect[] = [];
+    try {
+      const steps = reduceFleet(state, { ...body, at: clock.steadyNow() });
+      let result = steps.next();
+      while (!result.done) {
+        effects.push(result.value);
+        result = steps.next();
+      }
+      state = result.value;
+    } catch (error) {
+      // The state is as it was before the event, and no effect of it was carried out.
+      writeEvent('unexpectedError', { kind: body.kind, subject: 'fleet', err: error });
+      return;
+    }
+    effects.forEach(perform);
+  };
+
+  const dispatch = (body: FleetEventBody): void => {
+    queue.push(body);
+    if (queue.length > 1) return;
+    while (queue[0] !== undefined) {
+      step(queue[0]);
+      queue.shift();
+    }
+  };
+
+  const appendUntilStored = async (
+    effect: Extract<FleetEffect, { kind: 'store-fleet-records' }>,
+  ): Promise<void> => {
+    const sequence = nextSequence;
+    nextSequence += 1;
+    while (claimed !== null && !closed) {
+      const askedAt = clock.steadyNow();
+      const outcome = await store.append({
+        place: journal,
+        records: effect.records.map(encodeFleetRecord),
+        producer: { name: OWNER_PRODUCER, epoch: claimed.epoch, sequence },
+        expectedEnd: null,
+      });
+      if (outcome.kind === 'stored') {
+        const { firstOffset } = outcome;
+        dispatch({ kind: 'fleet-records-stored', appendId: effect.appendId, firstOffset, askedAt });
+        return;
+      }
+      if (outcome.kind === 'fenced') {
+        dispatch({ kind: 'ownership-lost' });
+        return;
+      }
+      writeEvent('appendFailed', { subject: 'fleet', outcome });
+      await sleep(FAILURE_PAUSE_MILLISECONDS);
+    }
+  };
+
+  const orderHost = async (effect: Extract<FleetEffect, { kind: 'order-host' }>): Promise<void> => {
+    if (effect.delayMilliseconds > 0) await sleep(effect.delayMilliseconds);
+    if (closed) return;
+    const { hostId, what, fencingToken } = effect;
+    const head = { hostId, holder: parts.nodeName, fencingToken };
+    const outcome =
+      what.kind === 'move'
+        ? await parts.hosts.move({ ...head, pool: what.pool })
+        : await parts.hosts.maintain({ ...head, wave: what.wave });
+    dispatch({ kind: 'host-order-settled', hostId, fencingToken, outcome });
+  };
+
+  const tellWaveStatus = async (wave: number, status: 'running' | 'completed'): Promise<void> => {
+    const isStored = await parts.feed.writeWaveStatus(wave, status);
+    dispatch({ kind: 'wave-status-told', wave, status, isStored });
+  };
+
+  function perform(effect: FleetEffect): void {
+    switch (effect.kind) {
+      case 'store-fleet-records':
+        appending = appendUntilStored(effect);
+        break;
+      case 'order-host':
+        void orderHost(effect);
+        break;
+      case 'tell-wave-status':
+        void tellWaveStatus(effect.wave, effect.status);
+        break;
+      case 'give-up-ownership':
+        closed = true;
+        writeEvent('ownershipSuperseded', { subject: 'fleet', reason: effect.reason });
+        parts.onSuperseded();
+        break;
+      default:
+        writeEvent(effect.decision, effect.fields);
+    }
+  }
+
+  /** Reads the inbox for newer claims: each read without one proves the ownership. */
+  const proveOwnership = async (): Promise<void> => {
+    while (isOpen() && claimed !== null) {
+      const askedAt = clock.steadyNow();
+      const page = await store.read(place, nextOffset, READ_WAIT_MILLISECONDS);
+      if (page.kind === 'read') {
+        const { epoch } = claimed;
+        nextOffset = page.nextOffset;
+        // The inbox of the fleet holds claims only.
+        const isSuperseded = page.records.some((record) => record.offset >= epoch);
+        dispatch(isSuperseded ? { kind: 'ownership-lost' } : { kind: 'ownership-proven', askedAt });
+      } else {
+        await sleep(FAILURE_PAUSE_MILLISECONDS);
+      }
+    }
+  };
+
+  const listHosts = async (): Promise<void> => {
+    const askedAt = clock.steadyNow();
+    const outcome = await parts.hosts.list();
+    if (outcome.kind === 'listed') {
+      dispatch({ kind: 'hosts-listed', hosts: outcome.hosts, askedAt });
+      parts.onHostsListed(outcome.hosts, askedAt);
+    } else {
+      writeEvent('hostListFailed', { detail: outcome.detail });
+    }
+  };
+
+  const asked = new Set<string>();
+  const askService = async (service: string): Promise<void> => {
+    if (state === null || asked.has(service)) return;
+    asked.add(service);
+    const report = await parts.askService(service, selectWishes(state, service));
+    asked.delete(service);
+    if (report !== null) dispatch({ kind: 'service-reported', report });
+  };
+
+  const tick = (count: number): void => {
+    const services = parts.configuration()?.services ?? [];
+    dispatch({
+      kind: 'pools-known',
+      pools: services.map(({ name, isStandby }) => ({ pool: name, isStandby })),
+    });
+    parts.waves().forEach(({ wave, hostIds, durationSeconds, maximumDown }) =>
+      dispatch({
+        kind: 'wave-asked',
+        wave,
+        hostIds,
+        durationMilliseconds: durationSeconds * MILLISECONDS_PER_SECOND,
+        maximumDown,
+      }),
+    );
+    if (count % TICKS_PER_LIST === 0) void listHosts();
+    services
+      .filter((service) => !service.isStandby)
+      .forEach(({ name }) => {
+        void askService(name);
+      });
+    dispatch({ kind: 'ticked' });
+  };
+
+  const run = async (): Promise<void> => {
+    for (let count = 0; isOpen(); count += 1) {
+      tick(count);
+      await sleep(TICK_MILLISECONDS);
+    }
+  };
+
+  const begin = async (): Promise<void> => {
+    const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: parts.member });
+    if (claimRecord === undefined) return;
+    claimed = await claimService({ store, clock, inbox: place, journal, claimRecord, isWanted: isOpen });
+    if (claimed === null) {
+      if (isOpen()) parts.onSuperseded();
+      return;
+    }
+    nextOffset = claimed.nextOffset;
+    state = restoreFleet({
+      parameters: parts.parameters,
+      now: clock.steadyNow(),
+      claimedAt: claimed.claimedAt,
+      provenAt: claimed.provenAt,
+      records: claimed.records.flatMap((record) => decodeFleetRecord(record) ?? []),
+    });
+    writeEvent('serviceClaimed', { service: null, subject: 'fleet', epoch: claimed.epoch, nextOffset });
+    void proveOwnership();
+    void run();
+  };
+
+  void begin();
+  return {
+    place,
+    stop: async () => {
+      await Promise.race([appending, sleep(STOP_WAIT_MILLISECONDS)]);
+      closed = true;
+      writeEvent('serviceGivenUp', { service: null, subject: 'fleet', epoch: claimed?.epoch ?? null });
+    },
+  };
+}
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -3,13 +3,19 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { listenForCalls, type CallServer } from '@baobabdeck/peer-protocol';
 import type { WriteEvent } from '@baobabdeck/observability';
-import { selectJobStatus, selectPendingCount, type ServiceState } from '@baobabdeck/scheduling';
+import {
+  selectJobStatus,
+  selectPendingCount,
+  selectServiceReport,
+  type ServiceState,
+} from '@baobabdeck/scheduling';
+import { createFleetOwner, type FleetOwner } from '../fleet/fleet-owner.js';
 import { findQueue } from '../front/find-queue.js';
 import { createFront } from '../front/front.js';
 import { createSubmissionWriter } from '../front/submission-writer.js';
 import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
 import { createDirectory } from '../peers/directory.js';
-import { readQuestion, type PeerAnswer, type PeerQuestion } from '../peers/messages.js';
+import { readAnswer, readQuestion, type PeerAnswer, type PeerQuestion } from '../peers/messages.js';
 import type {
   CallerService,
   HostService,
@@ -46,6 +52,9 @@
 /** Time that a stopping process goes on serving, so that the balancer sees it and sends no one. */
 const DRAIN_MILLISECONDS = 2_500;
 
+/** Time for one question of the fleet's owner to a service's. */
+const FLEET_QUESTION_MILLISECONDS = 400;
+
 /** What a process is built from. */
 export interface NodeParts {
   readonly settings: SchedulerSettings;
@@ -70,6 +79,7 @@
   const owners = new Map<string, ServiceOwner>();
   const supersededAt = new Map<string, number>();
   let layout: Layout = new Map();
+  let fleet: FleetOwner | null = null;
   let stopping = false;
 
   const lists = createHostLists(parts.hosts, clock, writeEvent, (hosts, askedAt) => {
@@ -90,6 +100,12 @@
     const owner = [...owners.values()].find((one) => one.service === question.service);
     const state = owner?.state() ?? null;
     if (owner === undefined || state === null) return { kind: 'not-owner' };
+    if (question.kind === 'service-report') return answerFleet(owner, question);
+    if (question.kind === 'hosts-listed') {
+      const askedAt = clock.steadyNow() - question.ageMilliseconds;
+      owner.dispatch({ kind: 'hosts-listed', hosts: question.hosts, askedAt });
+      return { kind: 'taken' };
+    }
     if (question.kind === 'pending-count') {
       return { kind: 'pending-count', pending: selectPendingCount(state, question.queue) };
     }
@@ -149,7 +165,6 @@
       writeEvent,
       listHosts: lists.ask,
       onClaimed: () => tellWorkers(owner),
-      onHostReleased: () => undefined,
       onSuperseded: () => {
         owners.delete(key);
         supersededAt.set(key, clock.steadyNow());
@@ -158,6 +173,51 @@
     owners.set(key, owner);
   };
 
+  const directory = createDirectory(store, clock);
+
+  const askOwner = async (service: string, question: PeerQuestion): Promise<PeerAnswer | null> => {
+    const place = layout.get(subjectOf(service));
+    if (place === undefined) return null;
+    if (owners.has(placeKey(place))) return answerQuestion(question);
+    const owner = await directory.ownerOf(place);
+    if (owner === null) return null;
+    const answer = readAnswer(await directory.ask(owner, question, FLEET_QUESTION_MILLISECONDS));
+    if (answer === null || answer.kind === 'not-owner') directory.distrust();
+    return answer;
+  };
+
+  const openFleet = (place: LogPlace): void => {
+    fleet = createFleetOwner({
+      place,
+      member,
+      nodeName: settings.nodeName,
+      parameters: settings.fleet,
+      store,
+      hosts: parts.hosts,
+      feed: parts.feed,
+      clock,
+      writeEvent,
+      configuration: follower.current,
+      waves: follower.waves,
+      askService: async (service, wishes) => {
+        const answer = await askOwner(service, { kind: 'service-report', service, ...wishes });
+        return answer?.kind === 'service-report' ? answer.report : null;
+      },
+      onHostsListed: (hosts, askedAt) => {
+        const ageMilliseconds = clock.steadyNow() - askedAt;
+        const services = new Set([...layout.keys()].flatMap((subject) => serviceOf(subject) ?? []));
+        services.forEach((service) => {
+          const ofService = hosts.filter((host) => host.pool === service);
+          void askOwner(service, { kind: 'hosts-listed', service, hosts: ofService, ageMilliseconds });
+        });
+      },
+      onSuperseded: () => {
+        fleet = null;
+        supersededAt.set(placeKey(place), clock.steadyNow());
+      },
+    });
+  };
+
   const workWithDealt = async (places: readonly LogPlace[]): Promise<void> => {
     const lost = [...owners.values()].filter(
       (owner) => !places.some((place) => isSamePlace(place, owner.place)),
@@ -168,13 +228,21 @@
         owners.delete(placeKey(owner.place));
       }),
     );
+    if (fleet !== null && !places.some((place) => fleet !== null && isSamePlace(place, fleet.place))) {
+      const lostFleet = fleet;
+      fleet = null;
+      await lostFleet.stop();
+    }
     if (stopping) return;
     for (const [subject, place] of layout) {
       const service = serviceOf(subject);
       const isDealt = places.some((dealt) => isSamePlace(dealt, place));
       const waitsUntil = (supersededAt.get(placeKey(place)) ?? -Infinity) + RECLAIM_PAUSE_MILLISECONDS;
       const isOpen = owners.has(placeKey(place));
-      if (service !== null && isDealt && !isOpen && clock.steadyNow() > waitsUntil) openOwner(place, service);
+      if (isDealt && clock.steadyNow() > waitsUntil) {
+        if (service !== null && !isOpen) openOwner(place, service);
+        if (service === null && fleet === null) openFleet(place);
+      }
     }
   };
 
@@ -186,7 +254,6 @@
     onDealt: workWithDealt,
   });
 
-  const directory = createDirectory(store, clock);
   const front = createFront({
     clock,
     writeEvent,
@@ -215,6 +282,7 @@
       stopping = true;
       await Promise.all([...owners.values()].map((owner) => owner.stop()));
       owners.clear();
+      await fleet?.stop();
       await membership.leave();
       await sleep(DRAIN_MILLISECONDS);
       follower.close();
@@ -225,6 +293,19 @@
   };
 }
 
+/** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
+function answerFleet(
+  owner: ServiceOwner,
+  { releases, returns }: Extract<PeerQuestion, { readonly kind: 'service-report' }>,
+): PeerAnswer {
+  releases.forEach(({ hostId, purpose }) => owner.dispatch({ kind: 'release-asked', hostId, purpose }));
+  returns.forEach((hostId) => owner.dispatch({ kind: 'release-withdrawn', hostId }));
+  const state = owner.state();
+  return state === null
+    ? { kind: 'not-owner' }
+    : { kind: 'service-report', report: selectServiceReport(state) };
+}
+
 /** A job that the state does not know may have been accepted a moment ago: the log is read to its end first. */
 async function answerStatus(
   owner: ServiceOwner,
--- a/packages/scheduler/src/node/settings.ts
+++ b/packages/scheduler/src/node/settings.ts
@@ -1,5 +1,5 @@
 /** What a scheduler's process is told at its start. */
-import type { SchedulingParameters } from '@baobabdeck/scheduling';
+import type { FleetParameters, SchedulingParameters } from '@baobabdeck/scheduling';
 
 /** Settings of one process. */
 export interface SchedulerSettings {
@@ -13,4 +13,5 @@
   /** Time that a stop may take. */
   readonly graceMilliseconds: number;
   readonly scheduling: SchedulingParameters;
+  readonly fleet: FleetParameters;
 }
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -36,7 +36,6 @@
   readonly listHosts: () => void;
   /** The claim stands. */
   readonly onClaimed: () => void;
-  readonly onHostReleased: (hostId: string) => void;
   /** The ownership was lost: another process has claimed it. */
   readonly onSuperseded: () => void;
 }
@@ -121,9 +120,6 @@
       case 'list-hosts':
         parts.listHosts();
         break;
-      case 'host-released':
-        parts.onHostReleased(effect.hostId);
-        break;
       case 'give-up-ownership':
         stopNow();
         parts.onSuperseded();
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -1,5 +1,6 @@
 /** What processes ask one another. */
 import { z } from 'zod';
+import type { ServiceReport } from '@baobabdeck/scheduling';
 
 /** A question on a job. */
 const statusQuestion = z.object({
@@ -16,7 +17,36 @@
   queue: z.string(),
 });
 
-const question = z.discriminatedUnion('kind', [statusQuestion, pendingQuestion]);
+/** The fleet's owner tells a service's owner its wishes and asks how it does. */
+const fleetQuestion = z.object({
+  kind: z.literal('service-report'),
+  service: z.string(),
+  releases: z.array(z.object({ hostId: z.string(), purpose: z.enum(['move', 'maintenance']) })).readonly(),
+  returns: z.array(z.string()).readonly(),
+});
+
+/** A list of hosts, passed on by the fleet's owner. */
+const hostsNews = z.object({
+  kind: z.literal('hosts-listed'),
+  service: z.string(),
+  hosts: z
+    .array(
+      z.object({
+        hostId: z.string(),
+        pool: z.string(),
+        state: z.enum(['up', 'moving', 'upkeep', 'down']),
+        dataCentre: z.string(),
+        rack: z.string(),
+        capacity: z.object({ milliCores: z.number(), memoryMegabytes: z.number(), accelerators: z.number() }),
+        workerId: z.string().nullable(),
+      }),
+    )
+    .readonly(),
+  /** Age of the list when it was passed on. */
+  ageMilliseconds: z.number(),
+});
+
+const question = z.discriminatedUnion('kind', [statusQuestion, pendingQuestion, fleetQuestion, hostsNews]);
 
 /** A question to the owner of a service. */
 export type PeerQuestion = z.infer<typeof question>;
@@ -29,6 +59,8 @@
     }
   | { readonly kind: 'unknown-job' }
   | { readonly kind: 'pending-count'; readonly pending: number }
+  | { readonly kind: 'service-report'; readonly report: ServiceReport }
+  | { readonly kind: 'taken' }
   /** The process asked does not own the service, or does not know yet. */
   | { readonly kind: 'not-owner' };
 
@@ -39,6 +71,27 @@
   }),
   z.object({ kind: z.literal('unknown-job') }),
   z.object({ kind: z.literal('pending-count'), pending: z.number() }),
+  z.object({
+    kind: z.literal('service-report'),
+    report: z.object({
+      service: z.string(),
+      hosts: z.array(
+        z.object({
+          hostId: z.string(),
+          committedMilliCores: z.number(),
+          taskCount: z.number(),
+          lastingCount: z.number(),
+          isSound: z.boolean(),
+          release: z.enum(['released', 'draining', 'unknown']).nullable(),
+        }),
+      ),
+      waitingMilliCores: z.number(),
+      lastingMilliCores: z.number(),
+      offeredMilliCores: z.number(),
+      leastHosts: z.number(),
+    }),
+  }),
+  z.object({ kind: z.literal('taken') }),
   z.object({ kind: z.literal('not-owner') }),
 ]);
 
--- a/packages/scheduler/src/ports/hosts.ts
+++ b/packages/scheduler/src/ports/hosts.ts
@@ -1,26 +1,11 @@
 /** The platform's service for hosts: the list, moves between pools, and maintenance. */
-import type { HostListing } from '@baobabdeck/scheduling';
+import type { HostListing, HostOrderOutcome } from '@baobabdeck/scheduling';
 
 /** How a list of hosts ended. */
 export type HostsOutcome =
   | { readonly kind: 'listed'; readonly hosts: readonly HostListing[] }
   | { readonly kind: 'failed'; readonly detail: string };
 
-/** How an order on a host ended. */
-export type HostOrderOutcome =
-  | 'accepted'
-  /** A higher fencing token has been seen. */
-  | 'fenced'
-  /** The host is not up, or leaving. */
-  | 'busy'
-  /** The host is not of that wave. */
-  | 'not-in-wave'
-  | 'invalid'
-  /** Too many orders; nothing was done. */
-  | 'throttled'
-  /** No answer: it may have been, or may yet be, carried out. */
-  | 'unanswered';
-
 /** Who gives an order on a host. */
 export interface HostOrderHead {
   readonly hostId: string;
--- /dev/null
+++ b/packages/scheduling/src/fleet/hosts.ts
@@ -0,0 +1,47 @@
+/** Works in the platform's list of hosts: which orders are over, and which hosts are gone. */
+import type { FleetEventOf, FleetStep } from './event.js';
+import { addRecord, describeOrder, earlierOrdersOverAt, setHost } from './orders.js';
+import type { FleetState, HostState } from './state.js';
+
+function newHost(state: FleetState, listing: HostState['listing']): HostState {
+  const wasOrdered = state.earlierOrderedHostIds.has(listing.hostId);
+  return { listing, order: null, wish: null, restUntil: wasOrdered ? earlierOrdersOverAt(state) : 0 };
+}
+
+/** Whether an accepted order is over: the host is up again, as a list that was asked for after it says. */
+function isOrderOver(host: HostState, askedAt: number): boolean {
+  const { order, listing } = host;
+  if (order?.phase !== 'accepted' || order.acceptedAt === null || askedAt <= order.acceptedAt) return false;
+  return listing.state === 'up' || listing.state === 'down';
+}
+
+/** Works in a list of hosts. */
+export function* handleFleetHostsListed(
+  state: FleetState,
+  { hosts, askedAt }: FleetEventOf<'hosts-listed'>,
+): FleetStep<FleetState> {
+  if (state.listedAt !== null && askedAt <= state.listedAt) return state;
+  const listedIds = new Set(hosts.map((listing) => listing.hostId));
+  // A host that is not listed any more has left for good.
+  let next: FleetState = {
+    ...state,
+    listedAt: askedAt,
+    hosts: state.hosts.filter((_, hostId) => listedIds.has(hostId)),
+  };
+  for (const listing of hosts) {
+    const known = next.hosts.get(listing.hostId) ?? newHost(state, listing);
+    const host: HostState = { ...known, listing };
+    if (isOrderOver(host, askedAt) && host.order !== null) {
+      const { hostId, pool, workerId } = listing;
+      yield {
+        kind: 'log',
+        decision: 'hostBack',
+        fields: { hostId, pool, workerId, order: describeOrder(host.order.what) },
+      };
+      next = addRecord(setHost(next, { ...host, order: null }), { kind: 'host-settled', hostId });
+    } else {
+      next = setHost(next, host);
+    }
+  }
+  return next;
+}
--- /dev/null
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -0,0 +1,162 @@
+/** Orders on hosts: recorded first, then given until they are answered. */
+import type { FleetEventOf, FleetStep } from './event.js';
+import type { FleetRecord, FleetState, HostOrder, HostOrderKind, HostState } from './state.js';
+
+/** Pause before an order without an answer is given again. */
+const REPEAT_PAUSE_MILLISECONDS = 300;
+
+/** Time for which a host on which an order was refused is left alone. */
+const REFUSED_REST_MILLISECONDS = 1_000;
+
+/** Time within which an order without an answer may still be carried out. */
+const LATE_ORDER_MILLISECONDS = 13_000;
+
+/** Pause before a refused order is given again because an earlier attempt may still be carried out. */
+const REFUSED_PAUSE_MILLISECONDS = 1_000;
+
+/** Sets a host. */
+export function setHost(state: FleetState, host: HostState): FleetState {
+  return { ...state, hosts: state.hosts.set(host.listing.hostId, host) };
+}
+
+/** Adds a record to what waits to be stored. */
+export function addRecord(state: FleetState, record: FleetRecord): FleetState {
+  return { ...state, outbox: [...state.outbox, record] };
+}
+
+/** What an order is, as a log line tells it. */
+export function describeOrder(what: HostOrderKind): string {
+  return what.kind === 'move' ? `move to ${what.pool}` : `maintenance of wave ${what.wave}`;
+}
+
+/** Begins an order on a host that is free of tasks. */
+export function beginOrder(state: FleetState, host: HostState, what: HostOrderKind): FleetState {
+  const order: HostOrder = {
+    what,
+    phase: 'recording',
+    fencingToken: null,
+    beganAt: state.now,
+    acceptedAt: null,
+    unansweredAt: null,
+  };
+  const { hostId } = host.listing;
+  return addRecord(setHost(state, { ...host, order, wish: null }), {
+    kind: 'host-ordered',
+    hostId,
+    what,
+    isAccepted: false,
+  });
+}
+
+/** Whether our ownership is proven recently enough to give orders. */
+export function mayOrder(state: FleetState): boolean {
+  return state.now - state.provenAt < state.parameters.ownershipProofMilliseconds;
+}
+
+/** When an earlier owner's last order on a host is certainly long enough ago for ours. */
+export function earlierOrdersOverAt(state: FleetState): number {
+  const { holderLeaseMilliseconds, ownershipProofMilliseconds } = state.parameters;
+  return state.claimedAt + holderLeaseMilliseconds + ownershipProofMilliseconds;
+}
+
+function* giveOrder(state: FleetState, host: HostState, delayMilliseconds: number): FleetStep<void> {
+  const { order, listing } = host;
+  if (order === null || order.fencingToken === null) return;
+  const { hostId } = listing;
+  yield { kind: 'order-host', hostId, what: order.what, fencingToken: order.fencingToken, delayMilliseconds };
+}
+
+function* handleStoredOrder(state: FleetState, hostId: string, offset: number): FleetStep<FleetState> {
+  const host = state.hosts.get(hostId);
+  if (host === undefined || host.order === null || host.order.phase !== 'recording') return state;
+  // Token 0 is that of orders without one.
+  const fencingToken = offset + 1;
+  const sent: HostState = { ...host, order: { ...host.order, phase: 'sent', fencingToken } };
+  yield {
+    kind: 'log',
+    decision: 'hostOrdered',
+    fields: { hostId, order: describeOrder(host.order.what), fencingToken, pool: host.listing.pool },
+  };
+  yield* giveOrder(state, sent, 0);
+  return setHost(state, sent);
+}
+
+/** Stores what waits, unless a batch is under way. */
+export function* flushFleet(state: FleetState): FleetStep<FleetState> {
+  if (state.inFlight !== null || state.outbox.length === 0 || state.isSuperseded) return state;
+  const appendId = state.nextAppendId;
+  const records = state.outbox;
+  yield { kind: 'store-fleet-records', appendId, records };
+  return { ...state, outbox: [], inFlight: { appendId, records }, nextAppendId: appendId + 1 };
+}
+
+/** Works in that a batch is stored: orders that it holds may be given. */
+export function* handleFleetRecordsStored(
+  state: FleetState,
+  { appendId, firstOffset, askedAt }: FleetEventOf<'fleet-records-stored'>,
+): FleetStep<FleetState> {
+  const { inFlight } = state;
+  if (inFlight === null || inFlight.appendId !== appendId) return state;
+  let next: FleetState = { ...state, inFlight: null, provenAt: Math.max(state.provenAt, askedAt) };
+  for (const [index, record] of inFlight.records.entries()) {
+    if (record.kind === 'host-ordered' && !record.isAccepted) {
+      next = yield* handleStoredOrder(next, record.hostId, firstOffset + index);
+    }
+  }
+  return next;
+}
+
+function noteBegun(state: FleetState, hostId: string, what: HostOrderKind): FleetState {
+  if (what.kind !== 'maintain') return state;
+  const wave = state.waves.get(what.wave);
+  if (wave === undefined) return state;
+  const begunHostIds = new Set([...wave.begunHostIds, hostId]);
+  const noted = { ...state, waves: state.waves.set(what.wave, { ...wave, begunHostIds }) };
+  return addRecord(noted, {
+    kind: 'wave-progress',
+    wave: what.wave,
+    begunHostIds: [...begunHostIds],
+    isCompleted: wave.isCompleted,
+  });
+}
+
+/** Drops an order that was refused: nothing was done, and nothing of it can come late. */
+function dropOrder(state: FleetState, host: HostState): FleetState {
+  const restUntil = state.now + REFUSED_REST_MILLISECONDS;
+  const dropped = setHost(state, { ...host, order: null, restUntil });
+  return addRecord(dropped, { kind: 'host-settled', hostId: host.listing.hostId });
+}
+
+function mayComeLate(state: FleetState, { unansweredAt }: HostOrder): boolean {
+  return unansweredAt !== null && state.now - unansweredAt < LATE_ORDER_MILLISECONDS;
+}
+
+/** Works in how an order on a host ended. */
+export function* handleHostOrderSettled(
+  state: FleetState,
+  { hostId, fencingToken, outcome }: FleetEventOf<'host-order-settled'>,
+): FleetStep<FleetState> {
+  const host = state.hosts.get(hostId);
+  if (host === undefined || host.order?.fencingToken !== fencingToken || host.order.phase !== 'sent') {
+    return state;
+  }
+  const { what } = host.order;
+  if (outcome === 'unanswered' || outcome === 'throttled') {
+    yield* giveOrder(state, host, REPEAT_PAUSE_MILLISECONDS);
+    const unansweredAt = outcome === 'unanswered' ? state.now : host.order.unansweredAt;
+    return setHost(state, { ...host, order: { ...host.order, unansweredAt } });
+  }
+  yield {
+    kind: 'log',
+    decision: 'hostOrderSettled',
+    fields: { hostId, order: describeOrder(what), fencingToken, outcome },
+  };
+  if (outcome !== 'accepted' && mayComeLate(state, host.order)) {
+    yield* giveOrder(state, host, REFUSED_PAUSE_MILLISECONDS);
+    return state;
+  }
+  if (outcome !== 'accepted') return dropOrder(state, host);
+  const accepted: HostState = { ...host, order: { ...host.order, phase: 'accepted', acceptedAt: state.now } };
+  const noted = noteBegun(setHost(state, accepted), hostId, what);
+  return addRecord(noted, { kind: 'host-ordered', hostId, what, isAccepted: true });
+}
--- /dev/null
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -0,0 +1,129 @@
+/** The reducer of the fleet's owner: one event in, effects out, and the next state. */
+import { Map as PersistentMap } from 'immutable';
+import type { Instant } from '../service/state.js';
+import type { FleetEvent, FleetStep } from './event.js';
+import { handleFleetHostsListed } from './hosts.js';
+import {
+  beginOrder,
+  earlierOrdersOverAt,
+  flushFleet,
+  handleFleetRecordsStored,
+  handleHostOrderSettled,
+} from './orders.js';
+import { balancePools } from './pools.js';
+import type { FleetParameters, FleetRecord, FleetState, HostOrderKind, WaveState } from './state.js';
+import { advanceWaves, handleWaveAsked, handleWaveStatusTold } from './waves.js';
+import { dropStaleWishes, handleServiceReported } from './wishes.js';
+
+/** What a new owner of the fleet starts from. */
+export interface FleetRestoreParts {
+  readonly parameters: FleetParameters;
+  readonly now: Instant;
+  readonly claimedAt: Instant;
+  readonly provenAt: Instant;
+  readonly records: readonly FleetRecord[];
+}
+
+function restoreWave(
+  record: Extract<FleetRecord, { readonly kind: 'wave-progress' }>,
+  now: Instant,
+): WaveState {
+  return {
+    wave: record.wave,
+    hostIds: [],
+    maximumDown: 0,
+    durationMilliseconds: 0,
+    seenAt: now,
+    begunHostIds: new Set(record.begunHostIds),
+    isCompleted: record.isCompleted,
+    toldStatus: null,
+    isTelling: false,
+  };
+}
+
+/** The state of a new owner. Waves are known in full once they are read from the operator. */
+export function restoreFleet(parts: FleetRestoreParts): FleetState {
+  const { parameters, now, claimedAt, provenAt, records } = parts;
+  const waves = records.flatMap((record) =>
+    record.kind === 'wave-progress' ? [restoreWave(record, now)] : [],
+  );
+  const open = new Map<string, HostOrderKind>();
+  for (const record of records) {
+    if (record.kind === 'host-ordered' && !record.isAccepted) open.set(record.hostId, record.what);
+    else if (record.kind !== 'wave-progress') open.delete(record.hostId);
+  }
+  return {
+    parameters,
+    now,
+    claimedAt,
+    provenAt,
+    pools: [],
+    hosts: PersistentMap(),
+    listedAt: null,
+    waves: PersistentMap(waves.map((wave) => [wave.wave, wave])),
+    reports: PersistentMap(),
+    outbox: [],
+    inFlight: null,
+    nextAppendId: 1,
+    earlierOrderedHostIds: new Set(records.flatMap((record) => ('hostId' in record ? [record.hostId] : []))),
+    inheritedOrders: PersistentMap(open),
+    isSuperseded: false,
+  };
+}
+
+/** Gives the orders of an earlier owner again: whether they were carried out is not known. */
+function resumeOrders(before: FleetState): FleetState {
+  if (before.inheritedOrders.isEmpty() || before.listedAt === null) return before;
+  if (before.now < earlierOrdersOverAt(before)) return before;
+  let state: FleetState = { ...before, inheritedOrders: before.inheritedOrders.clear() };
+  for (const [hostId, what] of before.inheritedOrders) {
+    const host = state.hosts.get(hostId);
+    if (host !== undefined && host.order === null) state = beginOrder(state, host, what);
+  }
+  return state;
+}
+
+function* tick(state: FleetState): FleetStep<FleetState> {
+  const resumed = dropStaleWishes(resumeOrders(state));
+  return yield* balancePools(yield* advanceWaves(resumed));
+}
+
+function* handle(state: FleetState, event: FleetEvent): FleetStep<FleetState> {
+  switch (event.kind) {
+    case 'ticked':
+      return yield* tick(state);
+    case 'ownership-proven':
+      return { ...state, provenAt: Math.max(state.provenAt, event.askedAt) };
+    case 'pools-known':
+      return { ...state, pools: event.pools };
+    case 'wave-asked':
+      return yield* handleWaveAsked(state, event);
+    case 'hosts-listed':
+      return yield* handleFleetHostsListed(state, event);
+    case 'service-reported':
+      return handleServiceReported(state, event);
+    case 'fleet-records-stored':
+      return yield* handleFleetRecordsStored(state, event);
+    case 'host-order-settled':
+      if (event.outcome === 'fenced') {
+        yield { kind: 'give-up-ownership', reason: `host ${event.hostId} has seen a newer owner` };
+        return { ...state, isSuperseded: true };
+      }
+      return yield* handleHostOrderSettled(state, event);
+    case 'wave-status-told':
+      return handleWaveStatusTold(state, event);
+    case 'ownership-lost':
+      yield { kind: 'give-up-ownership', reason: 'the store has seen a newer owner' };
+      return { ...state, isSuperseded: true };
+    default:
+      return state;
+  }
+}
+
+/** Reduces one event. Pure: equal states and events give equal effects and states. */
+export function* reduceFleet(before: FleetState, event: FleetEvent): FleetStep<FleetState> {
+  if (before.isSuperseded) return before;
+  const now = Math.max(before.now, event.at);
+  const handled = yield* handle({ ...before, now }, event);
+  return yield* flushFleet(handled);
+}
--- /dev/null
+++ b/packages/scheduling/src/fleet/state.ts
@@ -0,0 +1,112 @@
+/** The state of the fleet's owner: hosts, orders on them, waves, and the reports of services. */
+import type { Map as PersistentMap } from 'immutable';
+import type { HostListing } from '../model/worker.js';
+import type { ServiceReport } from '../service/demand.js';
+import type { Instant } from '../service/state.js';
+
+/** What is ordered of a host. */
+export type HostOrderKind =
+  { readonly kind: 'move'; readonly pool: string } | { readonly kind: 'maintain'; readonly wave: number };
+
+/** An order on a host. It is recorded before it is given; the record's place is its fencing token. */
+export interface HostOrder {
+  readonly what: HostOrderKind;
+  readonly phase: 'recording' | 'sent' | 'accepted';
+  /** Null until the record is stored. */
+  readonly fencingToken: number | null;
+  readonly beganAt: Instant;
+  readonly acceptedAt: Instant | null;
+  /** When an attempt was last left unanswered: it may still be carried out. */
+  readonly unansweredAt: Instant | null;
+}
+
+/** A host that its service is asked to empty. */
+export interface HostWish {
+  readonly what: HostOrderKind;
+  readonly since: Instant;
+}
+
+/** One host. */
+export interface HostState {
+  readonly listing: HostListing;
+  readonly order: HostOrder | null;
+  readonly wish: HostWish | null;
+  /** The platform refused an order on it; no other is given before. */
+  readonly restUntil: Instant;
+}
+
+/** A wave that the operator asks for. */
+export interface WaveState {
+  readonly wave: number;
+  readonly hostIds: readonly string[];
+  readonly maximumDown: number;
+  readonly durationMilliseconds: number;
+  readonly seenAt: Instant;
+  /** Hosts whose maintenance has begun. */
+  readonly begunHostIds: ReadonlySet<string>;
+  readonly isCompleted: boolean;
+  /** The status that the operator was told last. */
+  readonly toldStatus: 'running' | 'completed' | null;
+  readonly isTelling: boolean;
+}
+
+/** A pool as the configuration has it. */
+export interface PoolTerms {
+  readonly pool: string;
+  readonly isStandby: boolean;
+}
+
+/** A service's newest report and when it came. */
+export interface KnownReport {
+  readonly report: ServiceReport;
+  readonly at: Instant;
+  /** Since when the service has had more hosts than it needs; null while it has not. */
+  readonly surplusSince: Instant | null;
+}
+
+/** A record of the fleet's journal. */
+export type FleetRecord =
+  | {
+      readonly kind: 'host-ordered';
+      readonly hostId: string;
+      readonly what: HostOrderKind;
+      readonly isAccepted: boolean;
+    }
+  | { readonly kind: 'host-settled'; readonly hostId: string }
+  | {
+      readonly kind: 'wave-progress';
+      readonly wave: number;
+      readonly begunHostIds: readonly string[];
+      readonly isCompleted: boolean;
+    };
+
+/** Parameters of the fleet's owner. */
+export interface FleetParameters {
+  /** Time that must pass between the orders of two owners on one host. */
+  readonly holderLeaseMilliseconds: number;
+  /** Time after the last proof of ownership until which orders are given. */
+  readonly ownershipProofMilliseconds: number;
+}
+
+/** The whole state. */
+export interface FleetState {
+  readonly parameters: FleetParameters;
+  readonly now: Instant;
+  readonly claimedAt: Instant;
+  readonly provenAt: Instant;
+  readonly pools: readonly PoolTerms[];
+  readonly hosts: PersistentMap<string, HostState>;
+  /** When the list of hosts that is known was asked for; null before the first. */
+  readonly listedAt: Instant | null;
+  readonly waves: PersistentMap<number, WaveState>;
+  readonly reports: PersistentMap<string, KnownReport>;
+  /** Records that wait to be stored, oldest first. */
+  readonly outbox: readonly FleetRecord[];
+  readonly inFlight: { readonly appendId: number; readonly records: readonly FleetRecord[] } | null;
+  readonly nextAppendId: number;
+  /** Hosts that an earlier owner has given orders on. */
+  readonly earlierOrderedHostIds: ReadonlySet<string>;
+  /** Recorded orders of an earlier owner that were not accepted as far as is known. */
+  readonly inheritedOrders: PersistentMap<string, HostOrderKind>;
+  readonly isSuperseded: boolean;
+}
--- /dev/null
+++ b/packages/scheduling/src/fleet/wishes.ts
@@ -0,0 +1,74 @@
+/** Hosts that services are asked to empty, and the orders that follow once they are. */
+import type { FleetEventOf } from './event.js';
+import { beginOrder, earlierOrdersOverAt, mayOrder, setHost } from './orders.js';
+import type { FleetState, HostState } from './state.js';
+
+/** Time after which a host that is to move, and is still busy, is left in its pool. */
+const MOVE_PATIENCE_MILLISECONDS = 4_000;
+
+/** Works in a service's report: emptied hosts get their orders. */
+export function handleServiceReported(
+  state: FleetState,
+  { report }: FleetEventOf<'service-reported'>,
+): FleetState {
+  const known = state.reports.get(report.service);
+  let next: FleetState = {
+    ...state,
+    reports: state.reports.set(report.service, {
+      report,
+      at: state.now,
+      surplusSince: known?.surplusSince ?? null,
+    }),
+  };
+  if (!mayOrder(next)) return next;
+  for (const { hostId, release } of report.hosts) {
+    const host = next.hosts.get(hostId);
+    const isReady =
+      host?.wish != null &&
+      host.order === null &&
+      host.restUntil <= next.now &&
+      host.listing.pool === report.service;
+    if (isReady && release === 'released') next = beginOrder(next, host, host.wish.what);
+  }
+  return next;
+}
+
+/** Gives wishes up that take too long, and those for hosts that are not up any more. */
+export function dropStaleWishes(state: FleetState): FleetState {
+  let next = state;
+  for (const host of state.hosts.values()) {
+    const { wish, listing } = host;
+    const isTooOld = wish?.what.kind === 'move' && state.now - wish.since > MOVE_PATIENCE_MILLISECONDS;
+    if (wish !== null && (isTooOld || listing.state !== 'up')) next = setHost(next, { ...host, wish: null });
+  }
+  return next;
+}
+
+/** What one service is to be told: the hosts to empty, and those to use again. */
+export interface ServiceWishes {
+  readonly releases: readonly { readonly hostId: string; readonly purpose: 'move' | 'maintenance' }[];
+  readonly returns: readonly string[];
+}
+
+/** Whether a released host is still needed for an order that was given or will be. */
+function isClaimed(host: HostState): boolean {
+  return host.wish !== null || host.order !== null;
+}
+
+/** The wishes for one service. */
+export function selectWishes(state: FleetState, service: string): ServiceWishes {
+  const releases = [...state.hosts.values()].flatMap(({ listing, wish, order }) => {
+    const what = wish?.what ?? order?.what;
+    if (listing.pool !== service || what === undefined) return [];
+    const purpose = what.kind === 'move' ? ('move' as const) : ('maintenance' as const);
+    return [{ hostId: listing.hostId, purpose }];
+  });
+  const reported = state.reports.get(service)?.report.hosts ?? [];
+  const isSettled = state.listedAt !== null && state.now > earlierOrdersOverAt(state);
+  const returns = reported.flatMap(({ hostId, release }) => {
+    const host = state.hosts.get(hostId);
+    const isOurs = host !== undefined && host.listing.pool === service;
+    return isSettled && release !== null && isOurs && !isClaimed(host) ? [hostId] : [];
+  });
+  return { releases, returns };
+}
--- a/packages/scheduling/src/service/effect.ts
+++ b/packages/scheduling/src/service/effect.ts
@@ -18,6 +18,8 @@
   | 'workerBack'
   | 'workerEjected'
   | 'leaseLapsed'
+  | 'releaseBegun'
+  | 'releaseWithdrawn'
   | 'hostReleased'
   | 'ownershipSuperseded'
   | 'invariantViolated';
@@ -62,7 +64,6 @@
       readonly delayMilliseconds: number;
     }
   | { readonly kind: 'list-hosts' }
-  | { readonly kind: 'host-released'; readonly hostId: string }
   | { readonly kind: 'give-up-ownership'; readonly reason: string }
   | { readonly kind: 'log'; readonly decision: SchedulingDecision; readonly fields: SchedulingFields };
 
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -2,6 +2,7 @@
 import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
 import type { JobRequest, JobStatus, TaskKey } from '../model/job.js';
 import type { JobPhase } from '../model/records.js';
+import { trimArrivals, workOf } from './demand.js';
 import type { ServiceStep } from './effect.js';
 import { estimateChainMilliseconds, estimateRestMilliseconds } from '../decide/chain.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
@@ -132,7 +133,12 @@
   };
   const job = newJob(state, request);
   const accepted = setJob(
-    { ...state, activeJobIds: state.activeJobIds.add(jobId), placementIsDue: true },
+    {
+      ...state,
+      activeJobIds: state.activeJobIds.add(jobId),
+      arrivals: [...trimArrivals(state.arrivals, state.now), { at: state.now, work: workOf(request) }],
+      placementIsDue: true,
+    },
     job,
   );
   if (state.earlyCancels.has(jobId)) {
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -58,7 +58,9 @@
 /** Stores what has changed, unless a batch is under way. */
 export function* flushOutbox(state: ServiceState): ServiceStep<ServiceState> {
   if (state.appendInFlight !== null || state.isSuperseded) return state;
-  if (state.dirtyJobIds.isEmpty() && state.forgottenJobIds.isEmpty()) {
+  const hasNothing =
+    state.dirtyJobIds.isEmpty() && state.forgottenJobIds.isEmpty() && state.releaseRecords.length === 0;
+  if (hasNothing) {
     return storeEnds(state, processedEndsOf(state));
   }
   const jobIds = state.dirtyJobIds.take(JOBS_PER_BATCH);
@@ -69,6 +71,7 @@
       jobId: job.request.jobId,
       progress: progressOf(job),
     })),
+    ...state.releaseRecords,
     ...state.forgottenJobIds.toArray().map((jobId) => ({ kind: 'job-forgotten' as const, jobId })),
   ];
   const appendId = state.nextAppendId;
@@ -77,6 +80,7 @@
   const appendInFlight: AppendInFlight = {
     appendId,
     jobVersions: PersistentMap(jobs.map((job) => [job.request.jobId, job.version])),
+    releasedWorkerIds: new Set(state.releaseRecords.map((record) => record.workerId)),
     processedEnds: coversAll ? processedEndsOf(state) : PersistentMap(),
   };
   return {
@@ -85,6 +89,7 @@
     nextAppendId: appendId + 1,
     dirtyJobIds: state.dirtyJobIds.subtract(jobIds),
     forgottenJobIds: state.forgottenJobIds.clear(),
+    releaseRecords: [],
   };
 }
 
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -5,6 +5,7 @@
 import type { ServiceEvent } from './event.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
+import { emptyLeavingWorkers, handleReleaseAsked, handleReleaseWithdrawn } from './release.js';
 import { handleStartSettled, handleStopSettled } from './runs.js';
 import type { ServiceState } from './state.js';
 import {
@@ -75,6 +76,7 @@
 
 function* tick(state: ServiceState): ServiceStep<ServiceState> {
   let next = yield* renewIdleLeases(yield* dropLapsedRuns(state));
+  next = yield* emptyLeavingWorkers(next);
   for (const jobId of next.activeJobIds) {
     const job = next.jobs.get(jobId);
     if (job !== undefined) next = beginDueOccurrences(next, job);
@@ -110,6 +112,10 @@
       return event.outcome === 'fenced'
         ? yield* giveUp(state, `worker ${event.address.workerId} has seen a newer owner`)
         : yield* handleStopSettled(state, event);
+    case 'release-asked':
+      return yield* handleReleaseAsked(state, event);
+    case 'release-withdrawn':
+      return yield* handleReleaseWithdrawn(state, event);
     case 'stop-requested':
       return { ...state, isStopping: true };
     default:
--- /dev/null
+++ b/packages/scheduling/src/service/release.ts
@@ -0,0 +1,141 @@
+/** Empties workers whose hosts are wanted for something else, or that are shutting down, without harming their tasks. */
+import type { StepRequest, TaskKey } from '../model/job.js';
+import type { ServiceStep } from './effect.js';
+import type { ServiceEventOf } from './event.js';
+import { mayAct } from './lease.js';
+import { orderStop } from './runs.js';
+import type { JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
+import { runsOn, setWorker, stepRequestOf } from './tasks.js';
+
+/** Time without a repeated wish after which a host is used again. */
+const WISH_MILLISECONDS = 2_000;
+
+/** How far the emptying of a host has come. */
+export type ReleaseProgress = 'released' | 'draining' | 'unknown';
+
+function isAtWork(run: Run): boolean {
+  const FULL_SPEED_PERCENT = 100;
+  return run.phase === 'running' && run.startedAt !== null && run.percent === FULL_SPEED_PERCENT;
+}
+
+function countAbsent(step: StepState): number {
+  return step.tasks.filter((task) => !task.runs.some(isAtWork)).length;
+}
+
+/** Whether a lasting task may be taken away now: not while as many others of its step are absent as may be. */
+function mayTakeAway(step: StepState, request: StepRequest, run: Run): boolean {
+  if (request.maximumAbsent === null) return true;
+  if (!isAtWork(run)) return true;
+  return countAbsent(step) < request.maximumAbsent;
+}
+
+function stepOf(job: JobState, key: TaskKey): StepState | null {
+  return job.occurrences.get(key.occurrence)?.steps[key.step] ?? null;
+}
+
+function shouldStop(state: ServiceState, worker: WorkerState, key: TaskKey, run: Run): boolean {
+  const job = state.jobs.get(key.jobId);
+  const step = job === undefined ? null : stepOf(job, key);
+  if (job === undefined || step === null || run.phase !== 'running') return false;
+  const request = stepRequestOf(job.request, key.step);
+  if (request.isGang) return false;
+  // What is on a worker that shuts down ends with it, so no wait helps.
+  if (request.isLasting) return worker.listing.isDraining || mayTakeAway(step, request, run);
+  return request.savesCheckpoints;
+}
+
+function* emptyWorker(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const [key, run] of [...runsOn(state, worker)]) {
+    if (shouldStop(next, worker, key, run)) next = yield* orderStop(next, key, run, 'its host is wanted');
+  }
+  return next;
+}
+
+function recordRelease(state: ServiceState, worker: WorkerState): ServiceState {
+  const { workerId, incarnation } = worker.listing;
+  if (state.releasedWorkers.get(workerId) === incarnation) return state;
+  const record = { kind: 'worker-released' as const, workerId, incarnation };
+  return {
+    ...state,
+    releasedWorkers: state.releasedWorkers.set(workerId, incarnation),
+    releaseRecords: [...state.releaseRecords, record],
+  };
+}
+
+function withdrawStaleWish(state: ServiceState, worker: WorkerState): ServiceState {
+  const { hold } = worker;
+  if (hold.kind !== 'leaving' || state.now - hold.wishedAt <= WISH_MILLISECONDS) return state;
+  return { ...setWorker(state, { ...worker, hold: { kind: 'none' } }), placementIsDue: true };
+}
+
+/** Goes on with emptying the workers that are wanted or that shut down. */
+export function* emptyLeavingWorkers(before: ServiceState): ServiceStep<ServiceState> {
+  if (!mayAct(before)) return before;
+  let state = before;
+  for (const { listing } of before.workers.values()) {
+    const worker = state.workers.get(listing.workerId);
+    if (worker !== undefined) state = withdrawStaleWish(state, worker);
+  }
+  for (const worker of state.workers.values()) {
+    const isWanted = worker.hold.kind === 'leaving';
+    if (isWanted || worker.listing.isDraining) state = yield* emptyWorker(state, worker);
+    const emptied = state.workers.get(worker.listing.workerId);
+    if (isWanted && emptied?.tasks.isEmpty() === true) state = recordRelease(state, emptied);
+  }
+  return state;
+}
+
+function workerOnHost(state: ServiceState, hostId: string): WorkerState | null {
+  const onHost = [...state.workers.values()].filter((worker) => worker.listing.hostId === hostId);
+  return onHost.find((worker) => !worker.isGone) ?? onHost[0] ?? null;
+}
+
+/** Notes that a host is wanted; its worker gets no new tasks from now on. */
+export function* handleReleaseAsked(
+  state: ServiceState,
+  { hostId, purpose }: ServiceEventOf<'release-asked'>,
+): ServiceStep<ServiceState> {
+  const worker = workerOnHost(state, hostId);
+  if (worker === null) return state;
+  if (worker.hold.kind === 'none') {
+    const { workerId } = worker.listing;
+    yield {
+      kind: 'log',
+      decision: 'releaseBegun',
+      fields: { hostId, workerId, purpose, tasks: worker.tasks.size },
+    };
+  }
+  const wished = setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, wishedAt: state.now } });
+  return yield* emptyLeavingWorkers(wished);
+}
+
+/** Takes a host back into use. */
+export function* handleReleaseWithdrawn(
+  state: ServiceState,
+  { hostId }: ServiceEventOf<'release-withdrawn'>,
+): ServiceStep<ServiceState> {
+  const worker = workerOnHost(state, hostId);
+  if (worker === null) return state;
+  const { workerId } = worker.listing;
+  yield { kind: 'log', decision: 'releaseWithdrawn', fields: { hostId, workerId } };
+  const used = setWorker(state, { ...worker, hold: { kind: 'none' } });
+  return {
+    ...used,
+    releasedWorkers: used.releasedWorkers.remove(workerId),
+    releaseRecords: [...used.releaseRecords, { kind: 'worker-returned', workerId }],
+    placementIsDue: true,
+  };
+}
+
+/** How far a host's emptying has come. A worker whose life is over holds nothing. */
+export function selectRelease(state: ServiceState, hostId: string): ReleaseProgress {
+  const worker = workerOnHost(state, hostId);
+  if (worker === null) return 'unknown';
+  const { workerId, incarnation } = worker.listing;
+  const isRecorded =
+    state.releasedWorkers.get(workerId) === incarnation &&
+    !state.releaseRecords.some((record) => record.workerId === workerId);
+  const isStoring = state.appendInFlight?.releasedWorkerIds.has(workerId) ?? false;
+  return isRecorded && !isStoring && worker.tasks.isEmpty() ? 'released' : 'draining';
+}
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -32,6 +32,7 @@
     provenAt,
     jobs: PersistentMap(),
     activeJobIds: PersistentOrderedSet(),
+    arrivals: [],
     earlyCancels: PersistentMap(),
     workers: PersistentMap(),
     orphanTaskIds: PersistentSet(),
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -8,6 +8,7 @@
 import type { JobPhase, ServiceRecord } from '../model/records.js';
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
+import type { Arrival } from './demand.js';
 import type { SchedulingParameters } from './parameters.js';
 
 /** Milliseconds on the steady clock of the process. */
@@ -99,13 +100,15 @@
   readonly endedAt: Instant | null;
 }
 
-/** Why a worker gets no new tasks although it is there. */
+/** Whether a worker is kept free because its host is wanted for something else. */
 export type WorkerHold =
   | { readonly kind: 'none' }
-  /** Its host is wanted for something else. */
-  | { readonly kind: 'leaving'; readonly purpose: 'move' | 'maintenance'; readonly since: Instant }
-  /** Recorded as free of tasks for good: its host may be taken at any moment. */
-  | { readonly kind: 'released' };
+  | {
+      readonly kind: 'leaving';
+      readonly purpose: 'move' | 'maintenance';
+      /** When the wish was last repeated. */
+      readonly wishedAt: Instant;
+    };
 
 /** One worker. */
 export interface WorkerState {
@@ -153,6 +156,7 @@
   readonly appendId: number;
   /** Version of each job that the records hold. */
   readonly jobVersions: PersistentMap<string, number>;
+  readonly releasedWorkerIds: ReadonlySet<string>;
   /** Ends that the records cover, by worker. */
   readonly processedEnds: PersistentMap<string, number>;
 }
@@ -172,6 +176,8 @@
   readonly jobs: PersistentMap<string, JobState>;
   /** Jobs that are not over or still have runs, in the order of their acceptance. */
   readonly activeJobIds: PersistentOrderedSet<string>;
+  /** Work that arrived lately, oldest first. */
+  readonly arrivals: readonly Arrival[];
   /** Jobs that were cancelled before they were seen. */
   readonly earlyCancels: PersistentMap<string, Instant>;
   readonly workers: PersistentMap<string, WorkerState>;
