Tell owners the register of workers after every look

Cause: a process that had just become an owner read the register for the first time and was told "not read yet" while it was handing the news on; it heard of its workers only when one of them changed, seconds later.

Change: the register counts its changes, and each owner is told after a look whenever it has not been told of the newest.

Conclusion: news must not depend on the order in which a reader becomes ready.

--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -86,14 +86,18 @@
     owners.forEach((owner) => owner.dispatch({ kind: 'hosts-listed', hosts, askedAt }));
   });
 
+  const toldRevisions = new WeakMap<ServiceOwner, number>();
   const register = followRegister(
     parts.register,
     () => owners.size > 0,
-    (pools) => owners.forEach((owner) => pools.has(owner.service) && tellWorkers(owner)),
+    () => owners.forEach(tellWorkers),
   );
   function tellWorkers(owner: ServiceOwner): void {
     const workers = register.workersOf(owner.service);
-    if (workers !== null && owner.state() !== null) owner.dispatch({ kind: 'workers-listed', workers });
+    const revision = register.revision();
+    if (workers === null || owner.state() === null || toldRevisions.get(owner) === revision) return;
+    toldRevisions.set(owner, revision);
+    owner.dispatch({ kind: 'workers-listed', workers });
   }
 
   const answerQuestion = async (question: PeerQuestion): Promise<PeerAnswer> => {
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -10,6 +10,8 @@
 export interface RegisterFollower {
   /** The workers of one pool; null before the first look. */
   readonly workersOf: (pool: string) => readonly WorkerListing[] | null;
+  /** Rises with each change. */
+  readonly revision: () => number;
   readonly close: () => void;
 }
 
@@ -23,31 +25,25 @@
   );
 }
 
-/** Begins to follow. `onChanged` tells the pools whose workers changed. */
+/** Begins to follow. `onLooked` is called after each look. */
 export function followRegister(
   register: WorkerRegister,
   isNeeded: () => boolean,
-  onChanged: (pools: ReadonlySet<string>) => void,
+  onLooked: () => void,
 ): RegisterFollower {
   const workers = new Map<string, WorkerListing>();
   let nextOffset: number | null = null;
+  let revision = 0;
   let closed = false;
 
-  const apply = (change: RegisterChange): string | null => {
+  const apply = (change: RegisterChange): void => {
     if (change.kind === 'removed') {
-      const former = workers.get(change.workerId);
-      workers.delete(change.workerId);
-      return former?.pool ?? null;
+      if (workers.delete(change.workerId)) revision += 1;
+      return;
     }
     const { listing } = change;
-    const former = workers.get(listing.workerId);
+    if (!isSameListing(workers.get(listing.workerId), listing)) revision += 1;
     workers.set(listing.workerId, listing);
-    return isSameListing(former, listing) ? null : listing.pool;
-  };
-
-  const applyAll = (changes: readonly RegisterChange[]): void => {
-    const changed = new Set(changes.map(apply).filter((pool) => pool !== null));
-    if (changed.size > 0) onChanged(changed);
   };
 
   const lookOnce = async (): Promise<void> => {
@@ -60,10 +56,12 @@
         outcome.changes.flatMap((one) => (one.kind === 'listed' ? one.listing.workerId : [])),
       );
       const removed = [...workers.keys()].filter((workerId) => !listed.has(workerId));
-      applyAll(removed.map((workerId) => ({ kind: 'removed', workerId })));
+      removed.forEach((workerId) => apply({ kind: 'removed', workerId }));
+      revision += 1;
     }
-    applyAll(outcome.changes);
+    outcome.changes.forEach(apply);
     nextOffset = outcome.nextOffset;
+    onLooked();
   };
 
   const follow = async (): Promise<void> => {
@@ -76,6 +74,7 @@
   return {
     workersOf: (pool) =>
       nextOffset === null ? null : [...workers.values()].filter((listing) => listing.pool === pool),
+    revision: () => revision,
     close: () => {
       closed = true;
     },
