Judge lists of hosts by when they were asked for, and count absent tasks truly

Cause: the fleet's owner pushed lists of hosts to peers with an age.

Change: owners of services ask for the list, so its age counts from their own question; messages of the fleet's owner are numbered and older ones are not obeyed; a lasting task is taken away only while fewer others of its step than may be absent are not known to be at work.

Conclusion: what crosses a cut must carry an order or be an answer.

--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -9,10 +9,10 @@
   type FleetEvent,
   type FleetParameters,
   type FleetState,
-  type HostListing,
   type ServiceReport,
   type ServiceWishes,
 } from '@baobabdeck/scheduling';
+import type { PoolHosts } from '../node/host-lists.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import { claimService, OWNER_PRODUCER, type ClaimedService } from '../owner/claim.js';
@@ -57,15 +57,20 @@
   readonly configuration: () => QueueConfiguration | null;
   readonly waves: () => readonly WaveRequest[];
   /** Tells a service's owner its wishes and brings its report back; null where it does not answer. */
-  readonly askService: (service: string, wishes: ServiceWishes) => Promise<ServiceReport | null>;
-  /** Passes a list of hosts on to the owners of services. */
-  readonly onHostsListed: (hosts: readonly HostListing[], askedAt: number) => void;
+  readonly askService: (
+    service: string,
+    wishes: ServiceWishes,
+    epoch: number,
+    sequence: number,
+  ) => Promise<ServiceReport | null>;
   readonly onSuperseded: () => void;
 }
 
 /** The owned fleet. */
 export interface FleetOwner {
   readonly place: LogPlace;
+  /** The hosts of a pool as last listed, and when that was asked for; null before the first list. */
+  readonly hostsOf: (pool: string) => PoolHosts | null;
   readonly stop: () => Promise<void>;
 }
 
@@ -197,17 +202,19 @@
     const outcome = await parts.hosts.list();
     if (outcome.kind === 'listed') {
       dispatch({ kind: 'hosts-listed', hosts: outcome.hosts, askedAt });
-      parts.onHostsListed(outcome.hosts, askedAt);
     } else {
       writeEvent('hostListFailed', { detail: outcome.detail });
     }
   };
 
   const asked = new Set<string>();
+  let questionSequence = 0;
   const askService = async (service: string): Promise<void> => {
-    if (state === null || asked.has(service)) return;
+    if (state === null || claimed === null || asked.has(service)) return;
     asked.add(service);
-    const report = await parts.askService(service, selectWishes(state, service));
+    questionSequence += 1;
+    const wishes = selectWishes(state, service);
+    const report = await parts.askService(service, wishes, claimed.epoch, questionSequence);
     asked.delete(service);
     if (report !== null) dispatch({ kind: 'service-reported', report });
   };
@@ -267,6 +274,11 @@
   void begin();
   return {
     place,
+    hostsOf: (pool) => {
+      if (state === null || state.listedAt === null) return null;
+      const ofPool = state.hosts.filter((host) => host.listing.pool === pool);
+      return { hosts: [...ofPool.values()].map((host) => host.listing), askedAt: state.listedAt };
+    },
     stop: async () => {
       await Promise.race([appending, sleep(STOP_WAIT_MILLISECONDS)]);
       closed = true;
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -27,7 +27,7 @@
   WorkerRegister,
 } from '../ports/index.js';
 import { followConfiguration } from './configuration.js';
-import { createHostLists } from './host-lists.js';
+import { followHostLists } from './host-lists.js';
 import {
   ensureLayout,
   FLEET_SUBJECT,
@@ -82,10 +82,6 @@
   let fleet: FleetOwner | null = null;
   let stopping = false;
 
-  const lists = createHostLists(parts.hosts, clock, writeEvent, (hosts, askedAt) => {
-    owners.forEach((owner) => owner.dispatch({ kind: 'hosts-listed', hosts, askedAt }));
-  });
-
   const toldRevisions = new WeakMap<ServiceOwner, number>();
   const register = followRegister(
     parts.register,
@@ -100,16 +96,19 @@
     owner.dispatch({ kind: 'workers-listed', workers });
   }
 
+  const answerHosts = (pool: string): PeerAnswer => {
+    const listed = fleet?.hostsOf(pool) ?? null;
+    if (listed === null) return { kind: 'not-owner' };
+    const ageMilliseconds = clock.steadyNow() - listed.askedAt;
+    return { kind: 'hosts-of-pool', hosts: listed.hosts, ageMilliseconds };
+  };
+
   const answerQuestion = async (question: PeerQuestion): Promise<PeerAnswer> => {
+    if (question.kind === 'hosts-of-pool') return answerHosts(question.pool);
     const owner = [...owners.values()].find((one) => one.service === question.service);
     const state = owner?.state() ?? null;
     if (owner === undefined || state === null) return { kind: 'not-owner' };
     if (question.kind === 'service-report') return answerFleet(owner, question);
-    if (question.kind === 'hosts-listed') {
-      const askedAt = clock.steadyNow() - question.ageMilliseconds;
-      owner.dispatch({ kind: 'hosts-listed', hosts: question.hosts, askedAt });
-      return { kind: 'taken' };
-    }
     if (question.kind === 'pending-count') {
       return { kind: 'pending-count', pending: selectPendingCount(state, question.queue) };
     }
@@ -167,7 +166,7 @@
       workers: parts.workers,
       clock,
       writeEvent,
-      listHosts: lists.ask,
+      suspectWorker: () => lists.suspect(),
       onClaimed: () => tellWorkers(owner),
       onSuperseded: () => {
         owners.delete(key);
@@ -179,10 +178,11 @@
 
   const directory = createDirectory(store, clock);
 
-  const askOwner = async (service: string, question: PeerQuestion): Promise<PeerAnswer | null> => {
-    const place = layout.get(subjectOf(service));
+  const askOwner = async (subject: string, question: PeerQuestion): Promise<PeerAnswer | null> => {
+    const place = layout.get(subject);
     if (place === undefined) return null;
-    if (owners.has(placeKey(place))) return answerQuestion(question);
+    const isOurs = owners.has(placeKey(place)) || (fleet !== null && isSamePlace(fleet.place, place));
+    if (isOurs) return answerQuestion(question);
     const owner = await directory.ownerOf(place);
     if (owner === null) return null;
     const answer = readAnswer(await directory.ask(owner, question, FLEET_QUESTION_MILLISECONDS));
@@ -203,18 +203,11 @@
       writeEvent,
       configuration: follower.current,
       waves: follower.waves,
-      askService: async (service, wishes) => {
-        const answer = await askOwner(service, { kind: 'service-report', service, ...wishes });
+      askService: async (service, wishes, epoch, sequence) => {
+        const question = { kind: 'service-report' as const, service, ...wishes, epoch, sequence };
+        const answer = await askOwner(subjectOf(service), question);
         return answer?.kind === 'service-report' ? answer.report : null;
       },
-      onHostsListed: (hosts, askedAt) => {
-        const ageMilliseconds = clock.steadyNow() - askedAt;
-        const services = new Set([...layout.keys()].flatMap((subject) => serviceOf(subject) ?? []));
-        services.forEach((service) => {
-          const ofService = hosts.filter((host) => host.pool === service);
-          void askOwner(service, { kind: 'hosts-listed', service, hosts: ofService, ageMilliseconds });
-        });
-      },
       onSuperseded: () => {
         fleet = null;
         supersededAt.set(placeKey(place), clock.steadyNow());
@@ -222,6 +215,24 @@
     });
   };
 
+  const lists = followHostLists({
+    hosts: parts.hosts,
+    clock,
+    writeEvent,
+    pools: () => [...owners.values()].map((owner) => owner.service),
+    askFleet: async (pool) => {
+      // The list that comes back is at most so old as its sender says when this question is sent.
+      const sentAt = clock.steadyNow();
+      const answer = await askOwner(FLEET_SUBJECT, { kind: 'hosts-of-pool', pool });
+      if (answer?.kind !== 'hosts-of-pool') return null;
+      return { hosts: answer.hosts, askedAt: sentAt - answer.ageMilliseconds };
+    },
+    onListed: (pool, { hosts, askedAt }) => {
+      const owner = [...owners.values()].find((one) => one.service === pool);
+      owner?.dispatch({ kind: 'hosts-listed', hosts, askedAt });
+    },
+  });
+
   const workWithDealt = async (places: readonly LogPlace[]): Promise<void> => {
     const lost = [...owners.values()].filter(
       (owner) => !places.some((place) => isSamePlace(place, owner.place)),
@@ -291,6 +302,7 @@
       await sleep(DRAIN_MILLISECONDS);
       follower.close();
       register.close();
+      lists.close();
       directory.close();
       callServer.close();
     },
@@ -300,14 +312,12 @@
 /** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
 function answerFleet(
   owner: ServiceOwner,
-  { releases, returns }: Extract<PeerQuestion, { readonly kind: 'service-report' }>,
+  { releases, returns, epoch, sequence }: Extract<PeerQuestion, { readonly kind: 'service-report' }>,
 ): PeerAnswer {
-  releases.forEach(({ hostId, purpose }) => owner.dispatch({ kind: 'release-asked', hostId, purpose }));
-  returns.forEach((hostId) => owner.dispatch({ kind: 'release-withdrawn', hostId }));
+  owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence });
   const state = owner.state();
-  return state === null
-    ? { kind: 'not-owner' }
-    : { kind: 'service-report', report: selectServiceReport(state) };
+  if (state === null) return { kind: 'not-owner' };
+  return { kind: 'service-report', report: selectServiceReport(state) };
 }
 
 /** A job that the state does not know may have been accepted a moment ago: the log is read to its end first. */
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -32,8 +32,8 @@
   readonly workers: WorkerOrders;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
-  /** Asks for a look at the platform's list of hosts. */
-  readonly listHosts: () => void;
+  /** A worker does not answer: the list of hosts tells whether its life is over. */
+  readonly suspectWorker: () => void;
   /** The claim stands. */
   readonly onClaimed: () => void;
   /** The ownership was lost: another process has claimed it. */
@@ -118,7 +118,7 @@
         writeEvent(effect.decision, { service, ...effect.fields });
         break;
       case 'list-hosts':
-        parts.listHosts();
+        parts.suspectWorker();
         break;
       case 'give-up-ownership':
         stopNow();
@@ -191,7 +191,7 @@
     }));
     dispatch({ kind: 'records-read', records: cancels, askedAt: claimed.provenAt });
     parts.onClaimed();
-    parts.listHosts();
+    parts.suspectWorker();
     void follow();
     void tick();
   };
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -1,6 +1,6 @@
 /** What processes ask one another. */
 import { z } from 'zod';
-import type { ServiceReport } from '@baobabdeck/scheduling';
+import type { HostListing, ServiceReport } from '@baobabdeck/scheduling';
 
 /** A question on a job. */
 const statusQuestion = z.object({
@@ -23,30 +23,30 @@
   service: z.string(),
   releases: z.array(z.object({ hostId: z.string(), purpose: z.enum(['move', 'maintenance']) })).readonly(),
   returns: z.array(z.string()).readonly(),
+  /** Epoch of the fleet's owner, and the number of its question: older ones that come late are not obeyed. */
+  epoch: z.number(),
+  sequence: z.number(),
 });
 
-/** A list of hosts, passed on by the fleet's owner. */
-const hostsNews = z.object({
-  kind: z.literal('hosts-listed'),
-  service: z.string(),
-  hosts: z
-    .array(
-      z.object({
-        hostId: z.string(),
-        pool: z.string(),
-        state: z.enum(['up', 'moving', 'upkeep', 'down']),
-        dataCentre: z.string(),
-        rack: z.string(),
-        capacity: z.object({ milliCores: z.number(), memoryMegabytes: z.number(), accelerators: z.number() }),
-        workerId: z.string().nullable(),
-      }),
-    )
-    .readonly(),
-  /** Age of the list when it was passed on. */
-  ageMilliseconds: z.number(),
+/** A process asks the fleet's owner for the hosts of a pool. */
+const hostsQuestion = z.object({ kind: z.literal('hosts-of-pool'), pool: z.string() });
+
+const host = z.object({
+  hostId: z.string(),
+  pool: z.string(),
+  state: z.enum(['up', 'moving', 'upkeep', 'down']),
+  dataCentre: z.string(),
+  rack: z.string(),
+  capacity: z.object({ milliCores: z.number(), memoryMegabytes: z.number(), accelerators: z.number() }),
+  workerId: z.string().nullable(),
 });
 
-const question = z.discriminatedUnion('kind', [statusQuestion, pendingQuestion, fleetQuestion, hostsNews]);
+const question = z.discriminatedUnion('kind', [
+  statusQuestion,
+  pendingQuestion,
+  fleetQuestion,
+  hostsQuestion,
+]);
 
 /** A question to the owner of a service. */
 export type PeerQuestion = z.infer<typeof question>;
@@ -60,7 +60,12 @@
   | { readonly kind: 'unknown-job' }
   | { readonly kind: 'pending-count'; readonly pending: number }
   | { readonly kind: 'service-report'; readonly report: ServiceReport }
-  | { readonly kind: 'taken' }
+  | {
+      readonly kind: 'hosts-of-pool';
+      readonly hosts: readonly HostListing[];
+      /** Time since the list was asked for, when it was passed on. */
+      readonly ageMilliseconds: number;
+    }
   /** The process asked does not own the service, or does not know yet. */
   | { readonly kind: 'not-owner' };
 
@@ -91,7 +96,7 @@
       leastHosts: z.number(),
     }),
   }),
-  z.object({ kind: z.literal('taken') }),
+  z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
   z.object({ kind: z.literal('not-owner') }),
 ]);
 
--- a/packages/scheduling/src/service/event.ts
+++ b/packages/scheduling/src/service/event.ts
@@ -35,6 +35,12 @@
   readonly incarnation: number;
 }
 
+/** A host that is wanted for something else. */
+export interface HostWished {
+  readonly hostId: string;
+  readonly purpose: 'move' | 'maintenance';
+}
+
 /** One event: when it happened on the steady clock, and what. */
 export type ServiceEvent = { readonly at: Instant; readonly timeOfDay: Date } & (
   | { readonly kind: 'ticked' }
@@ -69,8 +75,15 @@
       readonly clockMilliseconds: number | null;
     }
   | { readonly kind: 'stop-settled'; readonly address: RunAddress; readonly outcome: StopOutcome }
-  | { readonly kind: 'release-asked'; readonly hostId: string; readonly purpose: 'move' | 'maintenance' }
-  | { readonly kind: 'release-withdrawn'; readonly hostId: string }
+  | {
+      /** The fleet's owner says which hosts it wants emptied, and which are to be used again. */
+      readonly kind: 'hosts-wished';
+      readonly releases: readonly HostWished[];
+      readonly returns: readonly string[];
+      /** Epoch of the fleet's owner and number of its message: older messages that come late are not obeyed. */
+      readonly epoch: number;
+      readonly sequence: number;
+    }
   | { readonly kind: 'stop-requested' }
 );
 
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -5,7 +5,7 @@
 import type { ServiceEvent } from './event.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
-import { emptyLeavingWorkers, handleReleaseAsked, handleReleaseWithdrawn } from './release.js';
+import { emptyLeavingWorkers, handleHostsWished } from './release.js';
 import { handleStartSettled, handleStopSettled } from './runs.js';
 import type { ServiceState } from './state.js';
 import {
@@ -112,10 +112,8 @@
       return event.outcome === 'fenced'
         ? yield* giveUp(state, `worker ${event.address.workerId} has seen a newer owner`)
         : yield* handleStopSettled(state, event);
-    case 'release-asked':
-      return yield* handleReleaseAsked(state, event);
-    case 'release-withdrawn':
-      return yield* handleReleaseWithdrawn(state, event);
+    case 'hosts-wished':
+      return yield* handleHostsWished(state, event);
     case 'stop-requested':
       return { ...state, isStopping: true };
     default:
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -1,7 +1,7 @@
 /** Empties workers whose hosts are wanted for something else, or that are shutting down, without harming their tasks. */
 import type { StepRequest, TaskKey } from '../model/job.js';
 import type { ServiceStep } from './effect.js';
-import type { ServiceEventOf } from './event.js';
+import type { HostWished, ServiceEventOf } from './event.js';
 import { mayAct } from './lease.js';
 import { orderStop } from './runs.js';
 import type { JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
@@ -18,15 +18,15 @@
   return run.phase === 'running' && run.startedAt !== null && run.percent === FULL_SPEED_PERCENT;
 }
 
-function countAbsent(step: StepState): number {
-  return step.tasks.filter((task) => !task.runs.some(isAtWork)).length;
+/** Other tasks of a step that are not at work, or not known to be. */
+function countOthersAbsent(step: StepState, run: Run): number {
+  return step.tasks.filter((task) => !task.runs.includes(run) && !task.runs.some(isAtWork)).length;
 }
 
 /** Whether a lasting task may be taken away now: not while as many others of its step are absent as may be. */
 function mayTakeAway(step: StepState, request: StepRequest, run: Run): boolean {
   if (request.maximumAbsent === null) return true;
-  if (!isAtWork(run)) return true;
-  return countAbsent(step) < request.maximumAbsent;
+  return countOthersAbsent(step, run) < request.maximumAbsent;
 }
 
 function stepOf(job: JobState, key: TaskKey): StepState | null {
@@ -91,30 +91,18 @@
   return onHost.find((worker) => !worker.isGone) ?? onHost[0] ?? null;
 }
 
-/** Notes that a host is wanted; its worker gets no new tasks from now on. */
-export function* handleReleaseAsked(
-  state: ServiceState,
-  { hostId, purpose }: ServiceEventOf<'release-asked'>,
-): ServiceStep<ServiceState> {
+function* wishForHost(state: ServiceState, { hostId, purpose }: HostWished): ServiceStep<ServiceState> {
   const worker = workerOnHost(state, hostId);
   if (worker === null) return state;
   if (worker.hold.kind === 'none') {
     const { workerId } = worker.listing;
-    yield {
-      kind: 'log',
-      decision: 'releaseBegun',
-      fields: { hostId, workerId, purpose, tasks: worker.tasks.size },
-    };
+    const fields = { hostId, workerId, purpose, tasks: worker.tasks.size };
+    yield { kind: 'log', decision: 'releaseBegun', fields };
   }
-  const wished = setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, wishedAt: state.now } });
-  return yield* emptyLeavingWorkers(wished);
+  return setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, wishedAt: state.now } });
 }
 
-/** Takes a host back into use. */
-export function* handleReleaseWithdrawn(
-  state: ServiceState,
-  { hostId }: ServiceEventOf<'release-withdrawn'>,
-): ServiceStep<ServiceState> {
+function* useHostAgain(state: ServiceState, hostId: string): ServiceStep<ServiceState> {
   const worker = workerOnHost(state, hostId);
   if (worker === null) return state;
   const { workerId } = worker.listing;
@@ -128,6 +116,23 @@
   };
 }
 
+function isOlder(state: ServiceState, { epoch, sequence }: ServiceEventOf<'hosts-wished'>): boolean {
+  const { fleetMessage } = state;
+  return epoch < fleetMessage.epoch || (epoch === fleetMessage.epoch && sequence <= fleetMessage.sequence);
+}
+
+/** Works in which hosts are wanted: their workers get no new tasks from now on. */
+export function* handleHostsWished(
+  state: ServiceState,
+  event: ServiceEventOf<'hosts-wished'>,
+): ServiceStep<ServiceState> {
+  if (isOlder(state, event)) return state;
+  let next: ServiceState = { ...state, fleetMessage: { epoch: event.epoch, sequence: event.sequence } };
+  for (const hostId of event.returns) next = yield* useHostAgain(next, hostId);
+  for (const wished of event.releases) next = yield* wishForHost(next, wished);
+  return yield* emptyLeavingWorkers(next);
+}
+
 /** How far a host's emptying has come. A worker whose life is over holds nothing. */
 export function selectRelease(state: ServiceState, hostId: string): ReleaseProgress {
   const worker = workerOnHost(state, hostId);
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -40,6 +40,7 @@
     placementIsDue: true,
     dirtyJobIds: PersistentSet(),
     forgottenJobIds: PersistentSet(),
+    fleetMessage: { epoch: 0, sequence: 0 },
     releaseRecords: [],
     appendInFlight: null,
     nextAppendId: 1,
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -189,6 +189,8 @@
   readonly placementIsDue: boolean;
   readonly dirtyJobIds: PersistentSet<string>;
   readonly forgottenJobIds: PersistentSet<string>;
+  /** The newest message of the fleet's owner that was obeyed. */
+  readonly fleetMessage: { readonly epoch: number; readonly sequence: number };
   /** Releases and returns of workers that wait to be recorded. */
   readonly releaseRecords: readonly ReleaseRecord[];
   readonly appendInFlight: AppendInFlight | null;
