Part the scheduler's process into modules over a clock and a network

Cause: the process was one function of 300 lines with timers and sockets of the machine, so it could run nowhere but on a machine. Handing a service over left it without an owner for 0.5 to 0.7 s.

Change: sleeping goes through the clock, peers through a port; owned logs, the layout, news of workers, answers to and questions of peers are modules. Inherited orders empty their host again. Processes join every 150 ms and at once after a change. Needless runs are stopped.

Conclusion: the process can now be played in virtual time.

--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -1,5 +1,4 @@
 /** Owns the fleet: claims its logs, runs its reducer and carries out what that decides on hosts and waves. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import {
   reduceFleet,
@@ -138,12 +137,12 @@
         return;
       }
       writeEvent('appendFailed', { subject: 'fleet', outcome });
-      await sleep(FAILURE_PAUSE_MILLISECONDS);
+      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
     }
   };
 
   const orderHost = async (effect: Extract<FleetEffect, { kind: 'order-host' }>): Promise<void> => {
-    if (effect.delayMilliseconds > 0) await sleep(effect.delayMilliseconds);
+    if (effect.delayMilliseconds > 0) await clock.sleep(effect.delayMilliseconds);
     if (closed) return;
     const { hostId, what, fencingToken } = effect;
     const head = { hostId, holder: parts.nodeName, fencingToken };
@@ -192,7 +191,7 @@
         const isSuperseded = page.records.some((record) => record.offset >= epoch);
         dispatch(isSuperseded ? { kind: 'ownership-lost' } : { kind: 'ownership-proven', askedAt });
       } else {
-        await sleep(FAILURE_PAUSE_MILLISECONDS);
+        await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
       }
     }
   };
@@ -246,7 +245,7 @@
   const run = async (): Promise<void> => {
     for (let count = 0; isOpen(); count += 1) {
       tick(count);
-      await sleep(TICK_MILLISECONDS);
+      await clock.sleep(TICK_MILLISECONDS);
     }
   };
 
@@ -280,7 +279,7 @@
       return { hosts: [...ofPool.values()].map((host) => host.listing), askedAt: state.listedAt };
     },
     stop: async () => {
-      await Promise.race([appending, sleep(STOP_WAIT_MILLISECONDS)]);
+      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
       closed = true;
       writeEvent('serviceGivenUp', { service: null, subject: 'fleet', epoch: claimed?.epoch ?? null });
     },
--- a/packages/scheduler/src/front/front.ts
+++ b/packages/scheduler/src/front/front.ts
@@ -1,13 +1,12 @@
 /** Serves callers: stores what they hand in and asks the owners of services for the rest. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { JobRequest } from '@baobabdeck/scheduling';
 import type { Layout } from '../node/layout.js';
 import { subjectOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import { encodeRecord } from '../owner/record-codec.js';
-import type { OwnerDirectory } from '../peers/directory.js';
-import { readAnswer, type PeerAnswer, type PeerQuestion } from '../peers/messages.js';
+import type { OwnerQuestions } from '../peers/ask-owner.js';
+import type { PeerAnswer, PeerQuestion } from '../peers/messages.js';
 import type {
   CancelAnswer,
   KeyedRecord,
@@ -23,9 +22,6 @@
 /** Time that an answer needs to reach the caller before its patience ends. */
 const ANSWER_MARGIN_MILLISECONDS = 100;
 
-/** Time for one question to an owner; owners answer from memory. */
-const QUESTION_MILLISECONDS = 400;
-
 const RETRY_PAUSE_MILLISECONDS = 60;
 
 /** When a caller is to come back after the store refused to take its job. */
@@ -39,11 +35,8 @@
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
   readonly writer: SubmissionWriter;
-  readonly directory: OwnerDirectory;
   readonly layout: () => Layout;
-  /** Answers a question from this process's own state; null where it does not own the service. */
-  readonly answerHere: (question: PeerQuestion) => Promise<PeerAnswer>;
-  readonly isOwnedHere: (place: LogPlace) => boolean;
+  readonly questions: OwnerQuestions;
 }
 
 /** What callers can have done. */
@@ -72,7 +65,7 @@
 
 /** Creates the front. */
 export function createFront(parts: FrontParts): Front {
-  const { clock, writeEvent, writer, directory } = parts;
+  const { clock, writeEvent, writer } = parts;
 
   const placeOf = (queue: Queue): LogPlace | null => parts.layout().get(subjectOf(queue.service)) ?? null;
 
@@ -100,7 +93,7 @@
         };
       }
       if (now >= until) return { kind: 'unknown' };
-      await sleep(RETRY_PAUSE_MILLISECONDS);
+      await clock.sleep(RETRY_PAUSE_MILLISECONDS);
     }
   };
 
@@ -131,32 +124,12 @@
     return answer;
   };
 
-  const askOnce = async (place: LogPlace, question: PeerQuestion): Promise<PeerAnswer | null> => {
-    if (parts.isOwnedHere(place)) {
-      const own = await parts.answerHere(question);
-      if (own.kind !== 'not-owner') return own;
-    }
-    const owner = await directory.ownerOf(place);
-    if (owner === null) return null;
-    return readAnswer(await directory.ask(owner, question, QUESTION_MILLISECONDS));
-  };
-
-  const ask = async (
+  const ask = (
     queue: Queue,
     question: PeerQuestion,
     patienceMilliseconds: number,
-  ): Promise<PeerAnswer | null> => {
-    const until = untilOf(patienceMilliseconds);
-    const place = placeOf(queue);
-    if (place === null) return null;
-    for (;;) {
-      const answer = await askOnce(place, question);
-      if (answer !== null && answer.kind !== 'not-owner') return answer;
-      directory.distrust();
-      if (clock.steadyNow() >= until) return null;
-      await sleep(RETRY_PAUSE_MILLISECONDS);
-    }
-  };
+  ): Promise<PeerAnswer | null> =>
+    parts.questions.askUntil(subjectOf(queue.service), question, untilOf(patienceMilliseconds));
 
   const askStatus = async (
     queue: Queue,
--- a/packages/scheduler/src/node/configuration.ts
+++ b/packages/scheduler/src/node/configuration.ts
@@ -1,5 +1,4 @@
 /** Follows what the operator publishes. A configuration never gives way to an older one. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import type {
   OperatorEntry,
@@ -86,7 +85,7 @@
     } else if (outcome.kind === 'expired') {
       nextOffset = null;
     } else {
-      await sleep(FAILURE_PAUSE_MILLISECONDS);
+      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
     }
   };
 
--- a/packages/scheduler/src/node/host-lists.ts
+++ b/packages/scheduler/src/node/host-lists.ts
@@ -1,5 +1,4 @@
 /** Knows the platform's list of hosts: from the fleet's owner, or from the platform where that does not answer. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { HostListing } from '@baobabdeck/scheduling';
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { HostService } from '../ports/index.js';
@@ -74,7 +73,7 @@
   const follow = async (): Promise<void> => {
     while (!closed) {
       await look();
-      await sleep(LOOK_MILLISECONDS);
+      await clock.sleep(LOOK_MILLISECONDS);
     }
   };
   void follow();
--- a/packages/scheduler/src/node/membership.ts
+++ b/packages/scheduler/src/node/membership.ts
@@ -1,17 +1,18 @@
 /** Takes part in the group that shares the services' logs out among the processes. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { LogPlace, Store } from '../ports/index.js';
+import type { SteadyClock } from './steady-clock.js';
 
 /** The group of all schedulers. */
 export const SCHEDULER_GROUP = 'schedulers';
 
-/** Time between two joins: well below the time after which the store gives a silent member's places away. */
-const JOIN_MILLISECONDS = 350;
+/** Time between two joins: while a place changes hands nobody schedules its service, so it is short. */
+const JOIN_MILLISECONDS = 150;
 
 /** What membership needs. */
 export interface MembershipParts {
   readonly store: Store;
+  readonly clock: SteadyClock;
   readonly member: string;
   readonly writeEvent: WriteEvent;
   readonly topics: () => readonly string[];
@@ -26,19 +27,27 @@
 
 /** Joins the group and stays in it. */
 export function takeMembership(parts: MembershipParts): Membership {
-  const { store, member, writeEvent } = parts;
+  const { store, clock, member, writeEvent } = parts;
   let generation = 0;
   let closed = false;
   let settling = false;
+  let wake: () => void = () => undefined;
 
   const settle = async (places: readonly LogPlace[], dealt: number): Promise<void> => {
     settling = true;
     await parts.onDealt(places, dealt);
+    settling = false;
+    if (generation === dealt) return;
     // The store gives places that were taken away to others once it hears this generation.
     generation = dealt;
-    settling = false;
+    wake();
   };
 
+  const woken = (): Promise<void> =>
+    new Promise((resolve) => {
+      wake = resolve;
+    });
+
   const joinOnce = async (): Promise<void> => {
     const outcome = await store.join(SCHEDULER_GROUP, member, parts.topics(), generation);
     if (closed || settling || outcome.kind !== 'joined') return;
@@ -54,7 +63,7 @@
   const stay = async (): Promise<void> => {
     while (!closed) {
       await joinOnce();
-      await sleep(JOIN_MILLISECONDS);
+      await Promise.race([woken(), clock.sleep(JOIN_MILLISECONDS)]);
     }
   };
   void stay();
--- /dev/null
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -0,0 +1,94 @@
+/** Opens owners for the logs that the store deals to this process, and closes them when it deals them away. */
+import type { FleetOwner } from '../fleet/fleet-owner.js';
+import type { ServiceOwner } from '../owner/service-owner.js';
+import type { LogPlace } from '../ports/index.js';
+import { isSamePlace, placeKey, serviceOf, type Layout } from './layout.js';
+import type { SteadyClock } from './steady-clock.js';
+
+/** Time after which a claim that was superseded is tried again, if the log is still dealt to this process. */
+const RECLAIM_PAUSE_MILLISECONDS = 1_000;
+
+/** What opening needs. */
+export interface OwnedLogsParts {
+  readonly clock: SteadyClock;
+  readonly layout: () => Layout;
+  readonly openService: (place: LogPlace, service: string, onSuperseded: () => void) => ServiceOwner;
+  readonly openFleet: (place: LogPlace, onSuperseded: () => void) => FleetOwner;
+}
+
+/** The logs that this process owns. */
+export interface OwnedLogs {
+  readonly services: () => readonly ServiceOwner[];
+  readonly serviceOf: (service: string) => ServiceOwner | null;
+  readonly fleet: () => FleetOwner | null;
+  readonly has: (place: LogPlace) => boolean;
+  /** Works with the places dealt; resolves once those that were taken away are given up. */
+  readonly follow: (places: readonly LogPlace[]) => Promise<void>;
+  /** Gives everything up, and opens nothing any more. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Creates the logs of a process that owns none yet. */
+export function createOwnedLogs({ clock, layout, openService, openFleet }: OwnedLogsParts): OwnedLogs {
+  const owners = new Map<string, ServiceOwner>();
+  const supersededAt = new Map<string, number>();
+  let fleet: FleetOwner | null = null;
+  let stopping = false;
+
+  const noteSuperseded = (place: LogPlace): void => {
+    supersededAt.set(placeKey(place), clock.steadyNow());
+    if (fleet !== null && isSamePlace(fleet.place, place)) fleet = null;
+    else owners.delete(placeKey(place));
+  };
+
+  const giveUpServices = async (isLost: (owner: ServiceOwner) => boolean): Promise<void> => {
+    const lost = [...owners.values()].filter(isLost);
+    await Promise.all(
+      lost.map(async (owner) => {
+        await owner.stop();
+        if (owners.get(placeKey(owner.place)) === owner) owners.delete(placeKey(owner.place));
+      }),
+    );
+  };
+
+  const giveUpFleet = async (): Promise<void> => {
+    const lost = fleet;
+    fleet = null;
+    await lost?.stop();
+  };
+
+  const open = (subject: string, place: LogPlace): void => {
+    const service = serviceOf(subject);
+    const reclaimAt = (supersededAt.get(placeKey(place)) ?? -Infinity) + RECLAIM_PAUSE_MILLISECONDS;
+    if (clock.steadyNow() <= reclaimAt) return;
+    if (service === null) {
+      fleet ??= openFleet(place, () => noteSuperseded(place));
+    } else if (!owners.has(placeKey(place))) {
+      owners.set(
+        placeKey(place),
+        openService(place, service, () => noteSuperseded(place)),
+      );
+    }
+  };
+
+  const follow = async (places: readonly LogPlace[]): Promise<void> => {
+    const isDealt = (place: LogPlace): boolean => places.some((dealt) => isSamePlace(dealt, place));
+    await giveUpServices((owner) => !isDealt(owner.place));
+    if (fleet !== null && !isDealt(fleet.place)) await giveUpFleet();
+    if (stopping) return;
+    [...layout()].filter(([, place]) => isDealt(place)).forEach(([subject, place]) => open(subject, place));
+  };
+
+  return {
+    services: () => [...owners.values()],
+    serviceOf: (service) => [...owners.values()].find((owner) => owner.service === service) ?? null,
+    fleet: () => fleet,
+    has: (place) => owners.has(placeKey(place)) || (fleet !== null && isSamePlace(fleet.place, place)),
+    follow,
+    stop: async () => {
+      stopping = true;
+      await giveUpServices(() => true);
+      await giveUpFleet();
+    },
+  };
+}
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -1,7 +1,7 @@
 /** Follows the register of workers while anyone needs it. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WorkerListing } from '@baobabdeck/scheduling';
 import type { RegisterChange, WorkerRegister } from '../ports/index.js';
+import type { SteadyClock } from './steady-clock.js';
 
 /** Time between two looks. */
 const LOOK_MILLISECONDS = 400;
@@ -28,6 +28,7 @@
 /** Begins to follow. `onLooked` is called after each look. */
 export function followRegister(
   register: WorkerRegister,
+  clock: SteadyClock,
   isNeeded: () => boolean,
   onLooked: () => void,
 ): RegisterFollower {
@@ -67,7 +68,7 @@
   const follow = async (): Promise<void> => {
     while (!closed) {
       if (isNeeded()) await lookOnce();
-      await sleep(LOOK_MILLISECONDS);
+      await clock.sleep(LOOK_MILLISECONDS);
     }
   };
   void follow();
--- a/packages/scheduler/src/node/steady-clock.ts
+++ b/packages/scheduler/src/node/steady-clock.ts
@@ -1,5 +1,6 @@
 /** The clocks of a process, passed in so that a test can stand in for them. */
 import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Clock } from '@baobabdeck/types';
 import { systemClock } from '@baobabdeck/types';
 
@@ -7,7 +8,13 @@
 export interface SteadyClock extends Clock {
   /** Milliseconds on the steady clock. */
   readonly steadyNow: () => number;
+  /** Resolves once that many milliseconds are over on the steady clock. */
+  readonly sleep: (milliseconds: number) => Promise<void>;
 }
 
 /** The machine's clocks. */
-export const machineClock: SteadyClock = { ...systemClock, steadyNow: () => performance.now() };
+export const machineClock: SteadyClock = {
+  ...systemClock,
+  steadyNow: () => performance.now(),
+  sleep: (milliseconds) => sleep(milliseconds),
+};
--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -2,7 +2,6 @@
  * Claims a service. It has two logs: fronts append to its inbox, its owner alone to its journal. From the claim on the
  * store refuses what earlier owners append to the journal.
  */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { KeyedRecord, LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 
@@ -40,7 +39,7 @@
   while (parts.isWanted()) {
     const result = await attempt();
     if (result !== null) return result;
-    await sleep(RETRY_PAUSE_MILLISECONDS);
+    await parts.clock.sleep(RETRY_PAUSE_MILLISECONDS);
   }
   return null;
 }
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -1,5 +1,4 @@
 /** Owns one service: claims its logs, runs its scheduler and carries out what that decides. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { WriteEvent } from '@baobabdeck/observability';
 import {
   restoreService,
@@ -101,7 +100,7 @@
         return;
       }
       writeEvent('appendFailed', { service, appendId: effect.appendId, outcome });
-      await sleep(FAILURE_PAUSE_MILLISECONDS);
+      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
     }
   };
 
@@ -147,13 +146,13 @@
   const follow = async (): Promise<void> => {
     while (isOpen()) {
       const wasRead = await readOnce(READ_WAIT_MILLISECONDS);
-      if (!wasRead) await sleep(FAILURE_PAUSE_MILLISECONDS);
+      if (!wasRead) await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
     }
   };
 
   const tick = async (): Promise<void> => {
     while (isOpen()) {
-      await sleep(TICK_MILLISECONDS);
+      await clock.sleep(TICK_MILLISECONDS);
       dispatch({ kind: 'ticked' });
     }
   };
@@ -205,7 +204,7 @@
     catchUp: () => (loop === null ? Promise.resolve(false) : readOnce(0)),
     stop: async () => {
       dispatch({ kind: 'stop-requested' });
-      await Promise.race([appending, sleep(STOP_WAIT_MILLISECONDS)]);
+      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
       stopNow();
       writeEvent('serviceGivenUp', { service, epoch: claimed?.epoch ?? null });
     },
--- a/packages/scheduler/src/owner/worker-effects.ts
+++ b/packages/scheduler/src/owner/worker-effects.ts
@@ -1,5 +1,4 @@
 /** Carries out effects on workers and tells the scheduler how they ended. */
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { ServiceEffect } from '@baobabdeck/scheduling';
 import type { WorkerOrders } from '../ports/index.js';
 import type { SteadyClock } from '../node/steady-clock.js';
@@ -64,7 +63,7 @@
   dispatch: Dispatch,
   isOpen: () => boolean,
 ): Promise<void> {
-  if (effect.delayMilliseconds > 0) await sleep(effect.delayMilliseconds);
+  if (effect.delayMilliseconds > 0) await clock.sleep(effect.delayMilliseconds);
   if (!isOpen()) return;
   if (effect.kind === 'renew-lease') await renewLease(effect, workers, clock, dispatch);
   else if (effect.kind === 'start-run') await startRun(effect, workers, dispatch);
--- a/packages/scheduler/src/peers/directory.ts
+++ b/packages/scheduler/src/peers/directory.ts
@@ -1,10 +1,9 @@
-/** Knows which process owns which log, and asks it. */
-import { createCallClient, type CallClient } from '@baobabdeck/peer-protocol';
+/** Knows which process owns which log. */
 import { parseMember, type MemberName } from '../node/member-name.js';
 import { placeKey } from '../node/layout.js';
 import { SCHEDULER_GROUP } from '../node/membership.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import type { LogPlace, Store } from '../ports/index.js';
+import type { LogPlace, PeerNetwork, Store } from '../ports/index.js';
 
 /** Age of the list of owners from which on it is read again. */
 const FRESH_MILLISECONDS = 1_000;
@@ -19,24 +18,13 @@
   readonly ask: (member: MemberName, question: unknown, timeoutMilliseconds: number) => Promise<unknown>;
   /** The list is out of date: the next question reads it again. */
   readonly distrust: () => void;
-  readonly close: () => void;
 }
 
 /** Creates the directory. */
-export function createDirectory(store: Store, clock: SteadyClock): OwnerDirectory {
+export function createDirectory(store: Store, peers: PeerNetwork, clock: SteadyClock): OwnerDirectory {
   let owners = new Map<string, MemberName>();
   let readAt = -Infinity;
   let reading: Promise<void> | null = null;
-  const clients = new Map<string, CallClient>();
-
-  const dropUnused = (): void => {
-    const used = new Set([...owners.values()].map((member) => member.peerAddress));
-    [...clients].forEach(([address, client]) => {
-      if (used.has(address)) return;
-      client.close();
-      clients.delete(address);
-    });
-  };
 
   const read = async (): Promise<void> => {
     const askedAt = clock.steadyNow();
@@ -47,7 +35,7 @@
         return name === null ? [] : [[placeKey(place), name] as const];
       });
       owners = new Map(entries);
-      dropUnused();
+      peers.keepOnly(new Set([...owners.values()].map((owner) => owner.peerAddress)));
     }
     readAt = askedAt;
   };
@@ -64,15 +52,10 @@
       if (clock.steadyNow() - readAt > FRESH_MILLISECONDS) await refresh();
       return owners.get(placeKey(place)) ?? null;
     },
-    ask: (member, question, timeoutMilliseconds) => {
-      const { peerAddress } = member;
-      const client = clients.get(peerAddress) ?? createCallClient(peerAddress);
-      clients.set(peerAddress, client);
-      return client.call(question, timeoutMilliseconds);
-    },
+    ask: (member, question, timeoutMilliseconds) =>
+      peers.ask(member.peerAddress, question, timeoutMilliseconds),
     distrust: () => {
       readAt = Math.min(readAt, clock.steadyNow() - FRESH_MILLISECONDS + SHORTEST_PAUSE_MILLISECONDS);
     },
-    close: () => clients.forEach((client) => client.close()),
   };
 }
--- /dev/null
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -0,0 +1,72 @@
+/** Answers what other processes ask of the services and the fleet that this process owns. */
+import {
+  selectJobStatus,
+  selectPendingCount,
+  selectServiceReport,
+  type ServiceState,
+} from '@baobabdeck/scheduling';
+import type { FleetOwner } from '../fleet/fleet-owner.js';
+import type { SteadyClock } from '../node/steady-clock.js';
+import type { ServiceOwner } from '../owner/service-owner.js';
+import type { PeerAnswer, PeerQuestion } from './messages.js';
+
+const NOT_OWNER: PeerAnswer = { kind: 'not-owner' };
+
+/** What this process owns. */
+export interface PeerDeskParts {
+  readonly clock: SteadyClock;
+  readonly ownerOf: (service: string) => ServiceOwner | null;
+  readonly fleet: () => FleetOwner | null;
+}
+
+/** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
+function answerFleet(
+  owner: ServiceOwner,
+  { releases, returns, epoch, sequence }: Extract<PeerQuestion, { readonly kind: 'service-report' }>,
+): PeerAnswer {
+  owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence });
+  const state = owner.state();
+  return state === null ? NOT_OWNER : { kind: 'service-report', report: selectServiceReport(state) };
+}
+
+/** A job that the state does not know may have been accepted a moment ago: the log is read to its end first. */
+async function answerStatus(
+  owner: ServiceOwner,
+  state: ServiceState,
+  queue: string,
+  jobId: string,
+): Promise<PeerAnswer> {
+  const known = selectJobStatus(state, queue, jobId);
+  if (known !== null) return { kind: 'job-status', status: known };
+  const isCaughtUp = await owner.catchUp();
+  const caughtUp = owner.state();
+  if (!isCaughtUp || caughtUp === null) return NOT_OWNER;
+  const status = selectJobStatus(caughtUp, queue, jobId);
+  return status === null ? { kind: 'unknown-job' } : { kind: 'job-status', status };
+}
+
+/** Creates the answers. */
+export function createPeerDesk({
+  clock,
+  ownerOf,
+  fleet,
+}: PeerDeskParts): (question: PeerQuestion) => Promise<PeerAnswer> {
+  const answerHosts = (pool: string): PeerAnswer => {
+    const listed = fleet()?.hostsOf(pool) ?? null;
+    if (listed === null) return NOT_OWNER;
+    const ageMilliseconds = clock.steadyNow() - listed.askedAt;
+    return { kind: 'hosts-of-pool', hosts: listed.hosts, ageMilliseconds };
+  };
+
+  return async (question) => {
+    if (question.kind === 'hosts-of-pool') return answerHosts(question.pool);
+    const owner = ownerOf(question.service);
+    const state = owner?.state() ?? null;
+    if (owner === null || state === null) return NOT_OWNER;
+    if (question.kind === 'service-report') return answerFleet(owner, question);
+    if (question.kind === 'pending-count') {
+      return { kind: 'pending-count', pending: selectPendingCount(state, question.queue) };
+    }
+    return answerStatus(owner, state, question.queue, question.jobId);
+  };
+}
--- a/packages/scheduler/src/ports/index.ts
+++ b/packages/scheduler/src/ports/index.ts
@@ -2,5 +2,6 @@
 export * from './callers.js';
 export * from './hosts.js';
 export * from './operator.js';
+export * from './peers.js';
 export * from './store.js';
 export * from './workers.js';
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -48,6 +48,18 @@
   });
 }
 
+/** Whether a pool's hosts are off. */
+export function isStandbyPool(state: FleetState, pool: string): boolean {
+  return state.pools.some((terms) => terms.pool === pool && terms.isStandby);
+}
+
+/** Wants a host for something: one that is off gets its order at once, others are emptied first. */
+export function wantHost(state: FleetState, host: HostState, what: HostOrderKind): FleetState {
+  return isStandbyPool(state, host.listing.pool)
+    ? beginOrder(state, host, what)
+    : setHost(state, { ...host, wish: { what, since: state.now } });
+}
+
 /** Whether our ownership is proven recently enough to give orders. */
 export function mayOrder(state: FleetState): boolean {
   return state.now - state.provenAt < state.parameters.ownershipProofMilliseconds;
--- a/packages/scheduling/src/fleet/pools.ts
+++ b/packages/scheduling/src/fleet/pools.ts
@@ -2,7 +2,7 @@
 import type { HostLoad, ServiceReport } from '../service/demand.js';
 import type { Instant } from '../service/state.js';
 import type { FleetStep } from './event.js';
-import { beginOrder, mayOrder, setHost } from './orders.js';
+import { isStandbyPool, mayOrder, wantHost } from './orders.js';
 import type { FleetState, HostState, KnownReport } from './state.js';
 
 /** Room kept beyond the load: arrivals come in bursts, and tasks do not fill hosts to the brim. */
@@ -82,8 +82,9 @@
 }
 
 function freeStandbyHosts(state: FleetState): readonly HostState[] {
-  const standby = new Set(state.pools.filter((terms) => terms.isStandby).map((terms) => terms.pool));
-  return [...state.hosts.values()].filter((host) => standby.has(host.listing.pool) && isFree(state, host));
+  return [...state.hosts.values()].filter(
+    (host) => isStandbyPool(state, host.listing.pool) && isFree(state, host),
+  );
 }
 
 function compareLoads(one: HostLoad, other: HostLoad): number {
@@ -114,10 +115,7 @@
     decision: 'hostWanted',
     fields: { hostId, pool: host.listing.pool, toPool: pool, reason },
   };
-  const isOff = state.pools.some((terms) => terms.pool === host.listing.pool && terms.isStandby);
-  return isOff
-    ? beginOrder(state, host, what)
-    : setHost(state, { ...host, wish: { what, since: state.now } });
+  return wantHost(state, host, what);
 }
 
 function isLongSurplus({ known, have, need }: PoolBalance, now: Instant): boolean {
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -4,11 +4,11 @@
 import type { FleetEvent, FleetStep } from './event.js';
 import { handleFleetHostsListed } from './hosts.js';
 import {
-  beginOrder,
   earlierOrdersOverAt,
   flushFleet,
   handleFleetRecordsStored,
   handleHostOrderSettled,
+  wantHost,
 } from './orders.js';
 import { balancePools } from './pools.js';
 import type { FleetParameters, FleetRecord, FleetState, HostOrderKind, WaveState } from './state.js';
@@ -71,14 +71,17 @@
   };
 }
 
-/** Gives the orders of an earlier owner again: whether they were carried out is not known. */
+/**
+ * Gives the orders of an earlier owner again: whether they were carried out is not known. A host that serves a pool is
+ * emptied once more first, since its service may have used it meanwhile.
+ */
 function resumeOrders(before: FleetState): FleetState {
   if (before.inheritedOrders.isEmpty() || before.listedAt === null) return before;
   if (before.now < earlierOrdersOverAt(before)) return before;
   let state: FleetState = { ...before, inheritedOrders: before.inheritedOrders.clear() };
   for (const [hostId, what] of before.inheritedOrders) {
     const host = state.hosts.get(hostId);
-    if (host !== undefined && host.order === null) state = beginOrder(state, host, what);
+    if (host !== undefined && host.order === null) state = wantHost(state, host, what);
   }
   return state;
 }
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -1,7 +1,7 @@
 /** Carries waves of maintenance out: in time, within their limit, and with the least harm to pools that are busy. */
 import type { HostLoad } from '../service/demand.js';
 import type { FleetEventOf, FleetStep } from './event.js';
-import { addRecord, beginOrder, mayOrder, setHost } from './orders.js';
+import { addRecord, isStandbyPool, mayOrder, wantHost } from './orders.js';
 import type { FleetState, HostState, WaveState } from './state.js';
 
 /** Share of a wave's time in which it should be over, so that stragglers have the rest. */
@@ -51,10 +51,6 @@
   return wave.hostIds.flatMap((hostId) => state.hosts.get(hostId) ?? []);
 }
 
-function isStandby(state: FleetState, pool: string): boolean {
-  return state.pools.some((terms) => terms.pool === pool && terms.isStandby);
-}
-
 function loadOf(state: FleetState, host: HostState): HostLoad | null {
   const hosts = state.reports.get(host.listing.pool)?.report.hosts ?? [];
   return hosts.find((load) => load.hostId === host.listing.hostId) ?? null;
@@ -62,7 +58,7 @@
 
 /** How much it harms to take a host away: nothing for one that is off, then by how busy its pool and it are. */
 function harmOf(state: FleetState, host: HostState): number {
-  if (isStandby(state, host.listing.pool)) return -1;
+  if (isStandbyPool(state, host.listing.pool)) return -1;
   const report = state.reports.get(host.listing.pool)?.report;
   const load = loadOf(state, host);
   if (report === undefined || load === null) return 0;
@@ -106,14 +102,12 @@
   let free = wave.maximumDown - taken;
   for (const host of ready) {
     if (free <= 0) break;
-    const isOff = isStandby(next, host.listing.pool);
+    const isOff = isStandbyPool(next, host.listing.pool);
     if (isOff || isHurried || !isPoolSpared(next, wave, host)) {
       const what = { kind: 'maintain' as const, wave: wave.wave };
       const { hostId, pool } = host.listing;
       yield { kind: 'log', decision: 'hostWanted', fields: { hostId, pool, wave: wave.wave, isHurried } };
-      next = isOff
-        ? beginOrder(next, host, what)
-        : setHost(next, { ...host, wish: { what, since: next.now } });
+      next = wantHost(next, host, what);
       free -= 1;
     }
   }
--- a/packages/scheduling/src/fleet/wishes.ts
+++ b/packages/scheduling/src/fleet/wishes.ts
@@ -51,8 +51,8 @@
 }
 
 /** Whether a released host is still needed for an order that was given or will be. */
-function isClaimed(host: HostState): boolean {
-  return host.wish !== null || host.order !== null;
+function isClaimed(state: FleetState, host: HostState): boolean {
+  return host.wish !== null || host.order !== null || state.inheritedOrders.has(host.listing.hostId);
 }
 
 /** The wishes for one service. */
@@ -68,7 +68,7 @@
   const returns = reported.flatMap(({ hostId, release }) => {
     const host = state.hosts.get(hostId);
     const isOurs = host !== undefined && host.listing.pool === service;
-    return isSettled && release !== null && isOurs && !isClaimed(host) ? [hostId] : [];
+    return isSettled && release !== null && isOurs && !isClaimed(state, host) ? [hostId] : [];
   });
   return { releases, returns };
 }
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -6,8 +6,9 @@
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
 import { emptyLeavingWorkers, handleHostsWished } from './release.js';
-import { handleStartSettled, handleStopSettled } from './runs.js';
+import { handleStartSettled, handleStopSettled, orderStop, workerOf } from './runs.js';
 import type { ServiceState } from './state.js';
+import { findTask } from './tasks.js';
 import {
   dropLapsedRuns,
   handleHostsListed,
@@ -74,8 +75,23 @@
   return earlyCancels.size === next.earlyCancels.size ? next : { ...next, earlyCancels };
 }
 
+/** Stops runs of jobs that are over and of tasks that are done: an earlier owner may not have come to it. */
+function* stopNeedlessRuns(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const jobId of state.activeJobIds) {
+    const job = state.jobs.get(jobId);
+    for (const [key, run] of job === undefined ? [] : runsOfJob(job)) {
+      const isNeedless = job?.phase !== 'active' || findTask(state, key)?.isDone === true;
+      const isReachable = workerOf(state, run)?.isHeld === true;
+      if (isNeedless && isReachable) next = yield* orderStop(next, key, run, 'its job or task is over');
+    }
+  }
+  return next;
+}
+
 function* tick(state: ServiceState): ServiceStep<ServiceState> {
   let next = yield* renewIdleLeases(yield* dropLapsedRuns(state));
+  next = yield* stopNeedlessRuns(next);
   next = yield* emptyLeavingWorkers(next);
   for (const jobId of next.activeJobIds) {
     const job = next.jobs.get(jobId);
