Repeat refused work although its refusal is not recorded yet

Cause: a request whose key the log did not take in time is refused as not run. When the claim reaches the log late, the gateway records that the work did not run; a repeat that came between the two read its own gateway's claim without an outcome and was refused with 409 'may have run'.

Change: a repeat of work that this gateway holds waits until the record of its end is read back, then claims the key itself or is told the truth.

Conclusion: a holder that knows the end must not answer from the log before the log does.

--- a/packages/core/src/requests/follow.ts
+++ b/packages/core/src/requests/follow.ts
@@ -135,7 +135,9 @@
   if (isOwn) {
     const answer = selectHeldAnswer(state, keyHash ?? '', holder.requestId);
     if (answer !== null) return yield* replay(state, request, answer, deliver);
-    if (state.requests.byId.has(holder.requestId)) return followLocally(state, request, holder);
+    // Without an outcome the holder is at work, or the record of its end is on its way.
+    const isUnderWay = holder.outcome === null || state.requests.byId.has(holder.requestId);
+    if (isUnderWay) return followLocally(state, request, holder);
     return yield* refuseEnded(state, request, holder, deliver);
   }
   if (holder.outcome === 'unknown') return yield* refuseEnded(state, request, holder, deliver);
