--- /dev/null
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -0,0 +1,52 @@
+import { describe } from '@baobabdeck/test-tools';
+import { playSchedule, SMALL_PLAY } from '../random-play.js';
+
+/** A play that broke a rule once. */
+interface KeptPlay {
+  readonly seed: number;
+  readonly broke: string;
+}
+
+const KEPT: readonly KeptPlay[] = [
+  { seed: 20, broke: 'when an inherited run that was never there kept its gang from starting' },
+  { seed: 31, broke: 'when a gang waited for a stop that had never been sent' },
+  { seed: 50, broke: 'when a late order reached the next life of a worker' },
+  { seed: 454, broke: 'when the emulator started one life of a process twice' },
+  { seed: 1441, broke: 'when a late order reached the next life of a worker, another way' },
+  { seed: 1780, broke: 'when a young life of a worker was taken for the one before' },
+  { seed: 2144, broke: 'when a task of a young life was started elsewhere too' },
+  { seed: 2363, broke: 'when an owner learned of a cancelling by its own reads only' },
+  { seed: 2466, broke: 'when a run was stopped without end on a worker that was gone' },
+];
+
+const FIRST_FRESH_SEED = 100_001;
+const FRESH_PLAYS = 12;
+
+describe('schedulers, workers and hosts among random troubles', ({ describe: within, it }) => {
+  within('that broke a rule once', ({ itSerially: keeps }) => {
+    KEPT.forEach(({ seed, broke }) => {
+      keeps(`seed ${seed} broke one ${broke}`, async (t) => {
+        const { violations, errors } = await playSchedule({ ...SMALL_PLAY, seed });
+        t.deepEqual(violations, []);
+        t.deepEqual(errors, []);
+      });
+    });
+  });
+
+  within('of other seeds', ({ itSerially: plays }) => {
+    Array.from({ length: FRESH_PLAYS }, (_, index) => FIRST_FRESH_SEED + index).forEach((seed) => {
+      plays(`break no rule with seed ${seed}`, async (t) => {
+        const { violations, errors, completed, runs } = await playSchedule({ ...SMALL_PLAY, seed });
+        t.deepEqual(violations, []);
+        t.deepEqual(errors, []);
+        t.true(completed > 0 && runs > completed);
+      });
+    });
+  });
+
+  it('play alike from the same seed', async (t) => {
+    const once = await playSchedule({ ...SMALL_PLAY, seed: 7 });
+    const again = await playSchedule({ ...SMALL_PLAY, seed: 7 });
+    t.deepEqual(again.world.log, once.world.log);
+  });
+});
--- /dev/null
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -0,0 +1,290 @@
+import type { StepRequest, TaskKey } from '@baobabdeck/scheduling';
+import { describe } from '@baobabdeck/test-tools';
+import type { JobPlan } from '../job-plans.js';
+import type { ModelHost } from '../model-fleet.js';
+import type { ModelWorker } from '../model-worker.js';
+import { createReferee, type Referee, type RuleName } from '../referee.js';
+import type { VirtualTime } from '../virtual-time.js';
+
+const STEP: StepRequest = {
+  taskCount: 2,
+  needs: { milliCores: 1_000, memoryMegabytes: 100, accelerators: 0 },
+  estimatedMilliseconds: 1_000,
+  after: [],
+  savesCheckpoints: false,
+  isGang: false,
+  prefersOneRack: false,
+  requiredLabel: null,
+  rackOfData: null,
+  maximumPerWorker: null,
+  allowsCopies: false,
+  isLasting: false,
+  image: null,
+  tailTargetMilliseconds: null,
+  usesSpareCapacity: false,
+  maximumAbsent: null,
+};
+
+function planOf(...steps: readonly Partial<StepRequest>[]): JobPlan {
+  return {
+    job: {
+      jobId: 'a',
+      specification: 'work',
+      steps: steps.map((step) => ({ ...STEP, ...step })),
+      repetition: null,
+    },
+    service: 'service-0',
+    maximumFailedRuns: 3,
+    taskPlan: () => ({ runMilliseconds: 1_000, failingRuns: 0 }),
+  };
+}
+
+interface Scene {
+  readonly referee: Referee;
+  readonly worker: ModelWorker;
+  readonly pass: (milliseconds: number) => void;
+  readonly start: (key: TaskKey, run: number, fields?: { readonly specification?: string }) => void;
+  readonly end: (key: TaskKey, run: number, end: 'done' | 'failed' | 'alone' | 'stopped') => void;
+  readonly host: ModelHost;
+}
+
+const FIRST: TaskKey = { jobId: 'a', occurrence: 0, step: 0, index: 0 };
+const SECOND: TaskKey = { ...FIRST, index: 1 };
+
+/** A worker that runs what the test says it runs, at full speed. */
+function createScene(plan: JobPlan): Scene {
+  let now = 100_000;
+  const running: { task: TaskKey; run: number }[] = [];
+  const worker = {
+    isUp: () => true,
+    runs: () => running,
+    percentOf: () => 100,
+    mood: { isDraining: false },
+  } as unknown as ModelWorker;
+  const host = {
+    hostId: 'host-0',
+    state: 'up',
+    worker,
+    downFor: null,
+    begunWaves: new Set(),
+  } as unknown as ModelHost;
+  const other = { ...host, hostId: 'host-1', state: 'upkeep', worker: null, downFor: 1 } as ModelHost;
+  const time: VirtualTime = {
+    now: () => now,
+    after: () => undefined,
+    runUntil: (until) => {
+      now = until;
+      return Promise.resolve();
+    },
+  };
+  const referee = createReferee({
+    time,
+    plans: new Map([['a', plan]]),
+    hosts: () => new Map([host, other].map((one) => [one.hostId, one])),
+    lastTroubleAt: () => 0,
+  });
+  return {
+    referee,
+    worker,
+    host,
+    pass: (milliseconds) => {
+      now += milliseconds;
+    },
+    start: (task, run, { specification = 'work' } = {}) => {
+      running.push({ task, run });
+      referee.onStart({ worker, task, run, specification, checkpoint: '', isLate: false });
+    },
+    end: (task, run, end) => {
+      running.splice(
+        running.findIndex((one) => one.task === task && one.run === run),
+        1,
+      );
+      referee.onEnd({ worker, task, run, end, checkpoint: '', isSilent: false });
+    },
+  };
+}
+
+function rulesOf({ referee }: Scene): readonly RuleName[] {
+  return referee.violations.map(({ rule }) => rule);
+}
+
+describe('the referee', ({ describe: within, it }) => {
+  it('finds nothing in a job that is done', async (t) => {
+    const scene = createScene(planOf({}));
+    scene.referee.onSubmitAnswered('a', 'accepted');
+    [FIRST, SECOND].forEach((key) => {
+      scene.start(key, 1);
+      scene.end(key, 1, 'done');
+      scene.referee.onForgotten(scene.worker, key, 1, false);
+    });
+    scene.referee.onStatusShown('a', 'completed');
+    await scene.referee.checkRest();
+    t.deepEqual(rulesOf(scene), []);
+  });
+
+  within('sees a task', ({ it: sees }) => {
+    sees('run twice at the same time', (t) => {
+      const scene = createScene(planOf({}));
+      scene.start(FIRST, 1);
+      scene.start(FIRST, 2);
+      t.deepEqual(rulesOf(scene), ['runs-once']);
+    });
+
+    sees('start again once its success was acknowledged', (t) => {
+      const scene = createScene(planOf({}));
+      scene.start(FIRST, 1);
+      scene.end(FIRST, 1, 'done');
+      scene.referee.onForgotten(scene.worker, FIRST, 1, false);
+      scene.start(FIRST, 2);
+      t.deepEqual(rulesOf(scene), ['runs-once']);
+    });
+
+    sees('succeed after it was started again', (t) => {
+      const scene = createScene(planOf({}));
+      scene.start(FIRST, 1);
+      scene.end(FIRST, 1, 'done');
+      scene.start(FIRST, 2);
+      scene.referee.onForgotten(scene.worker, FIRST, 1, false);
+      t.deepEqual(rulesOf(scene), ['runs-once']);
+    });
+
+    sees('start before the step that it waits for is done', (t) => {
+      const scene = createScene(planOf({}, { after: [0] }));
+      scene.start({ ...FIRST, step: 1 }, 1);
+      t.deepEqual(rulesOf(scene), ['steps-in-order']);
+    });
+
+    sees('start more often than it may fail', (t) => {
+      const scene = createScene(planOf({}));
+      [1, 2, 3].forEach((run) => {
+        scene.start(FIRST, run);
+        scene.end(FIRST, run, 'failed');
+        scene.referee.onForgotten(scene.worker, FIRST, run, false);
+      });
+      scene.start(FIRST, 4);
+      t.deepEqual(rulesOf(scene), ['attempts-within-limit']);
+    });
+
+    sees('wait for its gang in vain', (t) => {
+      const scene = createScene(planOf({ isGang: true }));
+      scene.start(FIRST, 1);
+      scene.end(FIRST, 1, 'alone');
+      t.deepEqual(rulesOf(scene), ['gangs-together']);
+    });
+
+    sees('start that nobody handed in', (t) => {
+      const scene = createScene(planOf({}));
+      scene.start({ ...FIRST, jobId: 'b' }, 1);
+      t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
+    });
+
+    sees('start with another specification', (t) => {
+      const scene = createScene(planOf({}));
+      scene.start(FIRST, 1, { specification: 'other work' });
+      t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
+    });
+
+    sees('start long after its job was cancelled', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onCancelAcknowledged('a');
+      scene.pass(3_001);
+      scene.start(FIRST, 1);
+      t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
+    });
+
+    sees('start of a job that was refused', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'refused');
+      scene.start(FIRST, 1);
+      t.deepEqual(rulesOf(scene), ['refused-never-runs']);
+    });
+
+    sees('beside more of its step than may share a worker', (t) => {
+      const scene = createScene(planOf({ maximumPerWorker: 1 }));
+      scene.start(FIRST, 1);
+      scene.start(SECOND, 1);
+      t.deepEqual(rulesOf(scene), ['spread-kept']);
+    });
+
+    sees('taken away while as many others are away as may be', (t) => {
+      const scene = createScene(planOf({ isLasting: true, maximumAbsent: 1 }));
+      scene.start(FIRST, 1);
+      scene.start(SECOND, 1);
+      scene.referee.onStop(scene.worker, FIRST, 1);
+      scene.end(FIRST, 1, 'stopped');
+      scene.referee.onStop(scene.worker, SECOND, 1);
+      t.deepEqual(rulesOf(scene), ['absent-within-limit']);
+    });
+
+    sees('left undone', async (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      await scene.referee.checkRest();
+      t.deepEqual(rulesOf(scene), ['work-goes-on']);
+    });
+
+    sees('run on though its job was cancelled', async (t) => {
+      const scene = createScene(planOf({}));
+      scene.start(FIRST, 1);
+      scene.referee.onCancelSent('a');
+      scene.referee.onCancelAcknowledged('a');
+      await scene.referee.checkRest();
+      t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
+    });
+  });
+
+  within('sees a status', ({ it: sees }) => {
+    sees('that is shown too early', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.referee.onStatusShown('a', 'completed');
+      t.deepEqual(rulesOf(scene), ['status-is-true']);
+    });
+
+    sees('of a failure that was none', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.referee.onStatusShown('a', 'failed');
+      t.deepEqual(rulesOf(scene), ['status-is-true']);
+    });
+
+    sees('of a cancelling that nobody asked for', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.referee.onStatusShown('a', 'cancelled');
+      t.deepEqual(rulesOf(scene), ['status-is-true']);
+    });
+
+    sees('that is missing for an accepted job', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.pass(3_001);
+      scene.referee.onStatusShown('a', null);
+      t.deepEqual(rulesOf(scene), ['accepted-is-known']);
+    });
+  });
+
+  within('sees a host', ({ it: sees }) => {
+    sees('ordered by two holders in turn', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onHostOrdered(scene.host, 'node-0', 1);
+      scene.pass(1_000);
+      scene.referee.onHostOrdered(scene.host, 'node-1', 2);
+      t.deepEqual(rulesOf(scene), ['one-holder-a-host']);
+    });
+
+    sees('taken down while as many others of its wave are as may be', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onWaveAsked(1, ['host-0', 'host-1'], 1);
+      scene.referee.onHostTaken(scene.host, 'node-0', 1, 1);
+      t.deepEqual(rulesOf(scene), ['wave-within-limit']);
+    });
+
+    sees('that has not begun when its wave is told completed', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onWaveAsked(1, ['host-0'], 1);
+      scene.referee.onWaveCompleted(1);
+      t.deepEqual(rulesOf(scene), ['wave-truly-completed']);
+    });
+  });
+});
--- /dev/null
+++ b/packages/fleet-emulator/src/job-plans.ts
@@ -0,0 +1,31 @@
+/** What the tasks of the emulated jobs really do, which their callers only estimate. */
+import type { JobRequest, StepRequest, TaskKey } from '@baobabdeck/scheduling';
+import type { SubmittedJob } from '@baobabdeck/scheduler';
+
+/** The truth about one task. */
+export interface TaskPlan {
+  readonly runMilliseconds: number;
+  /** Runs that fail by the task's own fault before one succeeds. */
+  readonly failingRuns: number;
+}
+
+/** The truth about one job. */
+export interface JobPlan {
+  readonly job: SubmittedJob;
+  readonly service: string;
+  readonly maximumFailedRuns: number;
+  readonly taskPlan: (key: TaskKey) => TaskPlan;
+}
+
+/** The jobs that callers have handed in, or tried to. */
+export type JobPlans = Map<string, JobPlan>;
+
+/** The step of a task, or null for one that nobody asked for. */
+export function stepOfTask(plans: JobPlans, key: TaskKey): StepRequest | null {
+  return plans.get(key.jobId)?.job.steps[key.step] ?? null;
+}
+
+/** How often the steps of a job run. */
+export function occurrencesOf({ repetition }: Pick<JobRequest, 'repetition'>): number {
+  return repetition?.times ?? 1;
+}
--- /dev/null
+++ b/packages/fleet-emulator/src/model-log.ts
@@ -0,0 +1,104 @@
+/** One log of the model store: keyed records with offsets, producers with epochs, and waiting readers. */
+import type {
+  AppendOutcome,
+  KeyedRecord,
+  Producer,
+  ReadOutcome,
+  StoredKeyedRecord,
+} from '@baobabdeck/scheduler';
+import type { VirtualTime } from './virtual-time.js';
+
+interface ProducerState {
+  epoch: number;
+  lastSequence: number | null;
+  readonly answers: Map<number, AppendOutcome>;
+}
+
+/** Appends of one producer that a repeat is recognised among. */
+const REMEMBERED_APPENDS = 5;
+
+/** One log. */
+export interface ModelLog {
+  readonly append: (
+    records: readonly KeyedRecord[],
+    producer: Producer | null,
+    expectedEnd: number | null,
+  ) => AppendOutcome;
+  readonly read: (fromOffset: number, waitMilliseconds: number) => Promise<ReadOutcome>;
+  readonly newest: () => { readonly records: readonly StoredKeyedRecord[]; readonly nextOffset: number };
+  /** Lets all records expire; the newest of each key stays. */
+  readonly expire: () => void;
+}
+
+/** Creates an empty log. */
+export function createModelLog(time: VirtualTime): ModelLog {
+  const records: StoredKeyedRecord[] = [];
+  const newest = new Map<string, StoredKeyedRecord>();
+  const producers = new Map<string, ProducerState>();
+  const waiting = new Set<() => void>();
+  let firstOffset = 0;
+
+  const add = (added: readonly KeyedRecord[]): AppendOutcome => {
+    const first = records.length;
+    added.forEach(({ key, value }) => {
+      const stored = { offset: records.length, key, value };
+      records.push(stored);
+      if (value === null) newest.delete(key);
+      else newest.set(key, stored);
+    });
+    [...waiting].forEach((wake) => wake());
+    return { kind: 'stored', firstOffset: first, nextOffset: records.length };
+  };
+
+  const addFor = (added: readonly KeyedRecord[], producer: Producer): AppendOutcome => {
+    const known = producers.get(producer.name);
+    if (known !== undefined && producer.epoch < known.epoch) return { kind: 'fenced' };
+    const state: ProducerState =
+      known !== undefined && known.epoch === producer.epoch
+        ? known
+        : { epoch: producer.epoch, lastSequence: null, answers: new Map() };
+    producers.set(producer.name, state);
+    const repeated = state.answers.get(producer.sequence);
+    if (repeated !== undefined) return repeated;
+    if (state.lastSequence !== null && producer.sequence !== state.lastSequence + 1) {
+      return { kind: 'refused', detail: `expected sequence ${state.lastSequence + 1}` };
+    }
+    const outcome = add(added);
+    state.lastSequence = producer.sequence;
+    state.answers.set(producer.sequence, outcome);
+    state.answers.delete(producer.sequence - REMEMBERED_APPENDS);
+    return outcome;
+  };
+
+  const page = (fromOffset: number): ReadOutcome =>
+    fromOffset < firstOffset
+      ? { kind: 'expired' }
+      : {
+          kind: 'read',
+          records: records.slice(fromOffset),
+          nextOffset: Math.max(fromOffset, records.length),
+        };
+
+  return {
+    append: (added, producer, expectedEnd) => {
+      if (expectedEnd !== null && expectedEnd !== records.length) {
+        return { kind: 'moved', nextOffset: records.length };
+      }
+      return producer === null ? add(added) : addFor(added, producer);
+    },
+    read: (fromOffset, waitMilliseconds) => {
+      if (fromOffset < records.length || waitMilliseconds === 0) return Promise.resolve(page(fromOffset));
+      return new Promise((resolve) => {
+        const wake = (): void => {
+          if (waiting.delete(wake)) resolve(page(fromOffset));
+        };
+        waiting.add(wake);
+        time.after(waitMilliseconds, wake);
+      });
+    },
+    newest: () => ({ records: [...newest.values()], nextOffset: records.length }),
+    expire: () => {
+      firstOffset = records.length;
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -0,0 +1,63 @@
+/** Plays a random schedule of traffic and troubles from a seed, and tells which rules broke. */
+import { startCallers } from './callers.js';
+import type { Violation } from './referee.js';
+import { beginTrouble, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
+import { createWorld, type World, type WorldSize } from './world.js';
+
+/** What to play. */
+export interface PlayOptions {
+  readonly seed: number;
+  readonly size: WorldSize;
+  /** Time with traffic and troubles. */
+  readonly busyMilliseconds: number;
+  /** Mean time between two troubles. */
+  readonly troubleEveryMilliseconds: number;
+  readonly kinds: readonly TroubleKind[];
+}
+
+/** What came of it. */
+export interface PlayResult {
+  readonly violations: readonly Violation[];
+  readonly runs: number;
+  readonly accepted: number;
+  readonly completed: number;
+  /** Lines on unexpected errors. */
+  readonly errors: readonly string[];
+  readonly world: World;
+}
+
+/** A small system with every kind of trouble. */
+export const SMALL_PLAY: Omit<PlayOptions, 'seed'> = {
+  size: { services: 2, hostsPerService: 5, standbyHosts: 2, nodes: 3 },
+  busyMilliseconds: 25_000,
+  troubleEveryMilliseconds: 2_500,
+  kinds: TROUBLE_KINDS,
+};
+
+/** Time before the first traffic. */
+const LEAD_MILLISECONDS = 6_000;
+
+/** Time after the last trouble in which all that was accepted must come to an end. */
+const REST_MILLISECONDS = 60_000;
+
+/** Plays a schedule. */
+export async function playSchedule(options: PlayOptions): Promise<PlayResult> {
+  const world = createWorld(options.seed, options.size);
+  const { time, random, referee } = world;
+  const until = LEAD_MILLISECONDS + options.busyMilliseconds;
+  await time.runUntil(LEAD_MILLISECONDS);
+  startCallers(world, { jobsPerSecond: 1.2, lastingJobsPerQueue: 1, cancelShare: 0.1, until });
+  const next = (): void => {
+    if (time.now() > until) return;
+    const kind = random.pick(options.kinds);
+    world.log.push(`${time.now().toFixed(0)} trouble ${kind}`);
+    beginTrouble(world, kind);
+    world.lastTroubleAt = time.now();
+    time.after(random.exponential(options.troubleEveryMilliseconds), next);
+  };
+  time.after(random.exponential(options.troubleEveryMilliseconds), next);
+  await time.runUntil(until + REST_MILLISECONDS);
+  await referee.checkRest();
+  const errors = world.log.filter((line) => line.includes('unexpectedError'));
+  return { violations: referee.violations, ...referee.counts(), errors, world };
+}
--- /dev/null
+++ b/packages/fleet-emulator/src/world.ts
@@ -0,0 +1,190 @@
+/** Puts processes, store, hosts, callers and the referee together. */
+import type { HostListing } from '@baobabdeck/scheduling';
+import type { QueueConfiguration, SchedulerSettings } from '@baobabdeck/scheduler';
+import type { JobPlans } from './job-plans.js';
+import { createModelFleet, type ModelFleet } from './model-fleet.js';
+import { createModelStore, type ModelStore } from './model-store.js';
+import { createNetwork, type Network } from './network.js';
+import { createRandom, type RandomSource } from './random.js';
+import { createReferee, type Referee } from './referee.js';
+import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
+import { createVirtualTime, type VirtualTime } from './virtual-time.js';
+
+/** The pool whose hosts are off. */
+export const STANDBY_POOL = 'standby';
+
+/** How large a world is. */
+export interface WorldSize {
+  readonly services: number;
+  readonly hostsPerService: number;
+  readonly standbyHosts: number;
+  readonly nodes: number;
+}
+
+/** A whole system in virtual time. */
+export interface World {
+  readonly time: VirtualTime;
+  readonly network: Network;
+  readonly random: RandomSource;
+  readonly store: ModelStore;
+  readonly fleet: ModelFleet;
+  readonly operator: OperatorDesk;
+  readonly nodes: readonly VirtualNode[];
+  readonly plans: JobPlans;
+  readonly referee: Referee;
+  /** When a trouble last began or ended. */
+  lastTroubleAt: number;
+  /** Lines that the processes logged, and the troubles. */
+  readonly log: string[];
+}
+
+const HOSTS_PER_RACK = 3;
+
+/** Thousandths of a core and megabytes of each host. */
+const HOST_CAPACITY: HostListing['capacity'] = {
+  milliCores: 16_000,
+  memoryMegabytes: 65_536,
+  accelerators: 0,
+};
+
+const SCHEDULING: SchedulerSettings['scheduling'] = {
+  leaseMilliseconds: 5_000,
+  ownershipProofMilliseconds: 5_000,
+  reportWaitMilliseconds: 1_000,
+  silenceMilliseconds: 500,
+  statusRetentionMilliseconds: 120_000,
+  gangTimeoutMilliseconds: 3_000,
+  remoteFactor: 2,
+  absenceNoticeMilliseconds: 4_500,
+};
+
+function settingsOf(index: number): SchedulerSettings {
+  return {
+    nodeName: `node-${index}`,
+    dataCentre: 'west',
+    ip: '127.0.0.1',
+    peerPort: 0,
+    metricsPort: null,
+    graceMilliseconds: 6_000,
+    scheduling: SCHEDULING,
+    fleet: { holderLeaseMilliseconds: 3_000, ownershipProofMilliseconds: 2_000 },
+  };
+}
+
+/** The name of a service. */
+export function serviceName(index: number): string {
+  return `service-${index}`;
+}
+
+function configurationOf(services: number): QueueConfiguration {
+  const names = Array.from({ length: services }, (_, index) => serviceName(index));
+  return {
+    version: 1,
+    queues: names.map((service, index) => ({
+      name: `queue-${index}`,
+      hostName: 'example',
+      pathPrefix: `/${service}/`,
+      service,
+      timeoutMilliseconds: 3_000,
+      targetMilliseconds: 600,
+      stretch: 1.6,
+      priority: index % 2,
+      maximumFailedRuns: 3,
+      advice: null,
+    })),
+    services: [
+      ...names.map((name) => ({ name, isStandby: false, refusesOverload: true })),
+      { name: STANDBY_POOL, isStandby: true, refusesOverload: true },
+    ],
+    limits: {
+      headerBytes: 16_384,
+      bodyBytes: 262_144,
+      headerTimeoutMilliseconds: 3_000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+  };
+}
+
+function addHosts(fleet: ModelFleet, pool: string, count: number, first: number): void {
+  Array.from({ length: count }, (_, index) => first + index).forEach((number) =>
+    fleet.addHost({
+      hostId: `host-${number}`,
+      rack: `rack-${Math.floor(number / HOSTS_PER_RACK)}`,
+      dataCentre: 'west',
+      capacity: HOST_CAPACITY,
+      pool,
+    }),
+  );
+}
+
+/** Builds a world; its processes start at once. */
+export function createWorld(seed: number, size: WorldSize): World {
+  const time = createVirtualTime();
+  const random = createRandom(seed);
+  const network = createNetwork(time, random);
+  const store = createModelStore(time, network, random);
+  const plans: JobPlans = new Map();
+  const log: string[] = [];
+  // The referee looks at the hosts, and the hosts tell the referee.
+  let fleet: ModelFleet | null = null;
+  let world: World | null = null;
+  const referee = createReferee({
+    time,
+    plans,
+    hosts: () => fleet?.hosts ?? new Map(),
+    lastTroubleAt: () => world?.lastTroubleAt ?? 0,
+  });
+  const models = createModelFleet({
+    time,
+    network,
+    random,
+    plans,
+    isStandby: (pool) => pool === STANDBY_POOL,
+    observer: referee,
+    isStoreDown: () => store.isDown,
+  });
+  fleet = models;
+  const operator: OperatorDesk = {
+    configuration: configurationOf(size.services),
+    waves: [],
+    onWaveStatus: (wave, status) => {
+      if (status === 'completed') referee.onWaveCompleted(wave);
+    },
+  };
+  for (let service = 0; service < size.services; service += 1) {
+    addHosts(models, serviceName(service), size.hostsPerService, service * size.hostsPerService);
+  }
+  addHosts(models, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
+  const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
+  const nodes = Array.from({ length: size.nodes }, (_, index) =>
+    createVirtualNode({
+      time,
+      network,
+      store,
+      fleet: models,
+      operator,
+      settings: settingsOf(index),
+      switchboard,
+      onLog: (name, fields) => {
+        const { err, ...rest } = fields;
+        const text = err instanceof Error ? (err.stack ?? err.message) : '';
+        log.push(`${time.now().toFixed(0)} ${name} ${JSON.stringify(rest)} ${text}`);
+      },
+    }),
+  );
+  nodes.forEach((node) => node.start());
+  world = {
+    time,
+    network,
+    random,
+    store,
+    fleet: models,
+    operator,
+    nodes,
+    plans,
+    referee,
+    lastTroubleAt: 0,
+    log,
+  };
+  return world;
+}
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -91,6 +91,11 @@
   serviceGivenUp: { number: 542, level: 'info', message: 'this process no longer owns a service' },
   ownershipSuperseded: { number: 543, level: 'warn', message: 'another process has claimed a service' },
   placesDealt: { number: 544, level: 'info', message: 'the store dealt logs to this process' },
+  claimRenewed: {
+    number: 545,
+    level: 'warn',
+    message: 'this process claims a service again, so that late orders miss a new worker',
+  },
   storeUnreachable: { number: 551, level: 'warn', message: 'the store cannot be read' },
   storeReachable: { number: 552, level: 'info', message: 'the store can be read again' },
   logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
--- a/packages/scheduler/src/fleet/fleet-codec.ts
+++ b/packages/scheduler/src/fleet/fleet-codec.ts
@@ -13,35 +13,56 @@
 interface EncodedHost {
   readonly what: HostOrderKind | null;
   readonly isAccepted: boolean;
+  /** Milliseconds since 1970. */
+  readonly recordedAt: number;
 }
 
 interface EncodedWave {
+  /** Milliseconds since 1970. */
+  readonly seenSince: number;
+  readonly recordedAt: number;
   readonly begunHostIds: readonly string[];
   readonly isCompleted: boolean;
 }
 
 /** The keyed record that stores a fleet record. */
 export function encodeFleetRecord(record: FleetRecord): KeyedRecord {
+  const recordedAt = record.recordedAt.getTime();
   switch (record.kind) {
     case 'host-ordered': {
-      const content: EncodedHost = { what: record.what, isAccepted: record.isAccepted };
+      const content: EncodedHost = { what: record.what, isAccepted: record.isAccepted, recordedAt };
       return { key: HOST_PREFIX + record.hostId, value: encoder.encode(content) };
     }
     case 'host-settled': {
-      const content: EncodedHost = { what: null, isAccepted: true };
+      const content: EncodedHost = { what: null, isAccepted: true, recordedAt };
       return { key: HOST_PREFIX + record.hostId, value: encoder.encode(content) };
     }
     default: {
-      const content: EncodedWave = { begunHostIds: record.begunHostIds, isCompleted: record.isCompleted };
+      const { begunHostIds, isCompleted } = record;
+      const seenSince = record.seenSince.getTime();
+      const content: EncodedWave = { seenSince, recordedAt, begunHostIds, isCompleted };
       return { key: WAVE_PREFIX + record.wave, value: encoder.encode(content) };
     }
   }
 }
 
-function decodeHost(hostId: string, { what, isAccepted }: EncodedHost): FleetRecord {
+function decodeHost(hostId: string, encoded: EncodedHost): FleetRecord {
+  const { what, isAccepted } = encoded;
+  const recordedAt = new Date(encoded.recordedAt);
   return what === null
-    ? { kind: 'host-settled', hostId }
-    : { kind: 'host-ordered', hostId, what, isAccepted };
+    ? { kind: 'host-settled', hostId, recordedAt }
+    : { kind: 'host-ordered', hostId, what, isAccepted, recordedAt };
+}
+
+function decodeWave(wave: number, encoded: EncodedWave): FleetRecord {
+  return {
+    kind: 'wave-progress',
+    wave,
+    seenSince: new Date(encoded.seenSince),
+    begunHostIds: encoded.begunHostIds,
+    isCompleted: encoded.isCompleted,
+    recordedAt: new Date(encoded.recordedAt),
+  };
 }
 
 /** The fleet record in a stored record; null for a claim and for bytes that cannot be read. */
@@ -51,6 +72,5 @@
     return decodeHost(key.slice(HOST_PREFIX.length), decoder.decode(value) as EncodedHost);
   }
   if (!key.startsWith(WAVE_PREFIX)) return null;
-  const { begunHostIds, isCompleted } = decoder.decode(value) as EncodedWave;
-  return { kind: 'wave-progress', wave: Number(key.slice(WAVE_PREFIX.length)), begunHostIds, isCompleted };
+  return decodeWave(Number(key.slice(WAVE_PREFIX.length)), decoder.decode(value) as EncodedWave);
 }
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -40,7 +40,11 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-type FleetEventBody = FleetEvent extends infer E ? (E extends FleetEvent ? Omit<E, 'at'> : never) : never;
+type FleetEventBody = FleetEvent extends infer E
+  ? E extends FleetEvent
+    ? Omit<E, 'at' | 'timeOfDay'>
+    : never
+  : never;
 
 /** What an owner needs. */
 export interface FleetOwnerParts {
@@ -90,7 +94,7 @@
     if (state === null || closed) return;
     const effects: FleetEffect[] = [];
     try {
-      const steps = reduceFleet(state, { ...body, at: clock.steadyNow() });
+      const steps = reduceFleet(state, { ...body, at: clock.steadyNow(), timeOfDay: clock.now() });
       let result = steps.next();
       while (!result.done) {
         effects.push(result.value);
@@ -144,13 +148,13 @@
   const orderHost = async (effect: Extract<FleetEffect, { kind: 'order-host' }>): Promise<void> => {
     if (effect.delayMilliseconds > 0) await clock.sleep(effect.delayMilliseconds);
     if (closed) return;
-    const { hostId, what, fencingToken } = effect;
-    const head = { hostId, holder: parts.nodeName, fencingToken };
+    const { hostId, what, fencingEpoch } = effect;
+    const head = { hostId, holder: parts.nodeName, fencingEpoch };
     const outcome =
       what.kind === 'move'
         ? await parts.hosts.move({ ...head, pool: what.pool })
         : await parts.hosts.maintain({ ...head, wave: what.wave });
-    dispatch({ kind: 'host-order-settled', hostId, fencingToken, outcome });
+    dispatch({ kind: 'host-order-settled', hostId, fencingEpoch, outcome });
   };
 
   const tellWaveStatus = async (wave: number, status: 'running' | 'completed'): Promise<void> => {
@@ -261,6 +265,7 @@
     state = restoreFleet({
       parameters: parts.parameters,
       now: clock.steadyNow(),
+      timeOfDay: clock.now(),
       claimedAt: claimed.claimedAt,
       provenAt: claimed.provenAt,
       records: claimed.records.flatMap((record) => decodeFleetRecord(record) ?? []),
--- a/packages/scheduler/src/front/front.ts
+++ b/packages/scheduler/src/front/front.ts
@@ -30,6 +30,9 @@
 /** Share of a caller's patience for which a job is offered to a store that refuses it. */
 const STORE_PATIENCE_SHARE = 0.5;
 
+/** Time for which the owner of a cancelled job is told of it. */
+const NOTICE_MILLISECONDS = 1_000;
+
 /** What the front needs. */
 export interface FrontParts {
   readonly clock: SteadyClock;
@@ -154,6 +157,8 @@
     const until = untilOf(left);
     const stored = await store(place, encodeRecord({ kind: 'job-cancelled', jobId }), until, until);
     writeEvent('cancelTaken', { jobId, queue: queue.name, outcome: stored.kind });
+    // The owner reads its log up to the end before it answers: it learns of the cancelling at once.
+    if (stored.kind === 'accepted') void askStatus(queue, jobId, NOTICE_MILLISECONDS);
     return { kind: stored.kind === 'accepted' ? 'cancelled' : 'unavailable' };
   };
 
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -89,7 +89,7 @@
   const logs = createOwnedLogs({
     clock,
     layout: keeper.layout,
-    openService: (place, service, onSuperseded) => {
+    openService: (place, service, onGivenUp) => {
       const owner = createServiceOwner({
         service,
         place,
@@ -101,7 +101,7 @@
         writeEvent,
         suspectWorker: () => news.suspect(),
         onClaimed: () => news.tell(owner),
-        onSuperseded,
+        onGivenUp,
       });
       return owner;
     },
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -12,7 +12,11 @@
 export interface OwnedLogsParts {
   readonly clock: SteadyClock;
   readonly layout: () => Layout;
-  readonly openService: (place: LogPlace, service: string, onSuperseded: () => void) => ServiceOwner;
+  readonly openService: (
+    place: LogPlace,
+    service: string,
+    onGivenUp: (claimsAgain: boolean) => void,
+  ) => ServiceOwner;
   readonly openFleet: (place: LogPlace, onSuperseded: () => void) => FleetOwner;
 }
 
@@ -35,10 +39,15 @@
   let fleet: FleetOwner | null = null;
   let stopping = false;
 
-  const noteSuperseded = (place: LogPlace): void => {
-    supersededAt.set(placeKey(place), clock.steadyNow());
-    if (fleet !== null && isSamePlace(fleet.place, place)) fleet = null;
-    else owners.delete(placeKey(place));
+  /** An owner that is stopping may hear of its own successor here: only the owner itself is forgotten. */
+  const forget = (owner: ServiceOwner | FleetOwner): void => {
+    if (fleet === owner) fleet = null;
+    if (owners.get(placeKey(owner.place)) === owner) owners.delete(placeKey(owner.place));
+  };
+
+  const noteSuperseded = (owner: ServiceOwner | FleetOwner): void => {
+    supersededAt.set(placeKey(owner.place), clock.steadyNow());
+    forget(owner);
   };
 
   const giveUpServices = async (isLost: (owner: ServiceOwner) => boolean): Promise<void> => {
@@ -46,15 +55,16 @@
     await Promise.all(
       lost.map(async (owner) => {
         await owner.stop();
-        if (owners.get(placeKey(owner.place)) === owner) owners.delete(placeKey(owner.place));
+        forget(owner);
       }),
     );
   };
 
   const giveUpFleet = async (): Promise<void> => {
     const lost = fleet;
-    fleet = null;
-    await lost?.stop();
+    if (lost === null) return;
+    await lost.stop();
+    forget(lost);
   };
 
   const open = (subject: string, place: LogPlace): void => {
@@ -62,12 +72,16 @@
     const reclaimAt = (supersededAt.get(placeKey(place)) ?? -Infinity) + RECLAIM_PAUSE_MILLISECONDS;
     if (clock.steadyNow() <= reclaimAt) return;
     if (service === null) {
-      fleet ??= openFleet(place, () => noteSuperseded(place));
+      if (fleet !== null) return;
+      const opened = openFleet(place, () => noteSuperseded(opened));
+      fleet = opened;
     } else if (!owners.has(placeKey(place))) {
-      owners.set(
-        placeKey(place),
-        openService(place, service, () => noteSuperseded(place)),
-      );
+      const opened = openService(place, service, (claimsAgain) => {
+        if (claimsAgain) forget(opened);
+        else noteSuperseded(opened);
+        if (claimsAgain && !stopping) open(subject, place);
+      });
+      owners.set(placeKey(place), opened);
     }
   };
 
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -35,15 +35,15 @@
   readonly suspectWorker: () => void;
   /** The claim stands. */
   readonly onClaimed: () => void;
-  /** The ownership was lost: another process has claimed it. */
-  readonly onSuperseded: () => void;
+  /** The ownership is over: another process has claimed it, or this one is to claim it again. */
+  readonly onGivenUp: (claimsAgain: boolean) => void;
 }
 
 /** One owned service. */
 export interface ServiceOwner {
   readonly service: string;
   readonly place: LogPlace;
-  /** The scheduler's state; null until the claim stands. */
+  /** The scheduler's state; null until the claim stands and once it is lost. */
   readonly state: () => ServiceState | null;
   readonly dispatch: (event: ServiceEventBody) => void;
   /** Reads the log up to its end as of now; false where it cannot be read. */
@@ -121,7 +121,7 @@
         break;
       case 'give-up-ownership':
         stopNow();
-        parts.onSuperseded();
+        parts.onGivenUp(effect.claimsAgain);
         break;
       default:
         void performWorkerEffect(effect, parts.workers, clock, dispatch, isOpen);
@@ -162,14 +162,14 @@
     if (claimRecord === undefined) return;
     claimed = await claimService({ store, clock, inbox: place, journal, claimRecord, isWanted: isOpen });
     if (claimed === null) {
-      if (isOpen()) parts.onSuperseded();
+      if (isOpen()) parts.onGivenUp(false);
       return;
     }
     nextOffset = claimed.nextOffset;
     const { state, cancelledJobIds } = restoreService({
       service,
       parameters,
-      fencingToken: claimed.epoch,
+      fencingEpoch: claimed.epoch,
       now: clock.steadyNow(),
       timeOfDay: clock.now(),
       claimedAt: claimed.claimedAt,
@@ -199,7 +199,7 @@
   return {
     service,
     place,
-    state: () => loop?.state() ?? null,
+    state: () => (closed ? null : (loop?.state() ?? null)),
     dispatch,
     catchUp: () => (loop === null ? Promise.resolve(false) : readOnce(0)),
     stop: async () => {
--- a/packages/scheduler/src/owner/worker-effects.ts
+++ b/packages/scheduler/src/owner/worker-effects.ts
@@ -48,7 +48,7 @@
   const outcome = await workers.stopRun({
     workerId: address.workerId,
     address: effect.workerAddress,
-    fencingToken: effect.fencingToken,
+    fencingEpoch: effect.fencingEpoch,
     task: address.task,
     run: address.run,
   });
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -94,6 +94,7 @@
       lastingMilliCores: z.number(),
       offeredMilliCores: z.number(),
       leastHosts: z.number(),
+      missingHosts: z.number(),
     }),
   }),
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
--- a/packages/scheduler/src/ports/hosts.ts
+++ b/packages/scheduler/src/ports/hosts.ts
@@ -10,7 +10,7 @@
 export interface HostOrderHead {
   readonly hostId: string;
   readonly holder: string;
-  readonly fencingToken: number;
+  readonly fencingEpoch: number;
 }
 
 /** The service for hosts. No method throws. */
--- a/packages/scheduler/src/ports/workers.ts
+++ b/packages/scheduler/src/ports/workers.ts
@@ -22,7 +22,7 @@
 export interface OrderHead {
   readonly workerId: string;
   readonly address: string;
-  readonly fencingToken: number;
+  readonly fencingEpoch: number;
 }
 
 /** An order to renew a lease. */
--- /dev/null
+++ b/packages/scheduling/src/decide/gang.ts
@@ -0,0 +1,38 @@
+/** Gangs work only together: where a member is missing, the others are stopped rather than left to wait in vain. */
+import type { TaskKey } from '../model/job.js';
+import type { ServiceStep } from '../service/effect.js';
+import { orderStop } from '../service/runs.js';
+import type { JobState, Run, ServiceState, StepState } from '../service/state.js';
+
+/** Whether some members of a gang have a run and others, which are not done, have none. */
+function isIncomplete({ tasks }: StepState): boolean {
+  const isPresent = tasks.some((task) => !task.isDone && task.runs.length > 0);
+  return isPresent && tasks.some((task) => !task.isDone && task.runs.length === 0);
+}
+
+function* incompleteRuns(job: JobState): Generator<readonly [key: TaskKey, run: Run], void, void> {
+  const { jobId } = job.request;
+  for (const { occurrence, steps } of job.occurrences.values()) {
+    for (const [step, state] of steps.entries()) {
+      if (job.request.steps[step]?.isGang === true && isIncomplete(state)) {
+        for (const [index, { runs }] of state.tasks.entries()) {
+          for (const run of runs) yield [{ jobId, occurrence, step, index }, run];
+        }
+      }
+    }
+  }
+}
+
+/** Stops what is left of gangs that have lost a member. */
+export function* stopIncompleteGangs(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const jobId of state.activeJobIds) {
+    const job = state.jobs.get(jobId);
+    if (job?.hasGang === true && job.phase === 'active') {
+      for (const [key, run] of [...incompleteRuns(job)]) {
+        next = yield* orderStop(next, key, run, 'a member of its gang is missing');
+      }
+    }
+  }
+  return next;
+}
--- /dev/null
+++ b/packages/scheduling/src/decide/health.ts
@@ -0,0 +1,115 @@
+/**
+ * Finds workers that look well and are not: those that fail whatever they start, and those whose tasks stand still or
+ * crawl while their peers' end in time. Such a worker rests, longer each time, and tries itself on few tasks again.
+ */
+import type { TaskKey } from '../model/job.js';
+import type { ServiceStep } from '../service/effect.js';
+import { orderStop } from '../service/runs.js';
+import type { Run, ServiceState, WorkerState } from '../service/state.js';
+import { changeTask, findTask, runsOn, setWorker, stepRequestOf } from '../service/tasks.js';
+
+/** Failed runs in a row after which a worker rests. */
+const FAILURES_IN_A_ROW = 3;
+
+/** The first rest, and the longest. */
+const FIRST_REST_MILLISECONDS = 1_500;
+const LONGEST_REST_MILLISECONDS = 12_000;
+
+/** A run is overdue after this many times its estimate, and the grace that short tasks need. */
+const OVERDUE_FACTOR = 2.5;
+const OVERDUE_GRACE_MILLISECONDS = 1_200;
+
+/** Overdue runs, and their share of a worker's runs, that speak against the worker rather than the tasks. */
+const LEAST_OVERDUE = 2;
+const OVERDUE_SHARE = 0.5;
+
+/** A lone overdue run speaks against its worker only when it is this much over. */
+const LONE_OVERDUE_FACTOR = 14;
+
+/** Each time that a task was stopped for standing still, it gets this many times longer: it may just be long. */
+const PATIENCE_FACTOR = 2;
+
+interface RunAge {
+  readonly key: TaskKey;
+  readonly run: Run;
+  readonly ageMilliseconds: number;
+  /** How long it may be expected to take. */
+  readonly expectedMilliseconds: number;
+}
+
+/** Runs whose end can be expected: lasting tasks have none, and gangs wait for one another. */
+function* agesOn(state: ServiceState, worker: WorkerState): Generator<RunAge, void, void> {
+  for (const [key, run] of runsOn(state, worker)) {
+    const job = state.jobs.get(key.jobId);
+    if (job !== undefined && run.phase === 'running') {
+      const request = stepRequestOf(job.request, key.step);
+      const since = run.startedAt ?? run.settledAt ?? run.placedAt;
+      const slowStops = findTask(state, key)?.slowStops ?? 0;
+      if (!request.isLasting && !request.isGang) {
+        yield {
+          key,
+          run,
+          ageMilliseconds: state.now - since,
+          expectedMilliseconds: request.estimatedMilliseconds * PATIENCE_FACTOR ** slowStops,
+        };
+      }
+    }
+  }
+}
+
+function isOverdue({ ageMilliseconds, expectedMilliseconds }: RunAge): boolean {
+  return ageMilliseconds > expectedMilliseconds * OVERDUE_FACTOR + OVERDUE_GRACE_MILLISECONDS;
+}
+
+function isFarOverdue({ ageMilliseconds, expectedMilliseconds }: RunAge): boolean {
+  return ageMilliseconds > expectedMilliseconds * LONE_OVERDUE_FACTOR + OVERDUE_GRACE_MILLISECONDS;
+}
+
+/** The overdue runs of a worker, if they speak against it; none otherwise. */
+export function findStandingStill(state: ServiceState, worker: WorkerState): readonly RunAge[] {
+  const ages = [...agesOn(state, worker)];
+  const overdue = ages.filter(isOverdue);
+  const isWorkers = overdue.length >= LEAST_OVERDUE && overdue.length >= ages.length * OVERDUE_SHARE;
+  return isWorkers ? overdue : ages.filter(isFarOverdue);
+}
+
+/** The time for which a worker rests after so many rests in a row. */
+export function restMilliseconds(restsInARow: number): number {
+  return Math.min(LONGEST_REST_MILLISECONDS, FIRST_REST_MILLISECONDS * 2 ** restsInARow);
+}
+
+function* rest(state: ServiceState, worker: WorkerState, reason: string): ServiceStep<ServiceState> {
+  const { workerId, hostId } = worker.listing;
+  const milliseconds = restMilliseconds(worker.restsInARow);
+  yield { kind: 'log', decision: 'workerEjected', fields: { workerId, hostId, reason, milliseconds } };
+  return setWorker(state, {
+    ...worker,
+    restUntil: state.now + milliseconds,
+    restsInARow: worker.restsInARow + 1,
+    failuresInARow: 0,
+  });
+}
+
+function* examine(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
+  if (worker.failuresInARow >= FAILURES_IN_A_ROW) {
+    return yield* rest(state, worker, 'it fails what it starts');
+  }
+  const standing = findStandingStill(state, worker);
+  if (standing.length === 0) return state;
+  let next = worker.restUntil > state.now ? state : yield* rest(state, worker, 'its tasks stand still');
+  for (const { key, run } of standing) {
+    next = changeTask(next, key, (task) => ({ ...task, slowStops: task.slowStops + 1 }));
+    next = yield* orderStop(next, key, run, 'it stands still on its worker');
+  }
+  return next;
+}
+
+/** Lets sick workers rest, and takes away what stands still on them. */
+export function* restSickWorkers(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const current = next.workers.get(worker.listing.workerId);
+    if (current?.isHeld === true && current.silentSince === null) next = yield* examine(next, current);
+  }
+  return next;
+}
--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -21,7 +21,7 @@
 }
 
 function isNear(request: StepRequest, candidate: Candidate): boolean {
-  return request.dataRack === null || candidate.worker.listing.rack === request.dataRack;
+  return request.rackOfData === null || candidate.worker.listing.rack === request.rackOfData;
 }
 
 /** The fullest worker that has room, near the data if it can be, and none on which the task failed. */
@@ -74,6 +74,7 @@
     placedAt: state.now,
     settledAt: null,
     mayStartLate: false,
+    sentAt: null,
     startedAt: null,
     percent: 0,
   };
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -21,7 +21,7 @@
   | 'unanswered';
 
 /** One event. */
-export type FleetEvent = { readonly at: Instant } & (
+export type FleetEvent = { readonly at: Instant; readonly timeOfDay: Date } & (
   | { readonly kind: 'ticked' }
   /** No newer claim stood when this was asked. */
   | { readonly kind: 'ownership-proven'; readonly askedAt: Instant }
@@ -45,7 +45,7 @@
   | {
       readonly kind: 'host-order-settled';
       readonly hostId: string;
-      readonly fencingToken: number;
+      readonly fencingEpoch: number;
       readonly outcome: HostOrderOutcome;
     }
   | {
@@ -81,7 +81,7 @@
       readonly kind: 'order-host';
       readonly hostId: string;
       readonly what: HostOrderKind;
-      readonly fencingToken: number;
+      readonly fencingEpoch: number;
       readonly delayMilliseconds: number;
     }
   | { readonly kind: 'tell-wave-status'; readonly wave: number; readonly status: 'running' | 'completed' }
--- a/packages/scheduling/src/fleet/hosts.ts
+++ b/packages/scheduling/src/fleet/hosts.ts
@@ -1,11 +1,11 @@
 /** Works in the platform's list of hosts: which orders are over, and which hosts are gone. */
 import type { FleetEventOf, FleetStep } from './event.js';
-import { addRecord, describeOrder, earlierOrdersOverAt, setHost } from './orders.js';
+import { addRecord, describeOrder, setHost } from './orders.js';
 import type { FleetState, HostState } from './state.js';
 
 function newHost(state: FleetState, listing: HostState['listing']): HostState {
-  const wasOrdered = state.earlierOrderedHostIds.has(listing.hostId);
-  return { listing, order: null, wish: null, restUntil: wasOrdered ? earlierOrdersOverAt(state) : 0 };
+  const restUntil = state.earlierOrderedHosts.get(listing.hostId) ?? 0;
+  return { listing, order: null, wish: null, restUntil };
 }
 
 /** Whether an accepted order is over: the host is up again, as a list that was asked for after it says. */
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -1,6 +1,6 @@
 /** Orders on hosts: recorded first, then given until they are answered. */
 import type { FleetEventOf, FleetStep } from './event.js';
-import type { FleetRecord, FleetState, HostOrder, HostOrderKind, HostState } from './state.js';
+import type { FleetFact, FleetState, HostOrder, HostOrderKind, HostState, WaveState } from './state.js';
 
 /** Pause before an order without an answer is given again. */
 const REPEAT_PAUSE_MILLISECONDS = 300;
@@ -20,8 +20,8 @@
 }
 
 /** Adds a record to what waits to be stored. */
-export function addRecord(state: FleetState, record: FleetRecord): FleetState {
-  return { ...state, outbox: [...state.outbox, record] };
+export function addRecord(state: FleetState, fact: FleetFact): FleetState {
+  return { ...state, outbox: [...state.outbox, { ...fact, recordedAt: state.timeOfDay }] };
 }
 
 /** What an order is, as a log line tells it. */
@@ -34,7 +34,7 @@
   const order: HostOrder = {
     what,
     phase: 'recording',
-    fencingToken: null,
+    fencingEpoch: null,
     beganAt: state.now,
     acceptedAt: null,
     unansweredAt: null,
@@ -73,21 +73,21 @@
 
 function* giveOrder(state: FleetState, host: HostState, delayMilliseconds: number): FleetStep<void> {
   const { order, listing } = host;
-  if (order === null || order.fencingToken === null) return;
+  if (order === null || order.fencingEpoch === null) return;
   const { hostId } = listing;
-  yield { kind: 'order-host', hostId, what: order.what, fencingToken: order.fencingToken, delayMilliseconds };
+  yield { kind: 'order-host', hostId, what: order.what, fencingEpoch: order.fencingEpoch, delayMilliseconds };
 }
 
 function* handleStoredOrder(state: FleetState, hostId: string, offset: number): FleetStep<FleetState> {
   const host = state.hosts.get(hostId);
   if (host === undefined || host.order === null || host.order.phase !== 'recording') return state;
   // Token 0 is that of orders without one.
-  const fencingToken = offset + 1;
-  const sent: HostState = { ...host, order: { ...host.order, phase: 'sent', fencingToken } };
+  const fencingEpoch = offset + 1;
+  const sent: HostState = { ...host, order: { ...host.order, phase: 'sent', fencingEpoch } };
   yield {
     kind: 'log',
     decision: 'hostOrdered',
-    fields: { hostId, order: describeOrder(host.order.what), fencingToken, pool: host.listing.pool },
+    fields: { hostId, order: describeOrder(host.order.what), fencingEpoch, pool: host.listing.pool },
   };
   yield* giveOrder(state, sent, 0);
   return setHost(state, sent);
@@ -118,18 +118,21 @@
   return next;
 }
 
+/** Sets a wave and records it. */
+export function recordWave(state: FleetState, wave: WaveState): FleetState {
+  const { seenSince, begunHostIds, isCompleted } = wave;
+  return addRecord(
+    { ...state, waves: state.waves.set(wave.wave, wave) },
+    { kind: 'wave-progress', wave: wave.wave, seenSince, begunHostIds: [...begunHostIds], isCompleted },
+  );
+}
+
 function noteBegun(state: FleetState, hostId: string, what: HostOrderKind): FleetState {
   if (what.kind !== 'maintain') return state;
   const wave = state.waves.get(what.wave);
   if (wave === undefined) return state;
   const begunHostIds = new Set([...wave.begunHostIds, hostId]);
-  const noted = { ...state, waves: state.waves.set(what.wave, { ...wave, begunHostIds }) };
-  return addRecord(noted, {
-    kind: 'wave-progress',
-    wave: what.wave,
-    begunHostIds: [...begunHostIds],
-    isCompleted: wave.isCompleted,
-  });
+  return recordWave(state, { ...wave, begunHostIds });
 }
 
 /** Drops an order that was refused: nothing was done, and nothing of it can come late. */
@@ -146,10 +149,10 @@
 /** Works in how an order on a host ended. */
 export function* handleHostOrderSettled(
   state: FleetState,
-  { hostId, fencingToken, outcome }: FleetEventOf<'host-order-settled'>,
+  { hostId, fencingEpoch, outcome }: FleetEventOf<'host-order-settled'>,
 ): FleetStep<FleetState> {
   const host = state.hosts.get(hostId);
-  if (host === undefined || host.order?.fencingToken !== fencingToken || host.order.phase !== 'sent') {
+  if (host === undefined || host.order?.fencingEpoch !== fencingEpoch || host.order.phase !== 'sent') {
     return state;
   }
   const { what } = host.order;
@@ -161,7 +164,7 @@
   yield {
     kind: 'log',
     decision: 'hostOrderSettled',
-    fields: { hostId, order: describeOrder(what), fencingToken, outcome },
+    fields: { hostId, order: describeOrder(what), fencingEpoch, outcome },
   };
   if (outcome !== 'accepted' && mayComeLate(state, host.order)) {
     yield* giveOrder(state, host, REFUSED_PAUSE_MILLISECONDS);
--- a/packages/scheduling/src/fleet/pools.ts
+++ b/packages/scheduling/src/fleet/pools.ts
@@ -26,6 +26,8 @@
   readonly known: KnownReport;
   /** Hosts that serve it or are on their way to it. */
   readonly have: number;
+  /** Hosts that come back from maintenance. */
+  readonly returning: number;
   readonly need: number;
 }
 
@@ -51,23 +53,38 @@
 
 function isComing(host: HostState, pool: string): boolean {
   const what = host.order?.what ?? host.wish?.what;
-  return what?.kind === 'move' && what.pool === pool && host.listing.pool !== pool;
+  return (
+    what?.kind === 'move' && what.pool === pool && (host.listing.pool !== pool || host.listing.state !== 'up')
+  );
 }
 
-function isGoing(host: HostState): boolean {
-  return (host.order?.what ?? host.wish?.what)?.kind === 'move';
+/** Whether a host serves its pool now and stays there. */
+function isServing(host: HostState, load: HostLoad | undefined): boolean {
+  return load?.isSound === true && load.release === null && host.order === null && host.wish === null;
 }
 
-function isServing(host: HostState, pool: string): boolean {
-  const { listing } = host;
-  return listing.pool === pool && !isGoing(host) && listing.state !== 'down';
+/** Whether a host is away for maintenance and comes back by itself. */
+function isInMaintenance(host: HostState): boolean {
+  return (host.order?.what ?? host.wish?.what)?.kind === 'maintain';
 }
 
 function balanceOf(state: FleetState, pool: string): PoolBalance | null {
   const known = state.reports.get(pool);
   if (known === undefined || state.now - known.at > REPORT_MILLISECONDS) return null;
-  const have = state.hosts.count((host) => isServing(host, pool) || isComing(host, pool));
-  return { pool, known, have, need: neededHosts(known.report, capacityOfAHost(state, pool)) };
+  const loads = new Map(known.report.hosts.map((load) => [load.hostId, load]));
+  const ofPool = state.hosts.filter((host) => host.listing.pool === pool);
+  const serving = ofPool.count((host, hostId) => isServing(host, loads.get(hostId)));
+  const coming = state.hosts.count((host) => isComing(host, pool));
+  return {
+    pool,
+    known,
+    have: serving + coming,
+    returning: ofPool.count(isInMaintenance),
+    need: Math.max(
+      neededHosts(known.report, capacityOfAHost(state, pool)),
+      known.report.missingHosts > 0 ? serving + known.report.missingHosts : 0,
+    ),
+  };
 }
 
 function noteSurplus(state: FleetState, { pool, known, have, need }: PoolBalance): FleetState {
@@ -122,13 +139,20 @@
   return have > need && known.surplusSince !== null && now - known.surplusSince >= SURPLUS_MILLISECONDS;
 }
 
+/** Hosts that a pool must get; maintenance is over soon, so it counts only where too little is left meanwhile. */
+function missingOf({ need, have, returning }: PoolBalance): number {
+  const withReturning = need - have - returning;
+  const withoutReserve = need - RESERVE_HOSTS - have;
+  return Math.max(0, withReturning, withoutReserve);
+}
+
 function* fillPool(
   state: FleetState,
   balance: PoolBalance,
   donors: readonly PoolBalance[],
 ): FleetStep<FleetState> {
   let next = state;
-  let missing = balance.need - balance.have;
+  let missing = missingOf(balance);
   for (const host of freeStandbyHosts(next).slice(0, Math.max(0, missing))) {
     next = yield* moveHost(next, host, balance.pool, 'a pool needs hosts');
     missing -= 1;
@@ -166,7 +190,7 @@
   let state = balances.reduce(noteSurplus, before);
   const donors = balances.filter((balance) => balance.have > balance.need);
   for (const balance of balances) {
-    if (balance.have < balance.need) state = yield* fillPool(state, balance, donors);
+    if (missingOf(balance) > 0) state = yield* fillPool(state, balance, donors);
   }
   for (const { pool } of donors) {
     const balance = balanceOf(state, pool);
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -19,6 +19,7 @@
 export interface FleetRestoreParts {
   readonly parameters: FleetParameters;
   readonly now: Instant;
+  readonly timeOfDay: Date;
   readonly claimedAt: Instant;
   readonly provenAt: Instant;
   readonly records: readonly FleetRecord[];
@@ -34,6 +35,7 @@
     maximumDown: 0,
     durationMilliseconds: 0,
     seenAt: now,
+    seenSince: record.seenSince,
     begunHostIds: new Set(record.begunHostIds),
     isCompleted: record.isCompleted,
     toldStatus: null,
@@ -41,9 +43,26 @@
   };
 }
 
+/** How far the times of day of two processes may lie apart. */
+const CLOCK_TOLERANCE_MILLISECONDS = 4_000;
+
+/**
+ * When this owner may order a host that an earlier one ordered. An order is recorded before it is given and once it is
+ * accepted, so one that is over was given before its newest record.
+ */
+function restOf(record: FleetRecord, parts: FleetRestoreParts): Instant {
+  const { now, timeOfDay, claimedAt } = parts;
+  const { holderLeaseMilliseconds, ownershipProofMilliseconds } = parts.parameters;
+  const longest = claimedAt + holderLeaseMilliseconds + ownershipProofMilliseconds;
+  const isOpen = record.kind === 'host-ordered' && !record.isAccepted;
+  if (isOpen) return longest;
+  const age = timeOfDay.getTime() - record.recordedAt.getTime();
+  return Math.min(longest, now + holderLeaseMilliseconds + CLOCK_TOLERANCE_MILLISECONDS - age);
+}
+
 /** The state of a new owner. Waves are known in full once they are read from the operator. */
 export function restoreFleet(parts: FleetRestoreParts): FleetState {
-  const { parameters, now, claimedAt, provenAt, records } = parts;
+  const { parameters, now, timeOfDay, claimedAt, provenAt, records } = parts;
   const waves = records.flatMap((record) =>
     record.kind === 'wave-progress' ? [restoreWave(record, now)] : [],
   );
@@ -55,6 +74,7 @@
   return {
     parameters,
     now,
+    timeOfDay,
     claimedAt,
     provenAt,
     pools: [],
@@ -65,7 +85,9 @@
     outbox: [],
     inFlight: null,
     nextAppendId: 1,
-    earlierOrderedHostIds: new Set(records.flatMap((record) => ('hostId' in record ? [record.hostId] : []))),
+    earlierOrderedHosts: new Map(
+      records.flatMap((record) => ('hostId' in record ? [[record.hostId, restOf(record, parts)]] : [])),
+    ),
     inheritedOrders: PersistentMap(open),
     isSuperseded: false,
   };
@@ -127,6 +149,6 @@
 export function* reduceFleet(before: FleetState, event: FleetEvent): FleetStep<FleetState> {
   if (before.isSuperseded) return before;
   const now = Math.max(before.now, event.at);
-  const handled = yield* handle({ ...before, now }, event);
+  const handled = yield* handle({ ...before, now, timeOfDay: event.timeOfDay }, event);
   return yield* flushFleet(handled);
 }
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -13,7 +13,7 @@
   readonly what: HostOrderKind;
   readonly phase: 'recording' | 'sent' | 'accepted';
   /** Null until the record is stored. */
-  readonly fencingToken: number | null;
+  readonly fencingEpoch: number | null;
   readonly beganAt: Instant;
   readonly acceptedAt: Instant | null;
   /** When an attempt was last left unanswered: it may still be carried out. */
@@ -41,7 +41,10 @@
   readonly hostIds: readonly string[];
   readonly maximumDown: number;
   readonly durationMilliseconds: number;
+  /** When this owner saw it first. */
   readonly seenAt: Instant;
+  /** When the first owner to see it did so, by that owner's time of day. */
+  readonly seenSince: Date;
   /** Hosts whose maintenance has begun. */
   readonly begunHostIds: ReadonlySet<string>;
   readonly isCompleted: boolean;
@@ -64,8 +67,8 @@
   readonly surplusSince: Instant | null;
 }
 
-/** A record of the fleet's journal. */
-export type FleetRecord =
+/** What the fleet's journal holds on a host or a wave. */
+export type FleetFact =
   | {
       readonly kind: 'host-ordered';
       readonly hostId: string;
@@ -76,10 +79,14 @@
   | {
       readonly kind: 'wave-progress';
       readonly wave: number;
+      readonly seenSince: Date;
       readonly begunHostIds: readonly string[];
       readonly isCompleted: boolean;
     };
 
+/** A record of the fleet's journal; the time is that of the owner that wrote it. */
+export type FleetRecord = FleetFact & { readonly recordedAt: Date };
+
 /** Parameters of the fleet's owner. */
 export interface FleetParameters {
   /** Time that must pass between the orders of two owners on one host. */
@@ -92,6 +99,7 @@
 export interface FleetState {
   readonly parameters: FleetParameters;
   readonly now: Instant;
+  readonly timeOfDay: Date;
   readonly claimedAt: Instant;
   readonly provenAt: Instant;
   readonly pools: readonly PoolTerms[];
@@ -104,8 +112,8 @@
   readonly outbox: readonly FleetRecord[];
   readonly inFlight: { readonly appendId: number; readonly records: readonly FleetRecord[] } | null;
   readonly nextAppendId: number;
-  /** Hosts that an earlier owner has given orders on. */
-  readonly earlierOrderedHostIds: ReadonlySet<string>;
+  /** Hosts that an earlier owner has given orders on, and until when they are left alone for that. */
+  readonly earlierOrderedHosts: ReadonlyMap<string, Instant>;
   /** Recorded orders of an earlier owner that were not accepted as far as is known. */
   readonly inheritedOrders: PersistentMap<string, HostOrderKind>;
   readonly isSuperseded: boolean;
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -1,7 +1,7 @@
 /** Carries waves of maintenance out: in time, within their limit, and with the least harm to pools that are busy. */
 import type { HostLoad } from '../service/demand.js';
 import type { FleetEventOf, FleetStep } from './event.js';
-import { addRecord, isStandbyPool, mayOrder, wantHost } from './orders.js';
+import { isStandbyPool, mayOrder, recordWave, wantHost } from './orders.js';
 import type { FleetState, HostState, WaveState } from './state.js';
 
 /** Share of a wave's time in which it should be over, so that stragglers have the rest. */
@@ -29,17 +29,21 @@
     maximumDown,
     durationMilliseconds,
     seenAt: state.now,
+    seenSince: known?.seenSince ?? state.timeOfDay,
     begunHostIds: known?.begunHostIds ?? new Set(),
     isCompleted: known?.isCompleted ?? false,
     toldStatus: null,
     isTelling: false,
   };
-  return { ...state, waves: state.waves.set(wave, begun) };
+  return recordWave(state, begun);
 }
 
-function isDownFor(host: HostState, wave: number): boolean {
-  const what = host.order?.what;
-  return what?.kind === 'maintain' && what.wave === wave;
+/** Whether a host is, or may be, down for a wave: by our order, or by one of an earlier owner. */
+function isDownFor(state: FleetState, host: HostState, { wave, hostIds }: WaveState): boolean {
+  const { hostId } = host.listing;
+  const what = host.order?.what ?? state.inheritedOrders.get(hostId);
+  const isOrdered = what?.kind === 'maintain' && what.wave === wave;
+  return isOrdered || (host.listing.state === 'upkeep' && hostIds.includes(hostId));
 }
 
 function isWantedFor(host: HostState, wave: number): boolean {
@@ -71,7 +75,7 @@
 
 /** Whether a wave must take what it can get: at an even pace it would not be over in its share of the time. */
 function isInHurry(state: FleetState, wave: WaveState, left: number): boolean {
-  const elapsed = state.now - wave.seenAt;
+  const elapsed = state.timeOfDay.getTime() - wave.seenSince.getTime();
   const target = wave.durationMilliseconds * TARGET_SHARE;
   const expected = wave.hostIds.length * (1 - elapsed / target);
   return left > expected;
@@ -86,7 +90,7 @@
 
 function* pickHosts(state: FleetState, wave: WaveState): FleetStep<FleetState> {
   const hosts = hostsOf(state, wave);
-  const taken = hosts.filter((host) => isDownFor(host, wave.wave) || isWantedFor(host, wave.wave)).length;
+  const taken = hosts.filter((host) => isDownFor(state, host, wave) || isWantedFor(host, wave.wave)).length;
   const left = hosts.filter((host) => !wave.begunHostIds.has(host.listing.hostId));
   const isHurried = isInHurry(state, wave, left.length);
   const ready = left
@@ -125,11 +129,7 @@
   if (!isOver(state, wave)) return mayOrder(state) ? yield* pickHosts(state, wave) : state;
   const milliseconds = Math.round(state.now - wave.seenAt);
   yield { kind: 'log', decision: 'waveEnded', fields: { wave: wave.wave, milliseconds } };
-  const completed: WaveState = { ...wave, isCompleted: true };
-  return addRecord(
-    { ...state, waves: state.waves.set(wave.wave, completed) },
-    { kind: 'wave-progress', wave: wave.wave, begunHostIds: [...wave.begunHostIds], isCompleted: true },
-  );
+  return recordWave(state, { ...wave, isCompleted: true });
 }
 
 function* tellStatus(state: FleetState, wave: WaveState): FleetStep<FleetState> {
--- a/packages/scheduling/src/model/job.ts
+++ b/packages/scheduling/src/model/job.ts
@@ -19,7 +19,7 @@
   /** A label that the worker must have. */
   readonly requiredLabel: string | null;
   /** The rack that holds the data; elsewhere the tasks run longer. */
-  readonly dataRack: string | null;
+  readonly rackOfData: string | null;
   /** The most tasks of one occurrence of the step that one worker may run at once. */
   readonly maximumPerWorker: number | null;
   /** Several copies of a task may run at once; the first to finish counts. */
--- a/packages/scheduling/src/model/resources.ts
+++ b/packages/scheduling/src/model/resources.ts
@@ -43,6 +43,17 @@
   );
 }
 
+/** How many times `needs` go into `room`. */
+export function countFitting(needs: Resources, room: Resources): number {
+  const times = (need: number, free: number): number => (need <= 0 ? Infinity : Math.floor(free / need));
+  const fitting = Math.min(
+    times(needs.milliCores, room.milliCores),
+    times(needs.memoryMegabytes, room.memoryMegabytes),
+    times(needs.accelerators, room.accelerators),
+  );
+  return Math.max(0, fitting);
+}
+
 /** Cores that resources are worth: an accelerator counts as several. */
 export function weighResources({ milliCores, accelerators }: Resources): number {
   return milliCores / MILLI_CORES_OF_A_CORE + accelerators * CORES_OF_AN_ACCELERATOR;
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -1,8 +1,10 @@
 /** What a service tells the owner of the fleet: how loaded it is, and how far its wanted hosts are. */
-import type { JobRequest } from '../model/job.js';
+import type { JobRequest, StepRequest } from '../model/job.js';
+import { candidatesOf, type Candidate } from '../decide/room.js';
+import { countFitting, type Resources } from '../model/resources.js';
 import { selectRelease, type ReleaseProgress } from './release.js';
-import type { Instant, ServiceState, WorkerState } from './state.js';
-import { stepRequestOf, runsOn } from './tasks.js';
+import type { Instant, ServiceState, StepState, WorkerState } from './state.js';
+import { roomOf, runsOn, stepRequestOf } from './tasks.js';
 
 /** Work that arrived with one job. */
 export interface Arrival {
@@ -32,8 +34,10 @@
   readonly lastingMilliCores: number;
   /** Thousandths of a core that the arrivals of the last seconds keep busy. */
   readonly offeredMilliCores: number;
-  /** The fewest hosts on which its lasting tasks can be spread as they ask. */
+  /** The fewest hosts on which its lasting tasks and its gangs can be spread as they ask. */
   readonly leastHosts: number;
+  /** Further hosts without which gangs or lasting tasks that wait find no place. */
+  readonly missingHosts: number;
 }
 
 /** Time over which arrivals are averaged. */
@@ -104,19 +108,50 @@
   return sum;
 }
 
+function leastHostsOf({ isLasting, isGang, taskCount, maximumPerWorker }: StepRequest): number {
+  const needsAllAtOnce = isLasting || isGang;
+  return needsAllAtOnce && maximumPerWorker !== null ? Math.ceil(taskCount / maximumPerWorker) : 0;
+}
+
 function leastHosts(state: ServiceState): number {
-  let least = 0;
+  const steps = [...state.activeJobIds].flatMap((jobId) => {
+    const job = state.jobs.get(jobId);
+    return job?.phase === 'active' ? job.request.steps : [];
+  });
+  return Math.max(0, ...steps.map(leastHostsOf));
+}
+
+/** Hosts that a step lacks whose tasks must all find a place; 0 for steps whose tasks can wait for one another. */
+function missingHostsOf(
+  state: ServiceState,
+  request: StepRequest,
+  step: StepState,
+  room: readonly Candidate[],
+): number {
+  const mustFindPlace = (request.isGang || request.isLasting) && step.readySince !== null;
+  if (!mustFindPlace || step.waitingCount === 0) return 0;
+  const limit = request.maximumPerWorker ?? Infinity;
+  const placesOn = (free: Resources): number => Math.min(limit, countFitting(roomOf(request), free));
+  const places = room.reduce((sum, candidate) => sum + placesOn(candidate.room), 0);
+  const lacking = step.waitingCount - places;
+  const [first] = state.workers.values();
+  const perHost = first === undefined ? 1 : Math.max(1, placesOn(first.listing.capacity));
+  return lacking <= 0 ? 0 : Math.ceil(lacking / perHost);
+}
+
+function missingHosts(state: ServiceState): number {
+  const room = candidatesOf(state);
+  let most = 0;
   for (const jobId of state.activeJobIds) {
     const job = state.jobs.get(jobId);
-    for (const { isLasting, taskCount, maximumPerWorker } of job?.phase === 'active'
-      ? job.request.steps
-      : []) {
-      if (isLasting && maximumPerWorker !== null) {
-        least = Math.max(least, Math.ceil(taskCount / maximumPerWorker));
+    for (const { steps } of job?.phase === 'active' ? job.occurrences.values() : []) {
+      for (const [index, step] of steps.entries()) {
+        const request = job?.request.steps[index];
+        if (request !== undefined) most = Math.max(most, missingHostsOf(state, request, step, room));
       }
     }
   }
-  return least;
+  return most;
 }
 
 /** The report of the service as of now. */
@@ -131,5 +166,6 @@
     lastingMilliCores: lastingMilliCores(state),
     offeredMilliCores: arrived / ARRIVAL_WINDOW_MILLISECONDS,
     leastHosts: leastHosts(state),
+    missingHosts: missingHosts(state),
   };
 }
--- a/packages/scheduling/src/service/effect.ts
+++ b/packages/scheduling/src/service/effect.ts
@@ -22,6 +22,7 @@
   | 'releaseWithdrawn'
   | 'hostReleased'
   | 'ownershipSuperseded'
+  | 'claimRenewed'
   | 'invariantViolated';
 
 /** Names and values that go with a logged decision. */
@@ -36,7 +37,7 @@
       readonly workerId: string;
       readonly address: string;
       readonly incarnation: number;
-      readonly fencingToken: number;
+      readonly fencingEpoch: number;
       /** Lease end on the worker's clock; null leaves it as it is. */
       readonly leaseUntil: number | null;
       readonly acknowledgedEnd: number;
@@ -48,7 +49,7 @@
       readonly kind: 'start-run';
       readonly address: RunAddress;
       readonly workerAddress: string;
-      readonly fencingToken: number;
+      readonly fencingEpoch: number;
       readonly specification: string;
       readonly leaseUntil: number;
       /** Empty for none. */
@@ -60,11 +61,12 @@
       readonly kind: 'stop-run';
       readonly address: RunAddress;
       readonly workerAddress: string;
-      readonly fencingToken: number;
+      readonly fencingEpoch: number;
       readonly delayMilliseconds: number;
     }
   | { readonly kind: 'list-hosts' }
-  | { readonly kind: 'give-up-ownership'; readonly reason: string }
+  /** Gives the ownership up; to claim it again at once raises the fencing token. */
+  | { readonly kind: 'give-up-ownership'; readonly reason: string; readonly claimsAgain: boolean }
   | { readonly kind: 'log'; readonly decision: SchedulingDecision; readonly fields: SchedulingFields };
 
 /** A step that yields effects and ends with a value. */
--- a/packages/scheduling/src/service/ends.ts
+++ b/packages/scheduling/src/service/ends.ts
@@ -19,6 +19,7 @@
   return setWorker(state, {
     ...worker,
     failuresInARow: succeeded ? 0 : worker.failuresInARow + 1,
+    restsInARow: succeeded ? 0 : worker.restsInARow,
     lastSuccessAt: succeeded ? state.now : worker.lastSuccessAt,
   });
 }
--- a/packages/scheduling/src/service/lease.ts
+++ b/packages/scheduling/src/service/lease.ts
@@ -22,6 +22,17 @@
   return clockReading.milliseconds + (at - clockReading.at) * (1 - WORKER_CLOCK_DRIFT);
 }
 
+/** How far a reading may be off what is expected and still be of the same clock. */
+const CLOCK_TOLERANCE_MILLISECONDS = 1_500;
+
+/** Whether a reading can be of the clock of this life of the worker. */
+export function fitsClock(worker: WorkerState, milliseconds: number, at: Instant): boolean {
+  const expected = estimateClock(worker, at);
+  if (expected === null || worker.clockReading === null) return false;
+  const drift = (at - worker.clockReading.at) * WORKER_CLOCK_DRIFT;
+  return Math.abs(milliseconds - expected) <= CLOCK_TOLERANCE_MILLISECONDS + drift;
+}
+
 /** The worker with a lease from now on, and the lease's end on its clock. */
 export function offerLease(
   state: ServiceState,
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -1,5 +1,7 @@
 /** The reducer of a service's scheduler: one event in, effects out, and the next state. */
 import type { StoredServiceRecord } from '../model/records.js';
+import { stopIncompleteGangs } from '../decide/gang.js';
+import { restSickWorkers } from '../decide/health.js';
 import { placeWaitingTasks } from '../decide/place.js';
 import type { ServiceStep } from './effect.js';
 import type { ServiceEvent } from './event.js';
@@ -21,7 +23,16 @@
 function* giveUp(state: ServiceState, reason: string): ServiceStep<ServiceState> {
   if (state.isSuperseded) return state;
   yield { kind: 'log', decision: 'ownershipSuperseded', fields: { service: state.service, reason } };
-  yield { kind: 'give-up-ownership', reason };
+  yield { kind: 'give-up-ownership', reason, claimsAgain: false };
+  return { ...state, isSuperseded: true };
+}
+
+/** Claims the service again where its fencing token must rise to keep late orders out of a worker's next life. */
+function* renewClaim(state: ServiceState): ServiceStep<ServiceState> {
+  const { reborn } = state;
+  if (reborn === null || state.isSuperseded) return state;
+  yield { kind: 'log', decision: 'claimRenewed', fields: { service: state.service, workerId: reborn } };
+  yield { kind: 'give-up-ownership', reason: 'a worker started again', claimsAgain: true };
   return { ...state, isSuperseded: true };
 }
 
@@ -35,7 +46,7 @@
     case 'job-cancelled':
       return yield* cancelJob(state, record.jobId);
     case 'ownership-claimed':
-      return offset > state.fencingToken ? yield* giveUp(state, 'a newer claim was read') : state;
+      return offset > state.fencingEpoch ? yield* giveUp(state, 'a newer claim was read') : state;
     default:
       return state;
   }
@@ -92,6 +103,7 @@
 function* tick(state: ServiceState): ServiceStep<ServiceState> {
   let next = yield* renewIdleLeases(yield* dropLapsedRuns(state));
   next = yield* stopNeedlessRuns(next);
+  next = yield* restSickWorkers(next);
   next = yield* emptyLeavingWorkers(next);
   for (const jobId of next.activeJobIds) {
     const job = next.jobs.get(jobId);
@@ -142,7 +154,9 @@
   if (before.isSuperseded) return before;
   const now = Math.max(before.now, event.at);
   const handled = yield* handle({ ...before, now, timeOfDay: event.timeOfDay }, event);
+  if (handled.reborn !== null) return yield* renewClaim(handled);
   if (handled.isSuperseded) return handled;
-  const placed = yield* placeWaitingTasks(handled);
+  const whole = handled.placementIsDue ? yield* stopIncompleteGangs(handled) : handled;
+  const placed = yield* placeWaitingTasks(whole);
   return yield* flushOutbox(placed);
 }
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -1,4 +1,5 @@
 /** Empties workers whose hosts are wanted for something else, or that are shutting down, without harming their tasks. */
+import { candidatesOf, hasRoom, isSuitable } from '../decide/room.js';
 import type { StepRequest, TaskKey } from '../model/job.js';
 import type { ServiceStep } from './effect.js';
 import type { HostWished, ServiceEventOf } from './event.js';
@@ -7,6 +8,9 @@
 import type { JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
 import { runsOn, setWorker, stepRequestOf } from './tasks.js';
 
+/** Time for which tasks that save nothing may hold a host up that is due for maintenance. */
+const MAINTENANCE_PATIENCE_MILLISECONDS = 8_000;
+
 /** Time without a repeated wish after which a host is used again. */
 const WISH_MILLISECONDS = 2_000;
 
@@ -29,19 +33,43 @@
   return countOthersAbsent(step, run) < request.maximumAbsent;
 }
 
+/** Whether another worker could take a task now. */
+function hasPlaceElsewhere(
+  state: ServiceState,
+  key: TaskKey,
+  step: StepState,
+  request: StepRequest,
+): boolean {
+  const limit = request.maximumPerWorker ?? Infinity;
+  return candidatesOf(state).some((candidate) => {
+    const { workerId } = candidate.worker.listing;
+    const beside = step.tasks.filter(
+      (task, index) => index !== key.index && task.runs.some((run) => run.workerId === workerId),
+    );
+    return hasRoom(request, candidate) && isSuitable(request, candidate.worker) && beside.length < limit;
+  });
+}
+
 function stepOf(job: JobState, key: TaskKey): StepState | null {
   return job.occurrences.get(key.occurrence)?.steps[key.step] ?? null;
 }
 
+function isOutOfPatience(state: ServiceState, { hold }: WorkerState): boolean {
+  if (hold.kind !== 'leaving' || hold.purpose !== 'maintenance') return false;
+  return state.now - hold.since > MAINTENANCE_PATIENCE_MILLISECONDS;
+}
+
 function shouldStop(state: ServiceState, worker: WorkerState, key: TaskKey, run: Run): boolean {
   const job = state.jobs.get(key.jobId);
   const step = job === undefined ? null : stepOf(job, key);
   if (job === undefined || step === null || run.phase !== 'running') return false;
   const request = stepRequestOf(job.request, key.step);
+  if (isOutOfPatience(state, worker) && !request.isLasting) return true;
   if (request.isGang) return false;
   // What is on a worker that shuts down ends with it, so no wait helps.
-  if (request.isLasting) return worker.listing.isDraining || mayTakeAway(step, request, run);
-  return request.savesCheckpoints;
+  if (worker.listing.isDraining) return request.isLasting || request.savesCheckpoints;
+  if (!hasPlaceElsewhere(state, key, step, request)) return false;
+  return request.isLasting ? mayTakeAway(step, request, run) : request.savesCheckpoints;
 }
 
 function* emptyWorker(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
@@ -99,7 +127,8 @@
     const fields = { hostId, workerId, purpose, tasks: worker.tasks.size };
     yield { kind: 'log', decision: 'releaseBegun', fields };
   }
-  return setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, wishedAt: state.now } });
+  const since = worker.hold.kind === 'leaving' ? worker.hold.since : state.now;
+  return setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, since, wishedAt: state.now } });
 }
 
 function* useHostAgain(state: ServiceState, hostId: string): ServiceStep<ServiceState> {
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -11,7 +11,7 @@
 export interface RestoreParts {
   readonly service: string;
   readonly parameters: SchedulingParameters;
-  readonly fencingToken: number;
+  readonly fencingEpoch: number;
   readonly now: Instant;
   readonly timeOfDay: Date;
   readonly claimedAt: Instant;
@@ -21,11 +21,11 @@
 }
 
 function emptyState(parts: RestoreParts): ServiceState {
-  const { service, parameters, fencingToken, now, timeOfDay, claimedAt, provenAt } = parts;
+  const { service, parameters, fencingEpoch, now, timeOfDay, claimedAt, provenAt } = parts;
   return {
     service,
     parameters,
-    fencingToken,
+    fencingEpoch,
     now,
     timeOfDay,
     claimedAt,
@@ -45,6 +45,8 @@
     appendInFlight: null,
     nextAppendId: 1,
     isSuperseded: false,
+    unansweredStarts: PersistentMap(),
+    reborn: null,
     isStopping: false,
   };
 }
@@ -57,6 +59,7 @@
     placedInVersion: 0,
     settledAt: null,
     mayStartLate: false,
+    sentAt: null,
     startedAt: null,
     percent: 0,
   };
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -3,7 +3,7 @@
 import { taskIdOf } from '../model/job.js';
 import type { SchedulingFields, ServiceStep } from './effect.js';
 import type { RunAddress, ServiceEventOf, StartOutcome } from './event.js';
-import { offerLease, readClock } from './lease.js';
+import { fitsClock, offerLease, readClock } from './lease.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
 import { changeRun, findRun, findTask, removeRun, setWorker } from './tasks.js';
 
@@ -38,32 +38,47 @@
   const worker = workerOf(state, run);
   const job = state.jobs.get(key.jobId);
   const task = findTask(state, key);
-  if (worker === null || job === undefined || task === null) return state;
+  if (worker === null || worker.isGone || job === undefined || task === null) return state;
   const [offered, leaseUntil] = offerLease(state, worker);
   yield {
     kind: 'start-run',
     address: addressOf(key, run),
     workerAddress: worker.listing.address,
-    fencingToken: state.fencingToken,
+    fencingEpoch: state.fencingEpoch,
     specification: job.request.specification,
     leaseUntil,
     checkpoint: task.checkpoint,
     ticket: null,
     delayMilliseconds: delay,
   };
-  return setWorker(state, offered);
+  const sent = changeRun(state, key, run, (one) => ({ ...one, sentAt: state.now + delay }));
+  return setWorker(sent, offered);
 }
 
-function* sendStop(state: ServiceState, key: TaskKey, run: Run, delay: number): ServiceStep<void> {
-  const worker = state.workers.get(run.workerId);
-  if (worker === undefined || worker.listing.incarnation !== run.incarnation) return;
+/**
+ * Sends an order to stop. The worker may not have been seen yet or may be gone; should it report, what it then lists
+ * brings the order about.
+ */
+function* sendStop(state: ServiceState, key: TaskKey, run: Run, delay: number): ServiceStep<ServiceState> {
+  const worker = workerOf(state, run);
+  if (worker === null || worker.isGone) return state;
   yield {
     kind: 'stop-run',
     address: addressOf(key, run),
     workerAddress: worker.listing.address,
-    fencingToken: state.fencingToken,
+    fencingEpoch: state.fencingEpoch,
     delayMilliseconds: delay,
   };
+  return changeRun(state, key, run, (one) => ({ ...one, sentAt: state.now + delay }));
+}
+
+/** Time after which a run that should have been stopped, and still goes on, is stopped once more. */
+const STOP_REPEAT_MILLISECONDS = 1_000;
+
+/** Stops a run once more that a worker lists although its stop was ordered. */
+export function* repeatStop(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
+  const isDue = run.sentAt === null || state.now - run.sentAt > STOP_REPEAT_MILLISECONDS;
+  return isDue ? yield* sendStop(state, key, run, 0) : state;
 }
 
 /** Starts a run whose record is stored. */
@@ -83,8 +98,13 @@
   if (run.phase === 'stopping') return state;
   if (run.phase === 'recording') return removeRun(state, key, run);
   yield { kind: 'log', decision: 'taskStopOrdered', fields: { ...runFields(key, run), reason } };
-  yield* sendStop(state, key, run, 0);
-  return changeRun(state, key, run, (one) => ({ ...one, phase: 'stopping', settledAt: null }));
+  const stopping: Run = { ...run, phase: 'stopping', settledAt: null, sentAt: null };
+  return yield* sendStop(
+    changeRun(state, key, run, () => stopping),
+    key,
+    stopping,
+    0,
+  );
 }
 
 function restWorker(state: ServiceState, workerId: string, milliseconds: number): ServiceState {
@@ -102,10 +122,7 @@
   outcome: StartOutcome,
 ): ServiceStep<ServiceState> {
   yield { kind: 'log', decision: 'taskStartRefused', fields: { ...runFields(key, run), outcome } };
-  if (run.mayStartLate) {
-    yield* sendStop(state, key, run, 0);
-    return changeRun(state, key, run, (one) => ({ ...one, phase: 'stopping', settledAt: null }));
-  }
+  if (run.mayStartLate) return yield* orderStop(state, key, run, 'its start may come late');
   return removeRun(state, key, run, (task) => ({
     ...task,
     avoidedWorkers: [...task.avoidedWorkers, run.workerId].slice(-AVOIDED_WORKERS),
@@ -123,8 +140,34 @@
   return yield* sendStart(changed, key, repeated, REPEAT_PAUSE_MILLISECONDS);
 }
 
-function settle(state: ServiceState, key: TaskKey, run: Run): ServiceState {
-  return changeRun(state, key, run, (one) => ({ ...one, phase: 'running', settledAt: state.now }));
+/** Notes that a worker has the run. A clock that does not fit is that of another life under the same id. */
+function settle(state: ServiceState, key: TaskKey, run: Run, clockMilliseconds: number | null): ServiceState {
+  const worker = workerOf(state, run);
+  const isSameLife =
+    worker !== null && clockMilliseconds !== null && fitsClock(worker, clockMilliseconds, state.now);
+  return changeRun(state, key, run, (one) => ({
+    ...one,
+    phase: 'running',
+    settledAt: state.now,
+    startedAt: isSameLife ? (one.startedAt ?? state.now) : one.startedAt,
+  }));
+}
+
+/** Notes the clock that came with an answer, if it is that of the life that was meant. */
+function noteClock(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  clockMilliseconds: number | null,
+): ServiceState {
+  const worker = state.workers.get(workerId);
+  const isMeant =
+    worker !== undefined && clockMilliseconds !== null && fitsClock(worker, clockMilliseconds, state.now);
+  return isMeant ? readClock(state, workerId, incarnation, clockMilliseconds, state.now) : state;
+}
+
+function noteUnanswered(state: ServiceState, workerId: string): ServiceState {
+  return { ...state, unansweredStarts: state.unansweredStarts.set(workerId, state.now) };
 }
 
 /** Works in how a worker answered an order to start. */
@@ -134,16 +177,16 @@
 ): ServiceStep<ServiceState> {
   const { address, outcome, clockMilliseconds } = event;
   const { task: key, workerId, incarnation } = address;
-  const state = readClock(before, workerId, incarnation, clockMilliseconds, event.at);
+  const state = noteClock(before, workerId, incarnation, clockMilliseconds);
   const run = findRun(findTask(state, key), workerId, incarnation, address.run);
   if (run === null || run.phase !== 'starting') return state;
   switch (outcome) {
     case 'started':
     case 'superseded':
       // A superseded run has ended there, or its end is already listed: the next lists tell.
-      return settle(state, key, run);
+      return settle(before, key, run, clockMilliseconds);
     case 'unanswered':
-      return yield* repeatStart(state, key, run, true);
+      return yield* repeatStart(noteUnanswered(state, workerId), key, run, true);
     case 'late':
       return yield* repeatStart(state, key, run, false);
     case 'no-room':
@@ -168,10 +211,7 @@
   const { task: key, workerId, incarnation } = address;
   const run = findRun(findTask(state, key), workerId, incarnation, address.run);
   if (run === null || run.phase !== 'stopping') return state;
-  if (outcome === 'unanswered') {
-    yield* sendStop(state, key, run, REPEAT_PAUSE_MILLISECONDS);
-    return state;
-  }
+  if (outcome === 'unanswered') return yield* sendStop(state, key, run, REPEAT_PAUSE_MILLISECONDS);
   // The worker's lists from now on tell whether the run has ended or never was.
   return changeRun(state, key, run, (one) => ({ ...one, settledAt: state.now, mayStartLate: false }));
 }
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -37,7 +37,9 @@
   readonly settledAt: Instant | null;
   /** An order to start was sent and not answered: it may still be carried out. */
   readonly mayStartLate: boolean;
-  /** When the worker was first seen at work on it. */
+  /** When an order to start was last sent. */
+  readonly sentAt: Instant | null;
+  /** When this life of the worker was first known to have started it. */
   readonly startedAt: Instant | null;
   /** Share of full speed that the worker last reported. */
   readonly percent: number;
@@ -49,6 +51,8 @@
   readonly isDone: boolean;
   readonly lastRun: number;
   readonly failedRuns: number;
+  /** Runs that were stopped because they stood still. */
+  readonly slowStops: number;
   /** The newest checkpoint known; empty for none. */
   readonly checkpoint: string;
   /** Since when it waits for a worker, or when it was last away. */
@@ -92,6 +96,7 @@
   readonly occurrencesDone: PersistentSet<number>;
   readonly occurrencesDoneBelow: number;
   readonly hasStarted: boolean;
+  readonly hasGang: boolean;
   /** Rises with each change that must be recorded. */
   readonly version: number;
   /** The first version that holds the job's end; null while it is active. */
@@ -106,6 +111,8 @@
   | {
       readonly kind: 'leaving';
       readonly purpose: 'move' | 'maintenance';
+      /** When the host was first wished for. */
+      readonly since: Instant;
       /** When the wish was last repeated. */
       readonly wishedAt: Instant;
     };
@@ -142,6 +149,8 @@
   readonly restUntil: Instant;
   /** Runs that ended well or failed in a row on it; drives ejection. */
   readonly failuresInARow: number;
+  /** Rests without a success in between. */
+  readonly restsInARow: number;
   readonly lastSuccessAt: Instant | null;
 }
 
@@ -166,7 +175,7 @@
   readonly service: string;
   readonly parameters: SchedulingParameters;
   /** Our fencing token: orders with a lower one are refused. */
-  readonly fencingToken: number;
+  readonly fencingEpoch: number;
   readonly now: Instant;
   readonly timeOfDay: Date;
   /** When the ownership was claimed. */
@@ -196,5 +205,9 @@
   readonly appendInFlight: AppendInFlight | null;
   readonly nextAppendId: number;
   readonly isSuperseded: boolean;
+  /** By worker, when an order to start was last left unanswered: it may be carried out late, by another life too. */
+  readonly unansweredStarts: PersistentMap<string, Instant>;
+  /** A worker that started again under its id while orders to its former life may still be carried out. */
+  readonly reborn: string | null;
   readonly isStopping: boolean;
 }
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -99,6 +99,16 @@
   return left.run === right.run && left.workerId === right.workerId && left.incarnation === right.incarnation;
 }
 
+/** Changes one task in what is not recorded of it. */
+export function changeTask(
+  state: ServiceState,
+  key: TaskKey,
+  change: (task: TaskState) => TaskState,
+): ServiceState {
+  const job = state.jobs.get(key.jobId);
+  return job === undefined ? state : setJob(state, withTask(job, key, change));
+}
+
 /** Changes one run, which does not change what is recorded. */
 export function changeRun(
   state: ServiceState,
@@ -191,13 +201,17 @@
   return { ...state, orphanTaskIds: state.orphanTaskIds.remove(taskIdOf(key)) };
 }
 
-/** Takes up the room of recorded runs on a worker that is seen for the first time. */
+/**
+ * Takes up the recorded runs on a worker that is seen for the first time, with their room. Runs that were recorded for
+ * a former life under the same id are among them, since orders name the id: the worker's lists tell.
+ */
 export function adoptOrphans(state: ServiceState, workerId: string, incarnation: number): ServiceState {
-  const onWorker = orphanRuns(state, (run) => run.workerId === workerId && run.incarnation === incarnation);
+  const onWorker = orphanRuns(state, (run) => run.workerId === workerId && run.incarnation <= incarnation);
   let next = state;
-  for (const [key] of onWorker) {
+  for (const [key, run] of onWorker) {
     const job = next.jobs.get(key.jobId);
     if (job !== undefined) {
+      next = changeRun(next, key, run, (one) => ({ ...one, incarnation }));
       next = commitRoom(next, key, workerId, roomOf(stepRequestOf(job.request, key.step)));
     }
     next = clearOrphan(next, key);
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -2,12 +2,18 @@
 import { Map as PersistentMap } from 'immutable';
 import { taskIdOf, type TaskKey } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
-import type { EndedReport, RunningReport, WorkerListing, WorkerReport } from '../model/worker.js';
+import type {
+  EndedReport,
+  HostListing,
+  RunningReport,
+  WorkerListing,
+  WorkerReport,
+} from '../model/worker.js';
 import type { ServiceStep } from './effect.js';
 import { handleRunEnd } from './ends.js';
 import type { ServiceEventOf } from './event.js';
 import { isWorkOver, offerLease, readClock } from './lease.js';
-import { orderStop, runFields } from './runs.js';
+import { orderStop, repeatStop, runFields } from './runs.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
 import {
   adoptOrphans,
@@ -43,6 +49,7 @@
     tasks: PersistentMap(),
     restUntil: 0,
     failuresInARow: 0,
+    restsInARow: 0,
     lastSuccessAt: null,
   };
 }
@@ -78,9 +85,10 @@
     workerId,
     address,
     incarnation,
-    fencingToken: state.fencingToken,
+    fencingEpoch: state.fencingEpoch,
     leaseUntil: leaseUntil > 0 ? leaseUntil : null,
-    acknowledgedEnd: worker.storedEnd,
+    // After a silence another life may listen under the same id, whose ends count from 1 again.
+    acknowledgedEnd: worker.silentSince === null ? worker.storedEnd : 0,
     waitMilliseconds: worker.isHeld ? state.parameters.reportWaitMilliseconds : 0,
     delayMilliseconds,
   };
@@ -105,51 +113,66 @@
   return yield* dropEach(state, [...runsOn(state, worker)], reason);
 }
 
+/** Time within which an order without an answer may still be carried out. */
+const LATE_ORDER_MILLISECONDS = 13_000;
+
+/** Whether an order to a former life of a worker may yet be carried out by the one that follows. */
+function mayGetLateStart(state: ServiceState, workerId: string): boolean {
+  const unansweredAt = state.unansweredStarts.get(workerId);
+  return unansweredAt !== undefined && state.now - unansweredAt < LATE_ORDER_MILLISECONDS;
+}
+
 function* addWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
   const { workerId, hostId, incarnation } = listing;
   yield { kind: 'log', decision: 'workerFound', fields: { workerId, hostId, incarnation } };
-  const added = setWorker(state, newWorker(state, listing));
+  const reborn = mayGetLateStart(state, workerId) ? workerId : state.reborn;
+  const added = setWorker({ ...state, reborn }, newWorker(state, listing));
   return yield* renewLease(adoptOrphans(added, workerId, incarnation), workerId, 0);
 }
 
+/** Time within which the start of another life under the same id is certainly noticed. */
+const REBIRTH_NOTICE_MILLISECONDS = 6_000;
+
+/** Whether an order to start a run may have reached, or may yet reach, the life that follows under the same id. */
+function mayBeOnNextLife(state: ServiceState, run: Run): boolean {
+  if (run.phase === 'recording') return false;
+  // A life that has just begun may have answered in place of a former one as young.
+  const isRecent = run.startedAt === null || state.now - run.startedAt < REBIRTH_NOTICE_MILLISECONDS;
+  return run.mayStartLate || isRecent;
+}
+
 /**
- * A worker came back under its old id. Orders that were sent to its former life may still reach it, since they
- * name the id: each such run is stopped there first.
+ * A worker came back under its old id. Orders that were sent to its former life name the id, so the new one may have
+ * taken them: what was answered is looked for in its lists, what was not is stopped there before it starts elsewhere.
  */
 function* replaceWorker(
   state: ServiceState,
   former: WorkerState,
   listing: WorkerListing,
 ): ServiceStep<ServiceState> {
-  const { workerId } = listing;
+  const { workerId, hostId, incarnation } = listing;
   yield {
     kind: 'log',
     decision: 'workerLost',
-    fields: {
-      workerId,
-      hostId: listing.hostId,
-      reason: 'it started again',
-      incarnation: former.listing.incarnation,
-    },
+    fields: { workerId, hostId, reason: 'it started again', incarnation: former.listing.incarnation },
   };
-  const doubtful = [...runsOn(state, former)].filter(
-    ([, run]) => run.mayStartLate || run.phase === 'starting',
+  const runs = [...runsOn(state, former)];
+  const kept = runs.filter(([, run]) => mayBeOnNextLife(state, run));
+  let next = yield* dropEach(
+    state,
+    runs.filter(([, run]) => !mayBeOnNextLife(state, run)),
+    'its worker started again',
   );
-  const kept = new Set(doubtful.map(([, run]) => run));
-  const over = [...runsOn(state, former)].filter(([, run]) => !kept.has(run));
-  let next = yield* dropEach(state, over, 'its worker started again');
-  for (const [key, run] of doubtful) {
-    next = changeRun(next, key, run, (one) => ({
-      ...one,
-      incarnation: listing.incarnation,
-      phase: 'running',
-    }));
+  const settledAt = state.now;
+  for (const [key, run] of kept) {
+    next = changeRun(next, key, run, (one) => ({ ...one, incarnation, phase: 'running', settledAt }));
   }
-  const orphanTaskIds = next.orphanTaskIds.union(doubtful.map(([key]) => taskIdOf(key)));
+  const orphanTaskIds = next.orphanTaskIds.union(kept.map(([key]) => taskIdOf(key)));
   next = yield* addWorker({ ...next, orphanTaskIds, workers: next.workers.remove(workerId) }, listing);
-  for (const [key] of doubtful) {
-    const moved = findTask(next, key)?.runs.find((one) => one.workerId === workerId);
-    if (moved !== undefined) next = yield* orderStop(next, key, moved, 'its worker started again');
+  for (const [key, run] of kept) {
+    const moved = findRun(findTask(next, key), workerId, incarnation, run.run);
+    const isDoubtful = run.mayStartLate || run.phase === 'starting';
+    if (moved !== null && isDoubtful) next = yield* orderStop(next, key, moved, 'its worker started again');
   }
   return next;
 }
@@ -173,7 +196,35 @@
   const { hostId, incarnation } = worker.listing;
   yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
   const gone = setWorker(state, { ...worker, isGone: true });
-  return yield* dropRuns(gone, { ...worker, isGone: true }, reason);
+  const over = [...runsOn(state, worker)].filter(([, run]) => !mayBeOnNextLife(state, run));
+  return yield* dropEach(gone, over, reason);
+}
+
+/** Gives up runs that a worker that is gone never started, once no order for them can come late. */
+function* dropUnstartedRuns(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const unstarted = worker.isGone ? [...runsOn(state, worker)] : [];
+    const over = unstarted.filter(
+      ([, run]) => state.now > (run.sentAt ?? run.placedAt) + LATE_ORDER_MILLISECONDS,
+    );
+    next = yield* dropEach(next, over, 'its worker is gone');
+  }
+  return next;
+}
+
+/** A host runs another worker under another id: orders that name the former one are refused there. */
+function* dropFormerRuns(state: ServiceState, hosts: readonly HostListing[]): ServiceStep<ServiceState> {
+  const current = new Map(hosts.map((host) => [host.hostId, host.workerId]));
+  let next = state;
+  for (const worker of state.workers.values()) {
+    const { hostId, workerId } = worker.listing;
+    const successor = current.get(hostId) ?? null;
+    if (worker.isGone && successor !== null && successor !== workerId) {
+      next = yield* dropRuns(next, worker, 'its host runs another worker');
+    }
+  }
+  return next;
 }
 
 /** Forgets workers that neither the register nor any run needs. */
@@ -218,6 +269,7 @@
       next = yield* renewLease(setWorker(next, { ...worker, isGone: false }), workerId, 0);
     }
   }
+  next = yield* dropFormerRuns(next, hosts);
   if (askedAt <= state.claimedAt) return next;
   return yield* dropOrphans(next, (workerId) => !alive.has(workerId), 'its host runs it no more');
 }
@@ -237,9 +289,10 @@
 
 /** Gives up runs on workers out of reach whose leases are certainly over. */
 export function* dropLapsedRuns(state: ServiceState): ServiceStep<ServiceState> {
-  let next = state;
+  let next = yield* dropUnstartedRuns(state);
   for (const worker of state.workers.values()) {
-    if (worker.silentSince !== null && !worker.tasks.isEmpty() && isWorkOver(state, worker)) {
+    const isOutOfReach = worker.silentSince !== null && !worker.isGone;
+    if (isOutOfReach && !worker.tasks.isEmpty() && isWorkOver(state, worker)) {
       const { workerId } = worker.listing;
       yield { kind: 'log', decision: 'leaseLapsed', fields: { workerId, leaseUntil: worker.leaseUntil } };
       next = yield* dropRuns(next, worker, 'its lease is over');
@@ -297,11 +350,16 @@
     kind: 'stop-run',
     address: { task: row.task, run: row.run, workerId, incarnation },
     workerAddress: address,
-    fencingToken: state.fencingToken,
+    fencingEpoch: state.fencingEpoch,
     delayMilliseconds: 0,
   };
 }
 
+/** An earlier owner started the run: the report shows our fencing token, so that owner's orders come too late now. */
+function isInherited({ phase, settledAt, sentAt }: Run): boolean {
+  return settledAt === null && (phase === 'running' || (phase === 'stopping' && sentAt === null));
+}
+
 /** Works in the runs that a report lists as going on, and those that it should list and does not. */
 function* workInRunning(
   state: ServiceState,
@@ -316,13 +374,13 @@
   for (const row of report.running) {
     const run = findRun(findTask(next, row.task), workerId, incarnation, row.run);
     if (run === null) yield* stopStray(next, worker, row);
+    else if (run.phase === 'stopping') next = yield* repeatStop(next, row.task, run);
     else next = noteRunning(next, workerId, incarnation, row);
   }
   const listed = new Map(report.running.map(({ task, run }) => [taskIdOf(task), run]));
   for (const [key, run] of [...runsOn(next, worker)]) {
     const isSettled = run.settledAt !== null && run.settledAt < askedAt;
-    const isInherited = run.phase === 'running' && run.settledAt === null;
-    if ((isSettled || isInherited) && listed.get(taskIdOf(key)) !== run.run) {
+    if ((isSettled || isInherited(run)) && listed.get(taskIdOf(key)) !== run.run) {
       yield {
         kind: 'log',
         decision: 'taskEnded',
@@ -358,8 +416,7 @@
     lastReportAt: before.now,
   });
   const clocked = readClock(noted, workerId, report.incarnation, report.clockMilliseconds, before.now);
-  const former = yield* dropOrphans(clocked, (id) => id === workerId, 'its worker started again');
-  const ended = yield* workInEnds(former, workerId, report.incarnation, report.ended);
+  const ended = yield* workInEnds(clocked, workerId, report.incarnation, report.ended);
   const running = yield* workInRunning(ended, workerId, report, askedAt);
   const reported = running.workers.get(workerId);
   // A worker answers at once while it holds ends that it may not forget: it is asked again once they are stored.
