Leave the fleet with the process that serves it, and test scheduling and adapter

Cause: every process that joins the group moves logs about. A wave was always in a hurry, from its first millisecond on. A front told an owner of a cancelling by a question that the owner answered without reading on.

Change: a process that is dealt the fleet claims it only when the last claimant does not answer that it serves it. An owner that stops records for how long each host is to rest. A wave hurries only when it is behind. Lasting tasks count as absent where their worker is gone or silent; only runs that may yet start are held. Cancellings are told in a message of their own. A start is checked against what must always hold, logged and not sent where it does not; a run whose worker is leaving by the time that it is recorded is placed anew.

Conclusion: what is dealt out at random should not decide who holds leases on hosts.

--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -21,7 +21,7 @@
   readonly runs: number;
   readonly accepted: number;
   readonly completed: number;
-  /** Lines on unexpected errors. */
+  /** Log lines on unexpected errors and on violations of what must hold. */
   readonly errors: readonly string[];
   readonly world: World;
 }
@@ -40,6 +40,9 @@
 /** Time after the last trouble in which all that was accepted must come to an end. */
 const REST_MILLISECONDS = 60_000;
 
+/** Log events that no play should bring about. */
+const UNEXPECTED = ['unexpectedError', 'invariantViolated'];
+
 /** Plays a schedule. */
 export async function playSchedule(options: PlayOptions): Promise<PlayResult> {
   const world = createWorld(options.seed, options.size);
@@ -58,6 +61,6 @@
   time.after(random.exponential(options.troubleEveryMilliseconds), next);
   await time.runUntil(until + REST_MILLISECONDS);
   await referee.checkRest();
-  const errors = world.log.filter((line) => line.includes('unexpectedError'));
+  const errors = world.log.filter((line) => UNEXPECTED.some((name) => line.includes(name)));
   return { violations: referee.violations, ...referee.counts(), errors, world };
 }
--- a/packages/scheduler/src/fleet/fleet-codec.ts
+++ b/packages/scheduler/src/fleet/fleet-codec.ts
@@ -8,6 +8,7 @@
 
 const HOST_PREFIX = 'host/';
 const WAVE_PREFIX = 'wave/';
+const RESIGNED_KEY = 'resigned';
 
 /** Content of a host's record; `what` is null once the order is over. */
 interface EncodedHost {
@@ -17,6 +18,11 @@
   readonly recordedAt: number;
 }
 
+interface EncodedResignation {
+  readonly rests: readonly { readonly hostId: string; readonly milliseconds: number }[];
+  readonly recordedAt: number;
+}
+
 interface EncodedWave {
   /** Milliseconds since 1970. */
   readonly seenSince: number;
@@ -37,6 +43,10 @@
       const content: EncodedHost = { what: null, isAccepted: true, recordedAt };
       return { key: HOST_PREFIX + record.hostId, value: encoder.encode(content) };
     }
+    case 'fleet-resigned': {
+      const content: EncodedResignation = { rests: record.rests, recordedAt };
+      return { key: RESIGNED_KEY, value: encoder.encode(content) };
+    }
     default: {
       const { begunHostIds, isCompleted } = record;
       const seenSince = record.seenSince.getTime();
@@ -71,6 +81,10 @@
   if (key.startsWith(HOST_PREFIX)) {
     return decodeHost(key.slice(HOST_PREFIX.length), decoder.decode(value) as EncodedHost);
   }
+  if (key === RESIGNED_KEY) {
+    const encoded = decoder.decode(value) as EncodedResignation;
+    return { kind: 'fleet-resigned', rests: encoded.rests, recordedAt: new Date(encoded.recordedAt) };
+  }
   if (!key.startsWith(WAVE_PREFIX)) return null;
   return decodeWave(Number(key.slice(WAVE_PREFIX.length)), decoder.decode(value) as EncodedWave);
 }
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -74,6 +74,8 @@
   readonly place: LogPlace;
   /** The hosts of a pool as last listed, and when that was asked for; null before the first list. */
   readonly hostsOf: (pool: string) => PoolHosts | null;
+  /** Whether the claim stands and was proven recently enough to give orders. */
+  readonly isServing: () => boolean;
   readonly stop: () => Promise<void>;
 }
 
@@ -283,7 +285,14 @@
       const ofPool = state.hosts.filter((host) => host.listing.pool === pool);
       return { hosts: [...ofPool.values()].map((host) => host.listing), askedAt: state.listedAt };
     },
+    isServing: () =>
+      state !== null &&
+      !closed &&
+      clock.steadyNow() - state.provenAt < parts.parameters.ownershipProofMilliseconds,
     stop: async () => {
+      // What is being stored comes first; the resignation follows it.
+      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
+      dispatch({ kind: 'resign-requested' });
       await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
       closed = true;
       writeEvent('serviceGivenUp', { service: null, subject: 'fleet', epoch: claimed?.epoch ?? null });
--- a/packages/scheduler/src/front/front.ts
+++ b/packages/scheduler/src/front/front.ts
@@ -157,8 +157,9 @@
     const until = untilOf(left);
     const stored = await store(place, encodeRecord({ kind: 'job-cancelled', jobId }), until, until);
     writeEvent('cancelTaken', { jobId, queue: queue.name, outcome: stored.kind });
-    // The owner reads its log up to the end before it answers: it learns of the cancelling at once.
-    if (stored.kind === 'accepted') void askStatus(queue, jobId, NOTICE_MILLISECONDS);
+    if (stored.kind === 'accepted') {
+      void ask(queue, { kind: 'job-cancelled', service: queue.service, jobId }, NOTICE_MILLISECONDS);
+    }
     return { kind: stored.kind === 'accepted' ? 'cancelled' : 'unavailable' };
   };
 
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -1,5 +1,6 @@
 /** One process of the scheduler: its part of the services, its peers and its callers. */
 import type { WriteEvent } from '@baobabdeck/observability';
+import { createFleetStandby } from '../fleet/fleet-standby.js';
 import { createFleetOwner } from '../fleet/fleet-owner.js';
 import { findQueue } from '../front/find-queue.js';
 import { createFront } from '../front/front.js';
@@ -71,6 +72,7 @@
     clock,
     ownerOf: (service) => logs.serviceOf(service),
     fleet: () => logs.fleet(),
+    fleetHolder: () => standby.holder(),
   });
   const peerAddress = await peers.listen(async (content) => {
     const question = readQuestion(content);
@@ -86,9 +88,12 @@
     answerHere,
   });
 
+  const standby = createFleetStandby({ store, clock, member, ask: questions.askMember });
+
   const logs = createOwnedLogs({
     clock,
     layout: keeper.layout,
+    whenFleetIsVacant: standby.look,
     openService: (place, service, onGivenUp) => {
       const owner = createServiceOwner({
         service,
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -18,6 +18,8 @@
     onGivenUp: (claimsAgain: boolean) => void,
   ) => ServiceOwner;
   readonly openFleet: (place: LogPlace, onSuperseded: () => void) => FleetOwner;
+  /** Calls back where no other process serves the fleet. */
+  readonly whenFleetIsVacant: (place: LogPlace, onVacant: () => void) => void;
 }
 
 /** The logs that this process owns. */
@@ -33,7 +35,8 @@
 }
 
 /** Creates the logs of a process that owns none yet. */
-export function createOwnedLogs({ clock, layout, openService, openFleet }: OwnedLogsParts): OwnedLogs {
+export function createOwnedLogs(parts: OwnedLogsParts): OwnedLogs {
+  const { clock, layout, openService, openFleet, whenFleetIsVacant } = parts;
   const owners = new Map<string, ServiceOwner>();
   const supersededAt = new Map<string, number>();
   let fleet: FleetOwner | null = null;
@@ -67,14 +70,18 @@
     forget(lost);
   };
 
+  const claimFleet = (place: LogPlace): void => {
+    if (fleet !== null || stopping) return;
+    const opened = openFleet(place, () => noteSuperseded(opened));
+    fleet = opened;
+  };
+
   const open = (subject: string, place: LogPlace): void => {
     const service = serviceOf(subject);
     const reclaimAt = (supersededAt.get(placeKey(place)) ?? -Infinity) + RECLAIM_PAUSE_MILLISECONDS;
     if (clock.steadyNow() <= reclaimAt) return;
     if (service === null) {
-      if (fleet !== null) return;
-      const opened = openFleet(place, () => noteSuperseded(opened));
-      fleet = opened;
+      if (fleet === null) whenFleetIsVacant(place, () => claimFleet(place));
     } else if (!owners.has(placeKey(place))) {
       const opened = openService(place, service, (claimsAgain) => {
         if (claimsAgain) forget(opened);
@@ -87,8 +94,8 @@
 
   const follow = async (places: readonly LogPlace[]): Promise<void> => {
     const isDealt = (place: LogPlace): boolean => places.some((dealt) => isSamePlace(dealt, place));
+    // The fleet stays here: whomever it is dealt to leaves it with the process that serves it.
     await giveUpServices((owner) => !isDealt(owner.place));
-    if (fleet !== null && !isDealt(fleet.place)) await giveUpFleet();
     if (stopping) return;
     [...layout()].filter(([, place]) => isDealt(place)).forEach(([subject, place]) => open(subject, place));
   };
--- a/packages/scheduler/src/peers/ask-owner.ts
+++ b/packages/scheduler/src/peers/ask-owner.ts
@@ -1,5 +1,6 @@
 /** Asks the owner of a service, or of the fleet, wherever it is. */
 import type { Layout } from '../node/layout.js';
+import { parseMember, type MemberName } from '../node/member-name.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { LogPlace } from '../ports/index.js';
 import type { OwnerDirectory } from './directory.js';
@@ -27,16 +28,23 @@
   readonly askOnce: (subject: string, question: PeerQuestion) => Promise<PeerAnswer | null>;
   /** Asks again until an owner answers or the time is over. */
   readonly askUntil: (subject: string, question: PeerQuestion, until: number) => Promise<PeerAnswer | null>;
+  /** Asks one process; null where it does not answer. */
+  readonly askMember: (member: MemberName, question: PeerQuestion) => Promise<PeerAnswer | null>;
 }
 
 /** Creates the questions. */
 export function createOwnerQuestions(parts: AskOwnerParts): OwnerQuestions {
   const { clock, directory } = parts;
 
+  const askMember = async (member: MemberName, question: PeerQuestion): Promise<PeerAnswer | null> =>
+    readAnswer(await directory.ask(member, question, QUESTION_MILLISECONDS));
+
   const askElsewhere = async (place: LogPlace, question: PeerQuestion): Promise<PeerAnswer | null> => {
     const owner = await directory.ownerOf(place);
     if (owner === null) return null;
-    return readAnswer(await directory.ask(owner, question, QUESTION_MILLISECONDS));
+    const answer = await askMember(owner, question);
+    const holder = answer?.kind === 'held-by' ? parseMember(answer.member) : null;
+    return holder === null ? answer : askMember(holder, question);
   };
 
   const askOnce = async (subject: string, question: PeerQuestion): Promise<PeerAnswer | null> => {
@@ -62,5 +70,5 @@
     }
   };
 
-  return { askOnce, askUntil };
+  return { askOnce, askUntil, askMember };
 }
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -17,6 +17,9 @@
   queue: z.string(),
 });
 
+/** A process tells a service's owner that a cancelling is stored, which its next read would show. */
+const cancelNotice = z.object({ kind: z.literal('job-cancelled'), service: z.string(), jobId: z.string() });
+
 /** The fleet's owner tells a service's owner its wishes and asks how it does. */
 const fleetQuestion = z.object({
   kind: z.literal('service-report'),
@@ -31,6 +34,9 @@
 /** A process asks the fleet's owner for the hosts of a pool. */
 const hostsQuestion = z.object({ kind: z.literal('hosts-of-pool'), pool: z.string() });
 
+/** A process asks another whether it serves the fleet now. */
+const heldQuestion = z.object({ kind: z.literal('fleet-held') });
+
 const host = z.object({
   hostId: z.string(),
   pool: z.string(),
@@ -44,8 +50,10 @@
 const question = z.discriminatedUnion('kind', [
   statusQuestion,
   pendingQuestion,
+  cancelNotice,
   fleetQuestion,
   hostsQuestion,
+  heldQuestion,
 ]);
 
 /** A question to the owner of a service. */
@@ -58,6 +66,7 @@
       readonly status: 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
     }
   | { readonly kind: 'unknown-job' }
+  | { readonly kind: 'cancel-noted' }
   | { readonly kind: 'pending-count'; readonly pending: number }
   | { readonly kind: 'service-report'; readonly report: ServiceReport }
   | {
@@ -66,6 +75,10 @@
       /** Time since the list was asked for, when it was passed on. */
       readonly ageMilliseconds: number;
     }
+  /** The process asked serves the fleet. */
+  | { readonly kind: 'fleet-held' }
+  /** Another process serves the fleet; its name is that of a member. */
+  | { readonly kind: 'held-by'; readonly member: string }
   /** The process asked does not own the service, or does not know yet. */
   | { readonly kind: 'not-owner' };
 
@@ -75,6 +88,7 @@
     status: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
   }),
   z.object({ kind: z.literal('unknown-job') }),
+  z.object({ kind: z.literal('cancel-noted') }),
   z.object({ kind: z.literal('pending-count'), pending: z.number() }),
   z.object({
     kind: z.literal('service-report'),
@@ -98,6 +112,8 @@
     }),
   }),
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
+  z.object({ kind: z.literal('fleet-held') }),
+  z.object({ kind: z.literal('held-by'), member: z.string() }),
   z.object({ kind: z.literal('not-owner') }),
 ]);
 
--- a/packages/scheduler/src/peers/peer-desk.ts
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -6,6 +6,7 @@
   type ServiceState,
 } from '@baobabdeck/scheduling';
 import type { FleetOwner } from '../fleet/fleet-owner.js';
+import { formatMember, type MemberName } from '../node/member-name.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { ServiceOwner } from '../owner/service-owner.js';
 import type { PeerAnswer, PeerQuestion } from './messages.js';
@@ -17,6 +18,8 @@
   readonly clock: SteadyClock;
   readonly ownerOf: (service: string) => ServiceOwner | null;
   readonly fleet: () => FleetOwner | null;
+  /** The process that serves the fleet in this one's place; null for none. */
+  readonly fleetHolder: () => MemberName | null;
 }
 
 /** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
@@ -29,6 +32,13 @@
   return state === null ? NOT_OWNER : { kind: 'service-report', report: selectServiceReport(state) };
 }
 
+function noteCancel(owner: ServiceOwner, jobId: string): PeerAnswer {
+  const records = [{ offset: 0, record: { kind: 'job-cancelled' as const, jobId } }];
+  // The notice proves no ownership, so it counts as asked for before the claim.
+  owner.dispatch({ kind: 'records-read', records, askedAt: -Infinity });
+  return { kind: 'cancel-noted' };
+}
+
 /** A job that the state does not know may have been accepted a moment ago: the log is read to its end first. */
 async function answerStatus(
   owner: ServiceOwner,
@@ -50,8 +60,11 @@
   clock,
   ownerOf,
   fleet,
+  fleetHolder,
 }: PeerDeskParts): (question: PeerQuestion) => Promise<PeerAnswer> {
   const answerHosts = (pool: string): PeerAnswer => {
+    const holder = fleet() === null ? fleetHolder() : null;
+    if (holder !== null) return { kind: 'held-by', member: formatMember(holder) };
     const listed = fleet()?.hostsOf(pool) ?? null;
     if (listed === null) return NOT_OWNER;
     const ageMilliseconds = clock.steadyNow() - listed.askedAt;
@@ -59,11 +72,15 @@
   };
 
   return async (question) => {
+    if (question.kind === 'fleet-held') {
+      return fleet()?.isServing() === true ? { kind: 'fleet-held' } : NOT_OWNER;
+    }
     if (question.kind === 'hosts-of-pool') return answerHosts(question.pool);
     const owner = ownerOf(question.service);
     const state = owner?.state() ?? null;
     if (owner === null || state === null) return NOT_OWNER;
     if (question.kind === 'service-report') return answerFleet(owner, question);
+    if (question.kind === 'job-cancelled') return noteCancel(owner, question.jobId);
     if (question.kind === 'pending-count') {
       return { kind: 'pending-count', pending: selectPendingCount(state, question.queue) };
     }
--- /dev/null
+++ b/packages/scheduling/src/__tests__/service-play.ts
@@ -0,0 +1,217 @@
+/** Plays events on one service's scheduler and answers what it asks of the store. */
+import type { JobRequest, StepRequest, TaskKey } from '../model/job.js';
+import type { WorkerListing, WorkerReport } from '../model/worker.js';
+import type { ServiceEffect } from '../service/effect.js';
+import type { ServiceEvent } from '../service/event.js';
+import { reduceService } from '../service/reduce.js';
+import { restoreService } from '../service/restore.js';
+import type { ServiceState } from '../service/state.js';
+
+type Body = ServiceEvent extends infer E
+  ? E extends ServiceEvent
+    ? Omit<E, 'at' | 'timeOfDay'>
+    : never
+  : never;
+
+export type EffectOf<K extends ServiceEffect['kind']> = Extract<ServiceEffect, { readonly kind: K }>;
+
+/** Cores and gigabytes of every worker of a play. */
+export const CAPACITY = { milliCores: 4_000, memoryMegabytes: 8_192, accelerators: 0 };
+
+export const STEP: StepRequest = {
+  taskCount: 1,
+  needs: { milliCores: 1_000, memoryMegabytes: 512, accelerators: 0 },
+  estimatedMilliseconds: 1_000,
+  after: [],
+  savesCheckpoints: false,
+  isGang: false,
+  prefersOneRack: false,
+  requiredLabel: null,
+  rackOfData: null,
+  maximumPerWorker: null,
+  allowsCopies: false,
+  isLasting: false,
+  image: null,
+  tailTargetMilliseconds: null,
+  usesSpareCapacity: false,
+  maximumAbsent: null,
+};
+
+const DAY = new Date('2026-01-01T00:00:00Z').getTime();
+
+export function jobOf(
+  jobId: string,
+  steps: readonly Partial<StepRequest>[],
+  terms: Partial<JobRequest> = {},
+): JobRequest {
+  return {
+    jobId,
+    service: 'quotes',
+    queue: 'quotes',
+    specification: 'work',
+    steps: steps.map((step) => ({ ...STEP, ...step })),
+    repetition: null,
+    priority: 0,
+    maximumFailedRuns: 3,
+    stretch: 2,
+    targetMilliseconds: 500,
+    advice: null,
+    ageMilliseconds: 0,
+    acceptedAt: new Date(DAY),
+    ...terms,
+  };
+}
+
+export function keyOf(jobId: string, index = 0, step = 0): TaskKey {
+  return { jobId, occurrence: 0, step, index };
+}
+
+function listingOf(name: string, fields: Partial<WorkerListing>): WorkerListing {
+  return {
+    workerId: name,
+    incarnation: 1,
+    hostId: `host-of-${name}`,
+    pool: 'quotes',
+    address: name,
+    dataCentre: 'west',
+    isDraining: false,
+    capacity: CAPACITY,
+    labels: [],
+    rack: `rack-of-${name}`,
+    clockMilliseconds: 10_000,
+    ...fields,
+  };
+}
+
+/** One play. */
+export interface ServicePlay {
+  readonly state: () => ServiceState;
+  /** Dispatches an event and returns its effects, those of appends that were answered included. */
+  readonly dispatch: (body: Body) => readonly ServiceEffect[];
+  readonly pass: (milliseconds: number) => readonly ServiceEffect[];
+  /** Lists workers, all of which answer that they run nothing. */
+  readonly addWorkers: (
+    names: readonly string[],
+    fields?: Partial<WorkerListing>,
+  ) => readonly ServiceEffect[];
+  readonly accept: (...requests: readonly JobRequest[]) => readonly ServiceEffect[];
+  /** A worker's lists as of now. */
+  readonly report: (workerId: string, lists: Partial<WorkerReport>) => readonly ServiceEffect[];
+  /** Every run that was started and has not been settled is taken by its worker. */
+  readonly settleStarts: () => void;
+}
+
+export function effectsOf<K extends ServiceEffect['kind']>(
+  effects: readonly ServiceEffect[],
+  kind: K,
+): readonly EffectOf<K>[] {
+  return effects.filter((effect): effect is EffectOf<K> => effect.kind === kind);
+}
+
+/** Workers on which runs are started, in order. */
+export function startsOf(effects: readonly ServiceEffect[]): readonly string[] {
+  return effectsOf(effects, 'start-run').map(({ address }) => address.workerId);
+}
+
+const CLAIMED_AT = 1_000_000;
+
+export function createPlay(): ServicePlay {
+  let now = CLAIMED_AT;
+  let offset = 0;
+  let listed: readonly WorkerListing[] = [];
+  let started: readonly EffectOf<'start-run'>[] = [];
+  let { state } = restoreService({
+    service: 'quotes',
+    parameters: {
+      leaseMilliseconds: 5_000,
+      ownershipProofMilliseconds: 5_000,
+      reportWaitMilliseconds: 1_000,
+      silenceMilliseconds: 500,
+      statusRetentionMilliseconds: 120_000,
+      gangTimeoutMilliseconds: 3_000,
+      remoteFactor: 2,
+      absenceNoticeMilliseconds: 4_500,
+    },
+    fencingEpoch: 1,
+    now,
+    timeOfDay: new Date(DAY),
+    claimedAt: now,
+    provenAt: now,
+    records: [],
+  });
+
+  const step = (body: Body): readonly ServiceEffect[] => {
+    const effects: ServiceEffect[] = [];
+    const timeOfDay = new Date(DAY + now - CLAIMED_AT);
+    const steps = reduceService(state, { ...body, at: now, timeOfDay });
+    let result = steps.next();
+    while (!result.done) {
+      effects.push(result.value);
+      result = steps.next();
+    }
+    state = result.value;
+    return effects;
+  };
+
+  const dispatch = (body: Body): readonly ServiceEffect[] => {
+    const effects = [...step(body)];
+    // What is stored may bring further appends about; each is answered in turn.
+    for (let index = 0; index < effects.length; index += 1) {
+      const effect = effects[index];
+      if (effect?.kind === 'store-records') {
+        effects.push(...step({ kind: 'records-stored', appendId: effect.appendId, askedAt: now }));
+      }
+    }
+    started = [...started, ...effectsOf(effects, 'start-run')];
+    return effects;
+  };
+
+  const report: ServicePlay['report'] = (workerId, lists) =>
+    dispatch({
+      kind: 'worker-reported',
+      workerId,
+      askedAt: now,
+      report: {
+        incarnation: state.workers.get(workerId)?.listing.incarnation ?? 1,
+        clockMilliseconds: 10_000 + now - CLAIMED_AT,
+        running: [],
+        ended: [],
+        ...lists,
+      },
+    });
+
+  return {
+    state: () => state,
+    dispatch,
+    pass: (milliseconds) => {
+      now += milliseconds;
+      dispatch({ kind: 'records-read', records: [], askedAt: now });
+      return dispatch({ kind: 'ticked' });
+    },
+    addWorkers: (names, fields = {}) => {
+      listed = [...listed, ...names.map((name) => listingOf(name, fields))];
+      const found = dispatch({ kind: 'workers-listed', workers: listed });
+      return [...found, ...names.flatMap((name) => report(name, {}))];
+    },
+    accept: (...requests) => {
+      const records = requests.map((request) => {
+        offset += 1;
+        return { offset, record: { kind: 'job-accepted' as const, request } };
+      });
+      return dispatch({ kind: 'records-read', records, askedAt: now });
+    },
+    report,
+    settleStarts: () => {
+      const settled = started;
+      started = [];
+      settled.forEach(({ address }) =>
+        dispatch({
+          kind: 'start-settled',
+          address,
+          outcome: 'started',
+          clockMilliseconds: 10_000 + now - CLAIMED_AT,
+        }),
+      );
+    },
+  };
+}
--- a/packages/scheduling/src/decide/room.ts
+++ b/packages/scheduling/src/decide/room.ts
@@ -10,19 +10,21 @@
   readonly room: Resources;
 }
 
+/** Whether a worker shuts down, or its host is wanted for something else: it gets no new task. */
+export function isLeaving(state: ServiceState, { listing, hold }: WorkerState): boolean {
+  const isReleased = state.releasedWorkers.get(listing.workerId) === listing.incarnation;
+  return hold.kind === 'leaving' || listing.isDraining || isReleased;
+}
+
 /** Whether a worker may get new tasks now. */
 export function isUsable(state: ServiceState, worker: WorkerState): boolean {
-  const { listing } = worker;
-  const isReleased = state.releasedWorkers.get(listing.workerId) === listing.incarnation;
   return (
     worker.isListed &&
     worker.isHeld &&
     !worker.isGone &&
     worker.silentSince === null &&
-    worker.hold.kind === 'none' &&
     worker.restUntil <= state.now &&
-    !listing.isDraining &&
-    !isReleased
+    !isLeaving(state, worker)
   );
 }
 
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -55,6 +55,8 @@
       readonly isStored: boolean;
     }
   | { readonly kind: 'ownership-lost' }
+  /** The process stops: the fleet is handed over. */
+  | { readonly kind: 'resign-requested' }
 );
 
 /** The events of one kind. */
--- a/packages/scheduling/src/fleet/hosts.ts
+++ b/packages/scheduling/src/fleet/hosts.ts
@@ -5,7 +5,7 @@
 
 function newHost(state: FleetState, listing: HostState['listing']): HostState {
   const restUntil = state.earlierOrderedHosts.get(listing.hostId) ?? 0;
-  return { listing, order: null, wish: null, restUntil };
+  return { listing, order: null, wish: null, restUntil, orderedAt: null };
 }
 
 /** Whether an accepted order is over: the host is up again, as a list that was asked for after it says. */
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -62,7 +62,8 @@
 
 /** Whether our ownership is proven recently enough to give orders. */
 export function mayOrder(state: FleetState): boolean {
-  return state.now - state.provenAt < state.parameters.ownershipProofMilliseconds;
+  const isProven = state.now - state.provenAt < state.parameters.ownershipProofMilliseconds;
+  return isProven && !state.isResigning;
 }
 
 /** When an earlier owner's last order on a host is certainly long enough ago for ours. */
@@ -83,7 +84,8 @@
   if (host === undefined || host.order === null || host.order.phase !== 'recording') return state;
   // Token 0 is that of orders without one.
   const fencingEpoch = offset + 1;
-  const sent: HostState = { ...host, order: { ...host.order, phase: 'sent', fencingEpoch } };
+  const order: HostOrder = { ...host.order, phase: 'sent', fencingEpoch };
+  const sent: HostState = { ...host, order, orderedAt: state.now };
   yield {
     kind: 'log',
     decision: 'hostOrdered',
@@ -159,7 +161,8 @@
   if (outcome === 'unanswered' || outcome === 'throttled') {
     yield* giveOrder(state, host, REPEAT_PAUSE_MILLISECONDS);
     const unansweredAt = outcome === 'unanswered' ? state.now : host.order.unansweredAt;
-    return setHost(state, { ...host, order: { ...host.order, unansweredAt } });
+    const orderedAt = state.now + REPEAT_PAUSE_MILLISECONDS;
+    return setHost(state, { ...host, orderedAt, order: { ...host.order, unansweredAt } });
   }
   yield {
     kind: 'log',
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -4,6 +4,7 @@
 import type { FleetEvent, FleetStep } from './event.js';
 import { handleFleetHostsListed } from './hosts.js';
 import {
+  addRecord,
   earlierOrdersOverAt,
   flushFleet,
   handleFleetRecordsStored,
@@ -11,7 +12,14 @@
   wantHost,
 } from './orders.js';
 import { balancePools } from './pools.js';
-import type { FleetParameters, FleetRecord, FleetState, HostOrderKind, WaveState } from './state.js';
+import type {
+  FleetParameters,
+  FleetRecord,
+  FleetState,
+  HostOrderKind,
+  HostState,
+  WaveState,
+} from './state.js';
 import { advanceWaves, handleWaveAsked, handleWaveStatusTold } from './waves.js';
 import { dropStaleWishes, handleServiceReported } from './wishes.js';
 
@@ -56,6 +64,11 @@
   const longest = claimedAt + holderLeaseMilliseconds + ownershipProofMilliseconds;
   const isOpen = record.kind === 'host-ordered' && !record.isAccepted;
   if (isOpen) return longest;
+  const newest = parts.records.at(-1);
+  if (newest?.kind === 'fleet-resigned' && 'hostId' in record) {
+    const rest = newest.rests.find(({ hostId }) => hostId === record.hostId);
+    return claimedAt + (rest?.milliseconds ?? 0);
+  }
   const age = timeOfDay.getTime() - record.recordedAt.getTime();
   return Math.min(longest, now + holderLeaseMilliseconds + CLOCK_TOLERANCE_MILLISECONDS - age);
 }
@@ -69,7 +82,7 @@
   const open = new Map<string, HostOrderKind>();
   for (const record of records) {
     if (record.kind === 'host-ordered' && !record.isAccepted) open.set(record.hostId, record.what);
-    else if (record.kind !== 'wave-progress') open.delete(record.hostId);
+    else if ('hostId' in record) open.delete(record.hostId);
   }
   return {
     parameters,
@@ -90,6 +103,7 @@
     ),
     inheritedOrders: PersistentMap(open),
     isSuperseded: false,
+    isResigning: false,
   };
 }
 
@@ -108,6 +122,17 @@
   return state;
 }
 
+/** Gives no more orders, and records how long those of the last moments are to be respected. */
+function resign(state: FleetState): FleetState {
+  const { holderLeaseMilliseconds } = state.parameters;
+  const restOn = ({ restUntil, orderedAt }: HostState): number =>
+    Math.max(restUntil, (orderedAt ?? -Infinity) + holderLeaseMilliseconds) - state.now;
+  const rests = [...state.hosts.values()]
+    .map((host) => ({ hostId: host.listing.hostId, milliseconds: restOn(host) }))
+    .filter(({ milliseconds }) => milliseconds > 0);
+  return addRecord({ ...state, isResigning: true }, { kind: 'fleet-resigned', rests });
+}
+
 function* tick(state: FleetState): FleetStep<FleetState> {
   const resumed = dropStaleWishes(resumeOrders(state));
   return yield* balancePools(yield* advanceWaves(resumed));
@@ -137,6 +162,8 @@
       return yield* handleHostOrderSettled(state, event);
     case 'wave-status-told':
       return handleWaveStatusTold(state, event);
+    case 'resign-requested':
+      return resign(state);
     case 'ownership-lost':
       yield { kind: 'give-up-ownership', reason: 'the store has seen a newer owner' };
       return { ...state, isSuperseded: true };
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -31,8 +31,10 @@
   readonly listing: HostListing;
   readonly order: HostOrder | null;
   readonly wish: HostWish | null;
-  /** The platform refused an order on it; no other is given before. */
+  /** The platform refused an order on it, or an earlier owner gave one; no other is given before. */
   readonly restUntil: Instant;
+  /** When this owner last gave an order on it; null for never. */
+  readonly orderedAt: Instant | null;
 }
 
 /** A wave that the operator asks for. */
@@ -82,6 +84,11 @@
       readonly seenSince: Date;
       readonly begunHostIds: readonly string[];
       readonly isCompleted: boolean;
+    }
+  | {
+      /** The owner gives no more orders. What it ordered a moment ago is left alone for the rest of that time. */
+      readonly kind: 'fleet-resigned';
+      readonly rests: readonly { readonly hostId: string; readonly milliseconds: number }[];
     };
 
 /** A record of the fleet's journal; the time is that of the owner that wrote it. */
@@ -117,4 +124,6 @@
   /** Recorded orders of an earlier owner that were not accepted as far as is known. */
   readonly inheritedOrders: PersistentMap<string, HostOrderKind>;
   readonly isSuperseded: boolean;
+  /** It hands the fleet over and gives no more orders. */
+  readonly isResigning: boolean;
 }
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -78,7 +78,7 @@
   const elapsed = state.timeOfDay.getTime() - wave.seenSince.getTime();
   const target = wave.durationMilliseconds * TARGET_SHARE;
   const expected = wave.hostIds.length * (1 - elapsed / target);
-  return left > expected;
+  return left > Math.ceil(expected);
 }
 
 function isPoolSpared(state: FleetState, wave: WaveState, host: HostState): boolean {
--- /dev/null
+++ b/packages/scheduling/src/invariants/check-start.ts
@@ -0,0 +1,67 @@
+/** What must hold whenever a task is started; docs/INVARIANTS.md tells what each rule is for. */
+import { isLeaving } from '../decide/room.js';
+import type { StepRequest, TaskKey } from '../model/job.js';
+import type { JobState, Run, ServiceState, StepState } from '../service/state.js';
+import { stepRequestOf } from '../service/tasks.js';
+
+/** The rules on starts, by name. */
+export type StartInvariant =
+  | 'starts-what-was-asked'
+  | 'starts-once'
+  | 'starts-after-earlier-steps'
+  | 'starts-within-attempts'
+  | 'leaving-worker-gets-no-task';
+
+/** A start that must not happen, and why. */
+export interface StartFault {
+  readonly invariant: StartInvariant;
+  readonly detail: string;
+}
+
+function isStepDone(steps: readonly StepState[], step: number): boolean {
+  const earlier = steps[step];
+  return earlier !== undefined && earlier.tasks.every((task) => task.isDone);
+}
+
+function* findTaskFaults(
+  job: JobState,
+  request: StepRequest,
+  steps: readonly StepState[],
+  key: TaskKey,
+  run: Run,
+): Generator<StartFault, void, void> {
+  const task = steps[key.step]?.tasks[key.index];
+  if (task === undefined || task.isDone) {
+    yield { invariant: 'starts-once', detail: 'the task is done' };
+    return;
+  }
+  if (!request.allowsCopies && task.runs.some((other) => other.run !== run.run)) {
+    yield { invariant: 'starts-once', detail: 'another run of the task is not over' };
+  }
+  const open = request.after.filter((earlier) => !isStepDone(steps, earlier));
+  if (open.length > 0) {
+    yield { invariant: 'starts-after-earlier-steps', detail: `step ${open[0]} is not done` };
+  }
+  if (!request.isLasting && task.failedRuns >= job.request.maximumFailedRuns) {
+    yield { invariant: 'starts-within-attempts', detail: `${task.failedRuns} runs have failed` };
+  }
+}
+
+/** Every reason against the start of a run; none where all is well. */
+export function* findStartFaults(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+): Generator<StartFault, void, void> {
+  const job = state.jobs.get(key.jobId);
+  const steps = job?.occurrences.get(key.occurrence)?.steps;
+  if (job === undefined || job.phase !== 'active' || steps === undefined) {
+    yield { invariant: 'starts-what-was-asked', detail: 'the job is not active' };
+    return;
+  }
+  yield* findTaskFaults(job, stepRequestOf(job.request, key.step), steps, key, run);
+  const worker = state.workers.get(run.workerId);
+  if (worker !== undefined && isLeaving(state, worker)) {
+    yield { invariant: 'leaving-worker-gets-no-task', detail: `worker ${run.workerId} is leaving` };
+  }
+}
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -17,20 +17,25 @@
 /** How far the emptying of a host has come. */
 export type ReleaseProgress = 'released' | 'draining' | 'unknown';
 
-function isAtWork(run: Run): boolean {
+/** Whether a run is known to work at full speed on a worker that answers. */
+function isAtWork(state: ServiceState, run: Run): boolean {
   const FULL_SPEED_PERCENT = 100;
-  return run.phase === 'running' && run.startedAt !== null && run.percent === FULL_SPEED_PERCENT;
+  const worker = state.workers.get(run.workerId);
+  const isAnswering = worker !== undefined && !worker.isGone && worker.silentSince === null;
+  const isKnown = run.phase === 'running' && run.startedAt !== null;
+  return isAnswering && isKnown && run.percent === FULL_SPEED_PERCENT;
 }
 
 /** Other tasks of a step that are not at work, or not known to be. */
-function countOthersAbsent(step: StepState, run: Run): number {
-  return step.tasks.filter((task) => !task.runs.includes(run) && !task.runs.some(isAtWork)).length;
+function countOthersAbsent(state: ServiceState, step: StepState, run: Run): number {
+  const isPresent = (other: Run): boolean => isAtWork(state, other);
+  return step.tasks.filter((task) => !task.runs.includes(run) && !task.runs.some(isPresent)).length;
 }
 
 /** Whether a lasting task may be taken away now: not while as many others of its step are absent as may be. */
-function mayTakeAway(step: StepState, request: StepRequest, run: Run): boolean {
+function mayTakeAway(state: ServiceState, step: StepState, request: StepRequest, run: Run): boolean {
   if (request.maximumAbsent === null) return true;
-  return countOthersAbsent(step, run) < request.maximumAbsent;
+  return countOthersAbsent(state, step, run) < request.maximumAbsent;
 }
 
 /** Whether another worker could take a task now. */
@@ -69,7 +74,7 @@
   // What is on a worker that shuts down ends with it, so no wait helps.
   if (worker.listing.isDraining) return request.isLasting || request.savesCheckpoints;
   if (!hasPlaceElsewhere(state, key, step, request)) return false;
-  return request.isLasting ? mayTakeAway(step, request, run) : request.savesCheckpoints;
+  return request.isLasting ? mayTakeAway(state, step, request, run) : request.savesCheckpoints;
 }
 
 function* emptyWorker(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -1,4 +1,6 @@
 /** Starts and stops runs, and works in what workers answer to that. */
+import { isLeaving } from '../decide/room.js';
+import { findStartFaults } from '../invariants/check-start.js';
 import type { TaskKey } from '../model/job.js';
 import { taskIdOf } from '../model/job.js';
 import type { SchedulingFields, ServiceStep } from './effect.js';
@@ -81,8 +83,24 @@
   return isDue ? yield* sendStop(state, key, run, 0) : state;
 }
 
-/** Starts a run whose record is stored. */
+/** Whether the worker that a run was placed on may still get it. */
+function mayStart(state: ServiceState, run: Run): boolean {
+  const worker = workerOf(state, run);
+  return worker !== null && !worker.isGone && !isLeaving(state, worker);
+}
+
+/** Starts a run whose record is stored. One whose worker is leaving meanwhile is placed anew. */
 export function* orderStart(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
+  if (!mayStart(state, run)) return removeRun(state, key, run);
+  const faults = [...findStartFaults(state, key, run)];
+  for (const { invariant, detail } of faults) {
+    yield {
+      kind: 'log',
+      decision: 'invariantViolated',
+      fields: { ...runFields(key, run), invariant, detail },
+    };
+  }
+  if (faults.length > 0) return removeRun(state, key, run);
   const starting: Run = { ...run, phase: 'starting', settledAt: null };
   const changed = changeRun(state, key, run, () => starting);
   return yield* sendStart(changed, key, starting, 0);
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -133,12 +133,15 @@
 /** Time within which the start of another life under the same id is certainly noticed. */
 const REBIRTH_NOTICE_MILLISECONDS = 6_000;
 
-/** Whether an order to start a run may have reached, or may yet reach, the life that follows under the same id. */
+/** Whether an order to start a run may yet be carried out, by the life that follows under the same id too. */
+function mayStartYet(run: Run): boolean {
+  return run.phase !== 'recording' && (run.mayStartLate || run.startedAt === null);
+}
+
+/** Whether a run may be on the life that follows: one that has just begun may have answered in place of the former. */
 function mayBeOnNextLife(state: ServiceState, run: Run): boolean {
-  if (run.phase === 'recording') return false;
-  // A life that has just begun may have answered in place of a former one as young.
-  const isRecent = run.startedAt === null || state.now - run.startedAt < REBIRTH_NOTICE_MILLISECONDS;
-  return run.mayStartLate || isRecent;
+  const isRecent = run.startedAt !== null && state.now - run.startedAt < REBIRTH_NOTICE_MILLISECONDS;
+  return mayStartYet(run) || (run.phase !== 'recording' && isRecent);
 }
 
 /**
@@ -196,7 +199,7 @@
   const { hostId, incarnation } = worker.listing;
   yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
   const gone = setWorker(state, { ...worker, isGone: true });
-  const over = [...runsOn(state, worker)].filter(([, run]) => !mayBeOnNextLife(state, run));
+  const over = [...runsOn(state, worker)].filter(([, run]) => !mayStartYet(run));
   return yield* dropEach(gone, over, reason);
 }
 
@@ -213,13 +216,13 @@
   return next;
 }
 
-/** A host runs another worker under another id: orders that name the former one are refused there. */
+/** A host runs another worker under another id, or is there no more: orders that name the former one go nowhere. */
 function* dropFormerRuns(state: ServiceState, hosts: readonly HostListing[]): ServiceStep<ServiceState> {
   const current = new Map(hosts.map((host) => [host.hostId, host.workerId]));
   let next = state;
   for (const worker of state.workers.values()) {
     const { hostId, workerId } = worker.listing;
-    const successor = current.get(hostId) ?? null;
+    const successor = current.get(hostId);
     if (worker.isGone && successor !== null && successor !== workerId) {
       next = yield* dropRuns(next, worker, 'its host runs another worker');
     }
