Serve metrics, a status and explanations, and never wait for the reader of the log

Cause: the process on the users' platform had logs only, written in a way that waits for their reader (writes to a pipe block), and nothing told operators what it knows.

Change: lines go through a buffer of 1 MB that is written aside; what does not fit is dropped and counted.

--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -2,5 +2,6 @@
 export * from './admin-server.js';
 export * from './event-log.js';
 export * from './log-events.js';
+export * from './log-output.js';
 export * from './metrics.js';
 export * from './tracing.js';
--- /dev/null
+++ b/packages/observability/src/log-output.test.ts
@@ -0,0 +1,46 @@
+import { closeSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { describe } from '@baobabdeck/test-tools';
+import { createEventLog } from './event-log.js';
+import { openLogOutput } from './log-output.js';
+
+const MORE_THAN_FITS = 2_000_000;
+
+describe('the output of a log', ({ it }) => {
+  it('writes its lines in their order', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-log-${process.pid}`);
+    const file = openSync(path, 'w');
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    const writeEvent = createEventLog({ program: 'test', processId: 'p', level: 'info', output });
+    writeEvent('processStarted', { place: 1 });
+    writeEvent('processStopped', { place: 2 });
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    output.finish();
+    const lines = readFileSync(path, 'utf8').trim().split('\n');
+    t.deepEqual(
+      lines.map((line) => (JSON.parse(line) as { place: number }).place),
+      [1, 2],
+    );
+    closeSync(file);
+    rmSync(path);
+  });
+
+  it('drops and counts what its reader does not take, and goes on', (t) => {
+    const path = join(tmpdir(), `baobabdeck-full-log-${process.pid}`);
+    const file = openSync(path, 'w');
+    let dropped = 0;
+    const output = openLogOutput(file, () => {
+      dropped += 1;
+    });
+    // Nothing is written within one turn of the loop, as if the reader stood still.
+    output.write(`${'a'.repeat(MORE_THAN_FITS)}\n`);
+    output.write('b\n');
+    output.write(`${'c'.repeat(MORE_THAN_FITS)}\n`);
+    t.true(dropped > 0);
+    closeSync(file);
+    rmSync(path);
+  });
+});
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -23,6 +23,8 @@
   readonly foldedOffset: Gauge<'stream'>;
   readonly ready: Gauge;
   readonly decisions: Counter<'decision'>;
+  readonly jobSeconds: Histogram<'service' | 'phase'>;
+  readonly droppedLogLines: Counter;
 }
 
 /** Creates the metrics of one process, in a registry of its own. */
@@ -67,5 +69,12 @@
     foldedOffset: gauge('folded_offset', 'Next offset to fold', ['stream']),
     ready: gauge('ready', '1 when the balancer may send requests', []),
     decisions: counter('decisions_total', 'Logged decisions by name', ['decision']),
+    jobSeconds: histogram(
+      'job_seconds',
+      'Time from the arrival of a job at its owner to its end',
+      ['service', 'phase'],
+      DURATION_BUCKETS,
+    ),
+    droppedLogLines: counter('log_lines_dropped_total', 'Log lines that nobody read in time', []),
   };
 }
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -72,6 +72,8 @@
 /** The owned fleet. */
 export interface FleetOwner {
   readonly place: LogPlace;
+  /** The state of the fleet; null until the claim stands. */
+  readonly state: () => FleetState | null;
   /** The hosts of a pool as last listed, and when that was asked for; null before the first list. */
   readonly hostsOf: (pool: string) => PoolHosts | null;
   /** Whether the claim stands and was proven recently enough to give orders. */
@@ -280,6 +282,7 @@
   void begin();
   return {
     place,
+    state: () => state,
     hostsOf: (pool) => {
       if (state === null || state.listedAt === null) return null;
       const ofPool = state.hosts.filter((host) => host.listing.pool === pool);
--- /dev/null
+++ b/packages/scheduler/src/node/explain.ts
@@ -0,0 +1,170 @@
+/** Tells operators what this process knows: of itself, and of a job, a worker, a host or a pool. */
+import type { FleetState, ServiceState, TaskState } from '@baobabdeck/scheduling';
+import type { OwnedLogs } from './owned-logs.js';
+
+/** One service that this process owns. */
+interface ServiceStatus {
+  readonly service: string;
+  readonly epoch: number;
+  readonly jobs: number;
+  readonly activeJobs: number;
+  readonly workers: number;
+  readonly silentWorkers: readonly string[];
+  readonly leavingHosts: readonly string[];
+  /** Age of the last proof of ownership, in milliseconds. */
+  readonly provenAgoMilliseconds: number;
+}
+
+/** What a process knows of itself. */
+export interface NodeStatus {
+  readonly services: readonly ServiceStatus[];
+  /** Null where another process serves the fleet. */
+  readonly fleet: {
+    readonly hosts: number;
+    readonly waves: readonly { readonly wave: number; readonly hosts: number; readonly begun: number }[];
+    readonly orders: readonly string[];
+  } | null;
+}
+
+function describeService(state: ServiceState, now: number): ServiceStatus {
+  const workers = [...state.workers.values()];
+  return {
+    service: state.service,
+    epoch: state.fencingEpoch,
+    jobs: state.jobs.size,
+    activeJobs: state.activeJobIds.size,
+    workers: workers.filter((worker) => worker.isHeld && !worker.isGone).length,
+    silentWorkers: workers.flatMap(({ silentSince, listing }) =>
+      silentSince === null ? [] : [listing.workerId],
+    ),
+    leavingHosts: workers.flatMap(({ hold, listing }) => (hold.kind === 'leaving' ? [listing.hostId] : [])),
+    provenAgoMilliseconds: Math.round(now - state.provenAt),
+  };
+}
+
+function describeFleet(state: FleetState): NonNullable<NodeStatus['fleet']> {
+  return {
+    hosts: state.hosts.size,
+    waves: [...state.waves.values()].map(({ wave, hostIds, begunHostIds }) => ({
+      wave,
+      hosts: hostIds.length,
+      begun: begunHostIds.size,
+    })),
+    orders: [...state.hosts.values()].flatMap(({ order, listing }) =>
+      order === null ? [] : [listing.hostId],
+    ),
+  };
+}
+
+/** What the owned services and the fleet are at. */
+export function selectStatus(logs: OwnedLogs, now: number): NodeStatus {
+  const services = logs.services().flatMap((owner) => owner.state() ?? []);
+  const fleet = logs.fleet()?.state() ?? null;
+  return {
+    services: services.map((state) => describeService(state, now)),
+    fleet: fleet === null ? null : describeFleet(fleet),
+  };
+}
+
+function describeTasks(tasks: readonly TaskState[]): unknown {
+  return {
+    tasks: tasks.length,
+    done: tasks.filter((task) => task.isDone).length,
+    failedRuns: tasks.reduce((sum, task) => sum + task.failedRuns, 0),
+    runs: tasks.flatMap((task, index) =>
+      task.runs.map(({ run, workerId, phase }) => ({ task: index, run, workerId, phase })),
+    ),
+  };
+}
+
+function explainJob(states: readonly ServiceState[], jobId: string): unknown {
+  for (const state of states) {
+    const job = state.jobs.get(jobId);
+    if (job !== undefined) {
+      return {
+        service: state.service,
+        queue: job.request.queue,
+        phase: job.phase,
+        recordedPhase: job.recordedPhase,
+        ageMilliseconds: Math.round(state.now - job.arrivedAt),
+        occurrences: [...job.occurrences.values()].map(({ occurrence, steps }) => ({
+          occurrence,
+          steps: steps.map(({ tasks, readySince }) => ({
+            isReady: readySince !== null,
+            ...(describeTasks(tasks) as object),
+          })),
+        })),
+      };
+    }
+  }
+  return null;
+}
+
+function explainWorker(states: readonly ServiceState[], workerId: string): unknown {
+  for (const state of states) {
+    const worker = state.workers.get(workerId);
+    if (worker !== undefined) {
+      const { listing, isHeld, isGone, silentSince, hold, restUntil, committed } = worker;
+      return {
+        service: state.service,
+        hostId: listing.hostId,
+        isDraining: listing.isDraining,
+        isHeld,
+        isGone,
+        silentForMilliseconds: silentSince === null ? null : Math.round(state.now - silentSince),
+        restsForMilliseconds: Math.max(0, Math.round(restUntil - state.now)),
+        hold: hold.kind,
+        capacity: listing.capacity,
+        committed,
+        tasks: [...worker.tasks.keys()],
+      };
+    }
+  }
+  return null;
+}
+
+function explainHost(fleet: FleetState | null, hostId: string): unknown {
+  const host = fleet?.hosts.get(hostId);
+  if (fleet === null || host === undefined) return null;
+  return {
+    ...host.listing,
+    order: host.order,
+    wish: host.wish,
+    restsForMilliseconds: Math.max(0, Math.round(host.restUntil - fleet.now)),
+  };
+}
+
+function explainPool(fleet: FleetState | null, pool: string): unknown {
+  if (fleet === null) return null;
+  const known = fleet.reports.get(pool);
+  const hosts = [...fleet.hosts.values()].filter(({ listing }) => listing.pool === pool);
+  if (known === undefined && hosts.length === 0) return null;
+  return {
+    hosts: hosts.map(({ listing, order, wish }) => ({
+      hostId: listing.hostId,
+      state: listing.state,
+      order: order?.what ?? null,
+      wish: wish?.what ?? null,
+    })),
+    reportAgeMilliseconds: known === undefined ? null : Math.round(fleet.now - known.at),
+    report: known?.report ?? null,
+  };
+}
+
+/** What this process knows of a subject; null where it knows nothing, as of what other processes own. */
+export function explainSubject(logs: OwnedLogs, kind: string, name: string): unknown {
+  const states = logs.services().flatMap((owner) => owner.state() ?? []);
+  const fleet = logs.fleet()?.state() ?? null;
+  switch (kind) {
+    case 'job':
+      return explainJob(states, name);
+    case 'worker':
+      return explainWorker(states, name);
+    case 'host':
+      return explainHost(fleet, name);
+    case 'pool':
+      return explainPool(fleet, name);
+    default:
+      return null;
+  }
+}
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -21,6 +21,7 @@
 } from '../ports/index.js';
 import { followConfiguration } from './configuration.js';
 import { subjectOf, topicsOf } from './layout.js';
+import { explainSubject, selectStatus, type NodeStatus } from './explain.js';
 import { createLayoutKeeper } from './layout-keeper.js';
 import { formatMember } from './member-name.js';
 import { takeMembership } from './membership.js';
@@ -50,6 +51,9 @@
 /** A running process. */
 export interface SchedulerNode {
   readonly callers: CallerService;
+  readonly status: () => NodeStatus;
+  /** What this process knows of a job, worker, host or pool; null where it knows nothing. */
+  readonly explain: (kind: string, name: string) => unknown;
   readonly stop: () => Promise<void>;
 }
 
@@ -169,6 +173,8 @@
       isStopping: () => stopping,
       bodyLimitBytes: () => follower.current()?.limits.bodyBytes ?? null,
     },
+    status: () => selectStatus(logs, clock.steadyNow()),
+    explain: (kind, name) => explainSubject(logs, kind, name),
     stop: async () => {
       stopping = true;
       await logs.stop();
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,7 +11,7 @@
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreParts } from './service/restore.js';
 export { selectJobStatus, selectPendingCount } from './service/selectors.js';
-export type { Instant, ServiceState } from './service/state.js';
+export type { Instant, ServiceState, TaskState } from './service/state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
 export { reduceFleet, restoreFleet, type FleetRestoreParts } from './fleet/reduce.js';
 export type { FleetParameters, FleetRecord, FleetState, HostOrderKind, PoolTerms } from './fleet/state.js';
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -170,7 +170,8 @@
 ): ServiceStep<ServiceState> {
   const job = state.jobs.get(jobId);
   if (job === undefined || job.phase !== 'active') return state;
-  yield { kind: 'log', decision: 'jobEnded', fields: { jobId, phase, reason } };
+  const milliseconds = Math.round(state.now - job.arrivedAt);
+  yield { kind: 'log', decision: 'jobEnded', fields: { jobId, phase, reason, milliseconds } };
   let next = touchJob(state, { ...job, phase, endedInVersion: job.version + 1 });
   for (const [key, run] of runsOfJob(job)) {
     next = run.phase === 'recording' ? removeRun(next, key, run) : yield* orderStop(next, key, run, reason);
