Send callers elsewhere while the store does not answer this process

It said that it was ready, so the balancer kept sending.

Change: a process notes when the store last answered it. 0.7 s later it refuses new jobs at once as not run, and gives up on questions to owners. It asks three others whether the store answers them: where one is answered, or none is reached, it is not ready. Reads of the configuration wait for 0.9 s, and 0.9 s for their answer.

Conclusion: a refusal at once is worth little where the caller comes back to the same process; the balancer has to know.

--- a/packages/scheduler/src/front/front.ts
+++ b/packages/scheduler/src/front/front.ts
@@ -27,6 +27,8 @@
 /** When a caller is to come back after the store refused to take its job. */
 const STORE_REFUSED_RETRY_SECONDS = 1;
 
+const STORE_LOST = 'the store does not answer this process';
+
 /** Share of a caller's patience for which a job is offered to a store that refuses it. */
 const STORE_PATIENCE_SHARE = 0.5;
 
@@ -40,6 +42,8 @@
   readonly writer: SubmissionWriter;
   readonly layout: () => Layout;
   readonly questions: OwnerQuestions;
+  /** The store does not answer this process; others may reach it. */
+  readonly isStoreLost: () => boolean;
 }
 
 /** What callers can have done. */
@@ -88,7 +92,7 @@
       if (outcome.kind === 'stored') return { kind: 'accepted', offset: outcome.firstOffset };
       doubtful ||= outcome.kind === 'unknown';
       const now = clock.steadyNow();
-      if (!doubtful && now >= refuseAt) {
+      if (!doubtful && (now >= refuseAt || parts.isStoreLost())) {
         return {
           kind: 'refused',
           reason: 'the store takes nothing now',
@@ -113,6 +117,10 @@
       writeEvent('jobRefused', { ...fields, reason: 'the service has no log yet' });
       return { kind: 'refused', reason: 'the service has no log yet', retryAfterSeconds: 1 };
     }
+    if (parts.isStoreLost()) {
+      writeEvent('jobRefused', { ...fields, reason: STORE_LOST });
+      return { kind: 'refused', reason: STORE_LOST, retryAfterSeconds: STORE_REFUSED_RETRY_SECONDS };
+    }
     const refuseAt = startedAt + patienceMilliseconds * STORE_PATIENCE_SHARE;
     const records = encodeRecord({ kind: 'job-accepted', request });
     const answer = await store(place, records, untilOf(patienceMilliseconds), refuseAt);
--- a/packages/scheduler/src/node/configuration.ts
+++ b/packages/scheduler/src/node/configuration.ts
@@ -9,7 +9,8 @@
 } from '../ports/index.js';
 import type { SteadyClock } from './steady-clock.js';
 
-const READ_WAIT_MILLISECONDS = 5_000;
+/** The longest that a read waits: one whose answer is lost must not hide a new configuration for long. */
+const READ_WAIT_MILLISECONDS = 900;
 const FAILURE_PAUSE_MILLISECONDS = 150;
 
 /** What is in force. */
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -27,6 +27,8 @@
 import { takeMembership } from './membership.js';
 import { createOwnedLogs } from './owned-logs.js';
 import type { SchedulerSettings } from './settings.js';
+import { watchStanding } from './standing.js';
+import { watchStore } from './store-contact.js';
 import type { SteadyClock } from './steady-clock.js';
 import { followWorkerNews, type WorkerNews } from './worker-news.js';
 
@@ -59,7 +61,8 @@
 
 /** Starts a process. Rejects when its port is taken. */
 export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
-  const { settings, clock, writeEvent, store, feed, hosts, peers } = parts;
+  const { settings, clock, writeEvent, feed, hosts, peers } = parts;
+  const { store, isLost: isStoreLost } = watchStore(parts.store, clock);
   const { nodeName } = settings;
   let stopping = false;
 
@@ -77,6 +80,7 @@
     ownerOf: (service) => logs.serviceOf(service),
     fleet: () => logs.fleet(),
     fleetHolder: () => standby.holder(),
+    isStoreLost,
   });
   const peerAddress = await peers.listen(async (content) => {
     const question = readQuestion(content);
@@ -90,8 +94,15 @@
     layout: keeper.layout,
     isOwnedHere: (place) => logs.has(place),
     answerHere,
+    isStoreLost,
   });
 
+  const standing = watchStanding({
+    clock,
+    isStoreLost,
+    peers: () => directory.members().filter((one) => formatMember(one) !== member),
+    ask: questions.askMember,
+  });
   const standby = createFleetStandby({ store, clock, member, ask: questions.askMember });
 
   const logs = createOwnedLogs({
@@ -155,6 +166,7 @@
     clock,
     writeEvent,
     writer: createSubmissionWriter(store),
+    isStoreLost,
     layout: keeper.layout,
     questions,
   });
@@ -162,6 +174,9 @@
   const readiness = (): ReturnType<CallerService['readiness']> => {
     if (stopping) return { isReady: false, reason: 'stopping' };
     if (follower.current() === null) return { isReady: false, reason: 'no configuration yet' };
+    if (standing.isBetterElsewhere()) {
+      return { isReady: false, reason: 'the store does not answer this process' };
+    }
     return { isReady: true, reason: 'ready' };
   };
 
@@ -180,6 +195,7 @@
       await logs.stop();
       await membership.leave();
       await clock.sleep(DRAIN_MILLISECONDS);
+      standing.close();
       keeper.close();
       follower.close();
       news.close();
--- /dev/null
+++ b/packages/scheduler/src/node/standing.ts
@@ -0,0 +1,57 @@
+/**
+ * Decides whether callers are better served by other processes while the store does not answer this one. Where the store
+ * answers nobody, callers stay: every process would send them away, and they would find none once it is back.
+ */
+import type { PeerAnswer, PeerQuestion } from '../peers/messages.js';
+import type { MemberName } from './member-name.js';
+import type { SteadyClock } from './steady-clock.js';
+
+/** Time between two looks. */
+const LOOK_MILLISECONDS = 250;
+
+/** Other processes that are asked at a time. */
+const PEERS_ASKED = 3;
+
+/** What the decision needs. */
+export interface StandingParts {
+  readonly clock: SteadyClock;
+  readonly isStoreLost: () => boolean;
+  /** Other processes that are known. */
+  readonly peers: () => readonly MemberName[];
+  readonly ask: (member: MemberName, question: PeerQuestion) => Promise<PeerAnswer | null>;
+}
+
+/** The standing of this process. */
+export interface Standing {
+  readonly isBetterElsewhere: () => boolean;
+  readonly close: () => void;
+}
+
+/** Begins to watch. */
+export function watchStanding({ clock, isStoreLost, peers, ask }: StandingParts): Standing {
+  let isBetterElsewhere = false;
+  let closed = false;
+
+  const look = async (): Promise<boolean> => {
+    const asked = peers().slice(0, PEERS_ASKED);
+    const answers = await Promise.all(asked.map((member) => ask(member, { kind: 'store-contact' })));
+    const known = answers.flatMap((answer) => (answer?.kind === 'store-contact' ? [answer.isLost] : []));
+    // Nobody answers: this process is cut off, not the store.
+    return known.length === 0 || known.some((isLost) => !isLost);
+  };
+
+  const run = async (): Promise<void> => {
+    while (!closed) {
+      await clock.sleep(LOOK_MILLISECONDS);
+      isBetterElsewhere = isStoreLost() && (await look()) && isStoreLost();
+    }
+  };
+  void run();
+
+  return {
+    isBetterElsewhere: () => isBetterElsewhere,
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- a/packages/scheduler/src/peers/ask-owner.ts
+++ b/packages/scheduler/src/peers/ask-owner.ts
@@ -20,6 +20,8 @@
   readonly isOwnedHere: (place: LogPlace) => boolean;
   /** Answers from this process's own state. */
   readonly answerHere: (question: PeerQuestion) => Promise<PeerAnswer>;
+  /** The store does not answer this process, which then cannot learn of new owners. */
+  readonly isStoreLost: () => boolean;
 }
 
 /** Questions to owners. */
@@ -65,7 +67,7 @@
   ): Promise<PeerAnswer | null> => {
     for (;;) {
       const answer = await askOnce(subject, question);
-      if (answer !== null || clock.steadyNow() >= until) return answer;
+      if (answer !== null || clock.steadyNow() >= until || parts.isStoreLost()) return answer;
       await clock.sleep(RETRY_PAUSE_MILLISECONDS);
     }
   };
--- a/packages/scheduler/src/peers/directory.ts
+++ b/packages/scheduler/src/peers/directory.ts
@@ -1,5 +1,5 @@
 /** Knows which process owns which log. */
-import { parseMember, type MemberName } from '../node/member-name.js';
+import { formatMember, parseMember, type MemberName } from '../node/member-name.js';
 import { placeKey } from '../node/layout.js';
 import { SCHEDULER_GROUP } from '../node/membership.js';
 import type { SteadyClock } from '../node/steady-clock.js';
@@ -14,6 +14,8 @@
 /** The owners, and calls to them. */
 export interface OwnerDirectory {
   readonly ownerOf: (place: LogPlace) => Promise<MemberName | null>;
+  /** Every process that was in the list when it was last read. */
+  readonly members: () => readonly MemberName[];
   /** Asks a member; null where no answer came in time. */
   readonly ask: (member: MemberName, question: unknown, timeoutMilliseconds: number) => Promise<unknown>;
   /** The list is out of date: the next question reads it again. */
@@ -52,6 +54,7 @@
       if (clock.steadyNow() - readAt > FRESH_MILLISECONDS) await refresh();
       return owners.get(placeKey(place)) ?? null;
     },
+    members: () => [...new Map([...owners.values()].map((name) => [formatMember(name), name])).values()],
     ask: (member, question, timeoutMilliseconds) =>
       peers.ask(member.peerAddress, question, timeoutMilliseconds),
     distrust: () => {
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -34,6 +34,9 @@
 /** A process asks the fleet's owner for the hosts of a pool. */
 const hostsQuestion = z.object({ kind: z.literal('hosts-of-pool'), pool: z.string() });
 
+/** A process that the store does not answer asks another whether it is answered. */
+const contactQuestion = z.object({ kind: z.literal('store-contact') });
+
 /** A process asks another whether it serves the fleet now. */
 const heldQuestion = z.object({ kind: z.literal('fleet-held') });
 
@@ -54,6 +57,7 @@
   fleetQuestion,
   hostsQuestion,
   heldQuestion,
+  contactQuestion,
 ]);
 
 /** A question to the owner of a service. */
@@ -75,6 +79,7 @@
       /** Time since the list was asked for, when it was passed on. */
       readonly ageMilliseconds: number;
     }
+  | { readonly kind: 'store-contact'; readonly isLost: boolean }
   /** The process asked serves the fleet. */
   | { readonly kind: 'fleet-held' }
   /** Another process serves the fleet; its name is that of a member. */
@@ -112,6 +117,7 @@
     }),
   }),
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
+  z.object({ kind: z.literal('store-contact'), isLost: z.boolean() }),
   z.object({ kind: z.literal('fleet-held') }),
   z.object({ kind: z.literal('held-by'), member: z.string() }),
   z.object({ kind: z.literal('not-owner') }),
--- a/packages/scheduler/src/peers/peer-desk.ts
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -20,6 +20,7 @@
   readonly fleet: () => FleetOwner | null;
   /** The process that serves the fleet in this one's place; null for none. */
   readonly fleetHolder: () => MemberName | null;
+  readonly isStoreLost: () => boolean;
 }
 
 /** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
@@ -61,6 +62,7 @@
   ownerOf,
   fleet,
   fleetHolder,
+  isStoreLost,
 }: PeerDeskParts): (question: PeerQuestion) => Promise<PeerAnswer> {
   const answerHosts = (pool: string): PeerAnswer => {
     const holder = fleet() === null ? fleetHolder() : null;
@@ -72,6 +74,7 @@
   };
 
   return async (question) => {
+    if (question.kind === 'store-contact') return { kind: 'store-contact', isLost: isStoreLost() };
     if (question.kind === 'fleet-held') {
       return fleet()?.isServing() === true ? { kind: 'fleet-held' } : NOT_OWNER;
     }
--- a/packages/scheduling/src/service/demand.test.ts
+++ b/packages/scheduling/src/__tests__/demand.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
-import { offeredMilliCores } from './demand.js';
+import { offeredMilliCores } from '../service/demand.js';
 
 const NOW = 100_000;
 const WORK = 600_000;
