Part what is known of workers from what they report and lose

Change: reports.ts and losses.ts beside workers.ts; nothing else moves. Emulated callers pause as real ones are told to. A test asks processes for their status and explanations.

--- a/packages/fleet-emulator/src/__tests__/random-play.test.ts
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -44,6 +44,24 @@
     });
   });
 
+  it('tell what they know of themselves, of jobs, workers, hosts and pools', async (t) => {
+    const { world } = await playSchedule({ ...SMALL_PLAY, seed: 7 });
+    const nodes = world.nodes.flatMap((node) => node.running() ?? []);
+    const services = nodes.flatMap((node) => node.status().services.map(({ service }) => service));
+    t.deepEqual([...services].sort(), ['service-0', 'service-1']);
+    t.is(nodes.filter((node) => node.status().fleet !== null).length, 1);
+    const known = (kind: string, name: string): readonly unknown[] =>
+      nodes.map((node) => node.explain(kind, name)).filter((explanation) => explanation !== null);
+    const [jobId = ''] = world.plans.keys();
+    t.is(known('job', jobId).length, 1);
+    t.is(known('host', 'host-0').length, 1);
+    t.is(known('pool', 'service-0').length, 1);
+    const worker = [...world.fleet.hosts.values()].flatMap((host) => host.worker?.listing() ?? [])[0];
+    t.is(known('worker', worker?.workerId ?? '').length, 1);
+    t.deepEqual(known('job', 'nobody'), []);
+    t.deepEqual(known('weather', 'today'), []);
+  });
+
   it('play alike from the same seed', async (t) => {
     const once = await playSchedule({ ...SMALL_PLAY, seed: 7 });
     const again = await playSchedule({ ...SMALL_PLAY, seed: 7 });
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -150,8 +150,9 @@
   let isAnswered = false;
   void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
     isAnswered = true;
-    if (answer.kind === 'unavailable') cancel(world, jobId, queue);
-    else world.referee.onCancelAcknowledged(jobId);
+    if (answer.kind === 'unavailable') {
+      world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
+    } else world.referee.onCancelAcknowledged(jobId);
   });
   world.time.after(2 * PATIENCE_MILLISECONDS, () => {
     if (!isAnswered) cancel(world, jobId, queue);
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -11,14 +11,9 @@
 import { handleStartSettled, handleStopSettled, orderStop, workerOf } from './runs.js';
 import type { ServiceState } from './state.js';
 import { findTask } from './tasks.js';
-import {
-  dropLapsedRuns,
-  handleHostsListed,
-  handleWorkerReported,
-  handleWorkersListed,
-  handleWorkerSilent,
-  renewIdleLeases,
-} from './workers.js';
+import { dropLapsedRuns } from './losses.js';
+import { handleWorkerReported, handleWorkerSilent } from './reports.js';
+import { handleHostsListed, handleWorkersListed, renewIdleLeases } from './workers.js';
 
 function* giveUp(state: ServiceState, reason: string): ServiceStep<ServiceState> {
   if (state.isSuperseded) return state;
--- /dev/null
+++ b/packages/scheduling/src/service/reports.ts
@@ -0,0 +1,173 @@
+/** Works in what workers answer: the runs that they list, those that ended, and silence. */
+import { taskIdOf } from '../model/job.js';
+import type { EndedReport, RunningReport, WorkerReport } from '../model/worker.js';
+import type { ServiceStep } from './effect.js';
+import { handleRunEnd } from './ends.js';
+import type { ServiceEventOf } from './event.js';
+import { readClock } from './lease.js';
+import { repeatStop, runFields } from './runs.js';
+import type { Run, ServiceState, WorkerState } from './state.js';
+import { changeRun, findRun, findTask, removeRun, runsOn, setWorker } from './tasks.js';
+import { renewLease, replaceWorker } from './workers.js';
+
+/** Pause before a worker that did not answer is asked again. */
+const SILENT_PAUSE_MILLISECONDS = 200;
+
+function* workInEnds(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  ended: readonly EndedReport[],
+): ServiceStep<ServiceState> {
+  const processed = state.workers.get(workerId)?.processedEnd ?? 0;
+  let next = state;
+  for (const { number, task, run: runNumber, end, checkpoint } of ended) {
+    const run = number > processed ? findRun(findTask(next, task), workerId, incarnation, runNumber) : null;
+    if (run !== null) next = yield* handleRunEnd(next, task, run, end, checkpoint);
+  }
+  const worker = next.workers.get(workerId);
+  if (worker === undefined) return next;
+  const processedEnd = Math.max(processed, ...ended.map(({ number }) => number));
+  return setWorker(next, { ...worker, processedEnd });
+}
+
+function noteRunning(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  row: RunningReport,
+): ServiceState {
+  const run = findRun(findTask(state, row.task), workerId, incarnation, row.run);
+  const isKnown = run?.startedAt !== null && run?.percent === row.percent;
+  if (run === null || (isKnown && run.phase !== 'starting')) return state;
+  return changeRun(state, row.task, run, (one) => ({
+    ...one,
+    phase: one.phase === 'starting' || one.phase === 'recording' ? 'running' : one.phase,
+    settledAt: one.settledAt ?? state.now,
+    startedAt: one.startedAt ?? state.now,
+    percent: row.percent,
+  }));
+}
+
+/** A worker runs what we have no run for: an order that was carried out late, or a job that is forgotten. */
+function* stopStray(state: ServiceState, worker: WorkerState, row: RunningReport): ServiceStep<void> {
+  const { workerId, incarnation, address } = worker.listing;
+  yield {
+    kind: 'log',
+    decision: 'strayRunStopped',
+    fields: { jobId: row.task.jobId, run: row.run, workerId },
+  };
+  yield {
+    kind: 'stop-run',
+    address: { task: row.task, run: row.run, workerId, incarnation },
+    workerAddress: address,
+    fencingEpoch: state.fencingEpoch,
+    delayMilliseconds: 0,
+  };
+}
+
+/** An earlier owner started the run: the report shows our fencing token, so that owner's orders come too late now. */
+function isInherited({ phase, settledAt, sentAt }: Run): boolean {
+  return settledAt === null && (phase === 'running' || (phase === 'stopping' && sentAt === null));
+}
+
+/** Works in the runs that a report lists as going on, and those that it should list and does not. */
+function* workInRunning(
+  state: ServiceState,
+  workerId: string,
+  report: WorkerReport,
+  askedAt: number,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  const { incarnation } = report;
+  let next = state;
+  for (const row of report.running) {
+    const run = findRun(findTask(next, row.task), workerId, incarnation, row.run);
+    if (run === null) yield* stopStray(next, worker, row);
+    else if (run.phase === 'stopping') next = yield* repeatStop(next, row.task, run);
+    else next = noteRunning(next, workerId, incarnation, row);
+  }
+  const listed = new Map(report.running.map(({ task, run }) => [taskIdOf(task), run]));
+  for (const [key, run] of [...runsOn(next, worker)]) {
+    const isSettled = run.settledAt !== null && run.settledAt < askedAt;
+    if ((isSettled || isInherited(run)) && listed.get(taskIdOf(key)) !== run.run) {
+      yield {
+        kind: 'log',
+        decision: 'taskEnded',
+        fields: { ...runFields(key, run), end: 'not on its worker' },
+      };
+      next = removeRun(next, key, run);
+    }
+  }
+  return next;
+}
+
+/** Works in a worker's report and asks for the next one. */
+export function* handleWorkerReported(
+  before: ServiceState,
+  { workerId, report, askedAt }: ServiceEventOf<'worker-reported'>,
+): ServiceStep<ServiceState> {
+  const worker = before.workers.get(workerId);
+  if (worker === undefined) return before;
+  if (report.incarnation !== worker.listing.incarnation) {
+    return yield* handleOtherLife(before, worker, report);
+  }
+  if (worker.silentSince !== null) {
+    const silentMilliseconds = Math.round(before.now - worker.silentSince);
+    yield { kind: 'log', decision: 'workerBack', fields: { workerId, silentMilliseconds } };
+  }
+  const isNew = !worker.isHeld || worker.silentSince !== null;
+  const due = { ...before, placementIsDue: before.placementIsDue || isNew };
+  const noted = setWorker(due, {
+    ...worker,
+    reportPending: false,
+    isHeld: true,
+    silentSince: null,
+    lastReportAt: before.now,
+  });
+  const clocked = readClock(noted, workerId, report.incarnation, report.clockMilliseconds, before.now);
+  const ended = yield* workInEnds(clocked, workerId, report.incarnation, report.ended);
+  const running = yield* workInRunning(ended, workerId, report, askedAt);
+  const reported = running.workers.get(workerId);
+  // A worker answers at once while it holds ends that it may not forget: it is asked again once they are stored.
+  const awaitsStore = reported !== undefined && reported.processedEnd > reported.storedEnd;
+  return awaitsStore ? running : yield* renewLease(running, workerId, 0);
+}
+
+/** The worker is another life than the register says: a newer one, or the register is ahead. */
+function* handleOtherLife(
+  state: ServiceState,
+  worker: WorkerState,
+  report: WorkerReport,
+): ServiceStep<ServiceState> {
+  const settled = setWorker(state, { ...worker, reportPending: false });
+  if (report.incarnation < worker.listing.incarnation) {
+    return yield* renewLease(settled, worker.listing.workerId, SILENT_PAUSE_MILLISECONDS);
+  }
+  const listing = {
+    ...worker.listing,
+    incarnation: report.incarnation,
+    clockMilliseconds: report.clockMilliseconds,
+  };
+  return yield* replaceWorker(settled, { ...worker, reportPending: false }, listing);
+}
+
+/** A worker did not answer: it is asked again, and the list of hosts is looked at. */
+export function* handleWorkerSilent(
+  state: ServiceState,
+  { workerId, askedAt }: ServiceEventOf<'worker-silent'>,
+): ServiceStep<ServiceState> {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  if (worker.silentSince === null) {
+    yield { kind: 'log', decision: 'workerSilent', fields: { workerId, tasks: worker.tasks.size } };
+    yield { kind: 'list-hosts' };
+  }
+  const silent = setWorker(state, {
+    ...worker,
+    reportPending: false,
+    silentSince: worker.silentSince ?? askedAt,
+  });
+  return yield* renewLease(silent, workerId, SILENT_PAUSE_MILLISECONDS);
+}
