Write the last lines of the log before the process ends, in their order

Change: the output ends with what is under way, for half a second at most, and the process exits then.

Conclusion: an end is a wait, not a second writer.

--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -15,16 +15,13 @@
     const writeEvent = createEventLog({ program: 'test', processId: 'p', level: 'info', output });
     writeEvent('processStarted', { place: 1 });
     writeEvent('processStopped', { place: 2 });
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-    output.finish();
+    await output.finish();
+    writeEvent('processStopped', { place: 3 });
     const lines = readFileSync(path, 'utf8').trim().split('\n');
     t.deepEqual(
       lines.map((line) => (JSON.parse(line) as { place: number }).place),
       [1, 2],
     );
-    closeSync(file);
     rmSync(path);
   });
 
--- a/packages/observability/src/log-output.ts
+++ b/packages/observability/src/log-output.ts
@@ -7,32 +7,36 @@
 /** Bytes of lines that may wait for their reader. */
 const BUFFER_BYTES = 1_048_576;
 
+/** The longest that an end waits for the reader. */
+const FINISH_MILLISECONDS = 500;
+
 /** An open output. */
 export interface LogOutput {
   readonly write: (line: string) => void;
-  /** Writes what waits, unless the reader is behind: then it is given up. */
-  readonly finish: () => void;
+  /** Takes no more lines; resolves once all are written, or their reader is given up. */
+  readonly finish: () => Promise<void>;
 }
 
 /** Opens a file descriptor; `onDropped` hears of each line that is dropped. */
 export function openLogOutput(fileDescriptor: number, onDropped: () => void): LogOutput {
   const output = new SonicBoom({ fd: fileDescriptor, sync: false, maxLength: BUFFER_BYTES });
-  let isBehind = false;
-  output.on('drop', () => {
-    isBehind = true;
-    onDropped();
-  });
-  output.on('drain', () => {
-    isBehind = false;
-  });
+  let isOpen = true;
+  output.on('drop', onDropped);
   // A reader that has gone leaves nobody to tell.
   output.on('error', onDropped);
   return {
     write: (line) => {
-      output.write(line);
-    },
-    finish: () => {
-      if (!isBehind) output.flushSync();
+      if (isOpen) output.write(line);
     },
+    finish: () =>
+      new Promise((resolve) => {
+        isOpen = false;
+        const timer = setTimeout(resolve, FINISH_MILLISECONDS);
+        output.once('finish', () => {
+          clearTimeout(timer);
+          resolve();
+        });
+        output.end();
+      }),
   };
 }
