Keep one copy of what stood twice, and part the referee

Cause: read as a whole, the change had written again what stood elsewhere: a seeded source of random draws, a server that closes its connections, the splitting of an address, the steps of a reducer in seven places, the loop and the appends of an owner once for services and once for the fleet, a plain step in three. Some of it served nobody: two functions on resources, three fields, three members of interfaces, a setting, a dependency. An event of the core had a name of the platform.

WaveStatus and JobStatus stand once. The referee is sightings and rules on tasks, hosts and jobs. log-read-failed is stream-unreadable. Unused code is gone.

--- a/packages/core/src/dispatch/__tests__/health.test.ts
+++ b/packages/core/src/dispatch/__tests__/health.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
-import type { AttemptOutcome } from '@baobabdeck/types';
+import { runSteps, type AttemptOutcome } from '@baobabdeck/types';
 import { PersistentSet } from '../../persistent.js';
 import { emptyPoolDispatch, GOOD_HEALTH, type PoolDispatch } from '../dispatch-state.js';
 import { endEjections, noteOutcome } from '../health.js';
@@ -25,10 +25,7 @@
 ): PoolDispatch {
   let current = view;
   for (let time = 0; time < times; time += 1) {
-    const steps = noteOutcome(current, hostId, 'k', outcome, SLOTS, now);
-    let step = steps.next();
-    while (!step.done) step = steps.next();
-    current = step.value;
+    current = runSteps(noteOutcome(current, hostId, 'k', outcome, SLOTS, now)).state;
   }
   return current;
 }
--- a/packages/core/src/event.ts
+++ b/packages/core/src/event.ts
@@ -47,7 +47,7 @@
       /** When the read was sent; null for records that a peer pushed. */
       readonly readStartedAt: Date | null;
     }
-  | { readonly kind: 'log-read-failed'; readonly stream: StreamName }
+  | { readonly kind: 'stream-unreadable'; readonly stream: StreamName }
   | { readonly kind: 'append-settled'; readonly recordId: string; readonly outcome: AppendOutcome }
   | { readonly kind: 'request-arrived'; readonly request: RequestDescription }
   | { readonly kind: 'caller-left'; readonly requestId: string }
--- a/packages/core/src/requests/__tests__/follow.test.ts
+++ b/packages/core/src/requests/__tests__/follow.test.ts
@@ -1,5 +1,6 @@
 import { describe } from '@baobabdeck/test-tools';
-import type { Effect, Step } from '../../effect.js';
+import { runSteps } from '@baobabdeck/types';
+import type { Step } from '../../effect.js';
 import { emptyFoldState, type KeyState } from '../../fold/fold-state.js';
 import { foldKeysRecord } from '../../fold/keys.js';
 import { DEFAULT_PARAMETERS } from '../../parameters.js';
@@ -56,16 +57,6 @@
   return setRequest(held, REQUEST);
 }
 
-function play(steps: Step<State>): { readonly state: State; readonly effects: readonly Effect[] } {
-  const effects: Effect[] = [];
-  let step = steps.next();
-  while (!step.done) {
-    effects.push(step.value);
-    step = steps.next();
-  }
-  return { state: step.value, effects };
-}
-
 /** Nothing is delivered to a peer here. */
 function deliver(state: State): Step<State> {
   return (function* unchanged() {
@@ -76,7 +67,7 @@
 
 describe('a repeat of work that this gateway refused as not run', ({ it }) => {
   it('waits for the record that says so, and then claims the key itself', (t) => {
-    const waiting = play(followHolder(stateWith(ABANDONED), REQUEST, ABANDONED, deliver));
+    const waiting = runSteps(followHolder(stateWith(ABANDONED), REQUEST, ABANDONED, deliver));
     t.deepEqual(waiting.effects, []);
     t.is(waiting.state.requests.byId.get('repeat')?.phase.kind, 'following');
     const { keys } = foldKeysRecord(waiting.state.fold.keys, {
@@ -91,13 +82,13 @@
       } as unknown as Parameters<typeof foldKeysRecord>[1]['record'],
     });
     const ended: State = { ...waiting.state, fold: { ...waiting.state.fold, keys } };
-    const claiming = play(handleEndedKeys(ended, [{ keyHash: KEY_HASH, outcome: 'not-run' }], deliver));
+    const claiming = runSteps(handleEndedKeys(ended, [{ keyHash: KEY_HASH, outcome: 'not-run' }], deliver));
     t.is(claiming.state.requests.byId.get('repeat')?.phase.kind, 'claiming');
   });
 
   it('is refused at once where the record says that it may have run', (t) => {
     const holder: KeyState = { ...ABANDONED, outcome: 'unknown' };
-    const { state } = play(followHolder(stateWith(holder), REQUEST, holder, deliver));
+    const { state } = runSteps(followHolder(stateWith(holder), REQUEST, holder, deliver));
     t.is(state.requests.byId.get('repeat'), undefined);
   });
 });
--- a/packages/emulator/src/emulator.ts
+++ b/packages/emulator/src/emulator.ts
@@ -357,7 +357,7 @@
       round += 1;
       const next = round;
       if (!logReachable(processId)) {
-        process.dispatch({ kind: 'log-read-failed', stream });
+        process.dispatch({ kind: 'stream-unreadable', stream });
         sentAt = schedule.now() + LOG_RETRY_MILLISECONDS;
         schedule.after(LOG_RETRY_MILLISECONDS, () => finish(next));
         return;
--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -1,29 +1,13 @@
-import type { StepRequest, TaskKey } from '@baobabdeck/scheduling';
+import { PLAIN_STEP, type StepRequest, type TaskKey } from '@baobabdeck/scheduling';
 import { describe } from '@baobabdeck/test-tools';
 import type { JobPlan } from '../job-plans.js';
 import type { ModelHost } from '../model-fleet.js';
 import type { ModelWorker } from '../model-worker.js';
-import { createReferee, type Referee, type RuleName } from '../referee.js';
+import { createReferee, type Referee } from '../referee.js';
+import type { RuleName } from '../sightings.js';
 import type { VirtualTime } from '../virtual-time.js';
 
-const STEP: StepRequest = {
-  taskCount: 2,
-  needs: { milliCores: 1_000, memoryMegabytes: 100, accelerators: 0 },
-  estimatedMilliseconds: 1_000,
-  after: [],
-  savesCheckpoints: false,
-  isGang: false,
-  prefersOneRack: false,
-  requiredLabel: null,
-  rackOfData: null,
-  maximumPerWorker: null,
-  allowsCopies: false,
-  isLasting: false,
-  image: null,
-  tailTargetMilliseconds: null,
-  usesSpareCapacity: false,
-  maximumAbsent: null,
-};
+const STEP: StepRequest = { ...PLAIN_STEP, taskCount: 2 };
 
 function planOf(...steps: readonly Partial<StepRequest>[]): JobPlan {
   return {
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -1,7 +1,7 @@
 /** Callers: they hand jobs in, ask for them and cancel some, as patient as real ones. */
-import type { StepRequest } from '@baobabdeck/scheduling';
+import { PLAIN_STEP, type StepRequest } from '@baobabdeck/scheduling';
 import type { CallerService, Queue, SubmittedJob } from '@baobabdeck/scheduler';
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '@baobabdeck/emulator';
 import type { World } from './world.js';
 
 /** Time for which a caller waits for an answer. */
@@ -14,25 +14,6 @@
 /** Time between two questions on a job. */
 const ASK_MILLISECONDS = 1_500;
 
-const PLAIN_STEP: StepRequest = {
-  taskCount: 1,
-  needs: { milliCores: 1_000, memoryMegabytes: 1_024, accelerators: 0 },
-  estimatedMilliseconds: 800,
-  after: [],
-  savesCheckpoints: false,
-  isGang: false,
-  prefersOneRack: false,
-  requiredLabel: null,
-  rackOfData: null,
-  maximumPerWorker: null,
-  allowsCopies: false,
-  isLasting: false,
-  image: null,
-  tailTargetMilliseconds: null,
-  usesSpareCapacity: false,
-  maximumAbsent: null,
-};
-
 function drawStep(random: RandomSource, index: number): StepRequest {
   const base: StepRequest = {
     ...PLAIN_STEP,
--- /dev/null
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -0,0 +1,106 @@
+/** Rules on what callers are told of their jobs, and on work that must go on. */
+import type { TaskKey } from '@baobabdeck/scheduling';
+import { stepOfTask } from './job-plans.js';
+import type { Referee, RefereeParts } from './referee.js';
+import type { Sightings } from './sightings.js';
+
+/** Time after the acceptance of a job from which on it must be known everywhere. */
+const VISIBLE_MILLISECONDS = 3_000;
+
+/** Time in which work that has ended by itself starts again. */
+const RESTART_MILLISECONDS = 2_000;
+
+/** What the rules hear, and when they are asked. */
+export interface JobRules extends Pick<Referee, 'onStatusShown' | 'checkRest'> {
+  /** Jobs that were shown as completed. */
+  readonly countCompleted: () => number;
+}
+
+/** Creates the rules. */
+export function createJobRules({ time, plans }: RefereeParts, sightings: Sightings): JobRules {
+  const { report, jobs, jobOf, runsOf, isOn, hasDone, tasksOfStep, isStepDone, allTasks } = sightings;
+  let completed = 0;
+
+  const isTrulyDone = (jobId: string): boolean => {
+    const plan = plans.get(jobId);
+    if (plan === undefined) return false;
+    return allTasks(jobId).every((key) =>
+      plan.job.steps[key.step]?.isGang === true ? isStepDone(key, key.step) : hasDone(key),
+    );
+  };
+
+  const hasFailedOften = (jobId: string): boolean => {
+    const plan = plans.get(jobId);
+    if (plan === undefined) return false;
+    const failedRuns = (key: TaskKey): number => runsOf(key).filter((run) => run.end === 'failed').length;
+    return allTasks(jobId).some((key) => {
+      const isGang = plan.job.steps[key.step]?.isGang === true;
+      const failed = isGang
+        ? tasksOfStep(key, key.step).reduce((sum, member) => sum + failedRuns(member), 0)
+        : failedRuns(key);
+      return failed >= plan.maximumFailedRuns;
+    });
+  };
+
+  const onStatusShown: Referee['onStatusShown'] = (jobId, status) => {
+    const job = jobOf(jobId);
+    if (status === null) {
+      const isVisible = job.isAccepted && time.now() > job.acceptedAt + VISIBLE_MILLISECONDS;
+      if (isVisible) report('accepted-is-known', `${jobId} was accepted and is not known`);
+      return;
+    }
+    if (!job.isAccepted && !job.hasUnknownAnswer) {
+      report('status-is-true', `${jobId} is shown and was not accepted`);
+    }
+    if (status === 'completed' && job.shown !== 'completed') completed += 1;
+    job.shown = status;
+    if (status === 'completed' && !isTrulyDone(jobId)) {
+      report('status-is-true', `${jobId} is shown as completed and is not`);
+    }
+    if (status === 'failed' && !hasFailedOften(jobId)) {
+      report('status-is-true', `${jobId} is shown as failed without cause`);
+    }
+    if (status === 'cancelled' && job.cancelSentAt === null) {
+      report('status-is-true', `${jobId} is shown as cancelled and was not`);
+    }
+  };
+
+  /** What should go on and does not, by job. */
+  const findIdle = (): ReadonlyMap<string, string> => {
+    const idle = new Map<string, string>();
+    for (const [jobId, job] of jobs) {
+      const isOver = job.shown === 'completed' || job.shown === 'failed' || job.shown === 'cancelled';
+      if (!job.isAccepted || isOver || job.cancelSentAt !== null) continue;
+      const tasks = allTasks(jobId);
+      const lasting = tasks.filter((key) => stepOfTask(plans, key)?.isLasting === true);
+      const lastingOff = lasting.filter((key) => !runsOf(key).some(isOn));
+      if (!tasks.some((key) => runsOf(key).some(isOn))) idle.set(jobId, 'nothing of it runs');
+      else if (lastingOff.length > 0) idle.set(jobId, `${lastingOff.length} lasting tasks do not run`);
+    }
+    return idle;
+  };
+
+  const checkCancelled = (): void => {
+    for (const [jobId, job] of jobs) {
+      const runsOn = allTasks(jobId).some((key) => runsOf(key).some(isOn));
+      if (job.cancelledAt !== null && runsOn) {
+        report('only-what-was-asked', `${jobId} runs on and was cancelled`);
+      }
+    }
+  };
+
+  /** Work that has just ended is given time to start again. */
+  const checkRest = async (): Promise<void> => {
+    checkCancelled();
+    const first = findIdle();
+    await time.runUntil(time.now() + RESTART_MILLISECONDS);
+    const second = findIdle();
+    first.forEach((detail, jobId) => {
+      if (second.has(jobId)) {
+        report('work-goes-on', `${jobId} is ${jobOf(jobId).shown ?? 'unknown'}: ${detail}`);
+      }
+    });
+  };
+
+  return { onStatusShown, checkRest, countCompleted: () => completed };
+}
--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -9,12 +9,12 @@
   WorkerOrders,
   WorkerRegister,
 } from '@baobabdeck/scheduler';
+import type { RandomSource } from '@baobabdeck/emulator';
 import { createGangHall } from './gang-hall.js';
 import type { JobPlans } from './job-plans.js';
 import { createModelWorker, type ModelWorker } from './model-worker.js';
 import type { Endpoint, Network } from './network.js';
 import type { WorkerObserver } from './observer.js';
-import type { RandomSource } from './random.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** The name of the service for hosts on the network. */
--- a/packages/fleet-emulator/src/model-group.ts
+++ b/packages/fleet-emulator/src/model-group.ts
@@ -1,6 +1,6 @@
 /** A group of the model store: deals places evenly, and lets a member give a place up before another gets it. */
 import type { LogPlace, PlaceOwner } from '@baobabdeck/scheduler';
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '@baobabdeck/emulator';
 import type { VirtualTime } from './virtual-time.js';
 
 const MEMBER_TTL_MILLISECONDS = 1_500;
--- a/packages/fleet-emulator/src/model-store.ts
+++ b/packages/fleet-emulator/src/model-store.ts
@@ -1,9 +1,9 @@
 /** The platform's store as a model: its logs and groups, behind the network. */
 import type { JoinOutcome, LogPlace, NewestOutcome, OwnersOutcome, Store } from '@baobabdeck/scheduler';
+import type { RandomSource } from '@baobabdeck/emulator';
 import { createModelGroup, type ModelGroup } from './model-group.js';
 import { createModelLog, type ModelLog } from './model-log.js';
 import type { Endpoint, Network } from './network.js';
-import type { RandomSource } from './random.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** The store's name on the network. */
--- a/packages/fleet-emulator/src/network.ts
+++ b/packages/fleet-emulator/src/network.ts
@@ -1,5 +1,5 @@
 /** The network between processes and everything else: delays, cuts, lost answers and late orders. */
-import type { RandomSource } from './random.js';
+import type { RandomSource } from '@baobabdeck/emulator';
 import type { VirtualTime } from './virtual-time.js';
 
 /** Who makes calls; a killed one never hears answers, a frozen one hears them after it wakes. */
@@ -37,7 +37,6 @@
   readonly conditions: NetworkConditions;
   readonly call: <T>(call: NetworkCall<T>) => Promise<T>;
   readonly cut: (one: string, other: string) => void;
-  readonly heal: () => void;
 }
 
 const ONE_WAY_MILLISECONDS = 1;
@@ -114,6 +113,5 @@
       conditions.cuts.add(`${one}>${other}`);
       conditions.cuts.add(`${other}>${one}`);
     },
-    heal: () => conditions.cuts.clear(),
   };
 }
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -1,6 +1,6 @@
 /** Plays a random schedule of traffic and troubles from a seed, and tells which rules broke. */
 import { startCallers } from './callers.js';
-import type { Violation } from './referee.js';
+import type { Violation } from './sightings.js';
 import { beginTrouble, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
 import { createWorld, type World, type WorldSize } from './world.js';
 
--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -11,7 +11,8 @@
   type Store,
   type WaveRequest,
 } from '@baobabdeck/scheduler';
-import { HOST_SERVICE, type ModelFleet } from './model-fleet.js';
+import type { WaveStatus } from '@baobabdeck/scheduling';
+import type { ModelFleet } from './model-fleet.js';
 import { STORE, type ModelStore } from './model-store.js';
 import type { Endpoint, Network } from './network.js';
 import type { VirtualTime } from './virtual-time.js';
@@ -20,7 +21,7 @@
 export interface OperatorDesk {
   configuration: QueueConfiguration;
   readonly waves: WaveRequest[];
-  readonly onWaveStatus: (wave: number, status: 'running' | 'completed') => void;
+  readonly onWaveStatus: (wave: number, status: WaveStatus) => void;
 }
 
 /** What a process is played among. */
@@ -211,6 +212,3 @@
     },
   };
 }
-
-/** Names on the network that are no process. */
-export const SHARED_NAMES = [STORE, HOST_SERVICE] as const;
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -1,11 +1,11 @@
 /** Puts processes, store, hosts, callers and the referee together. */
 import type { HostListing } from '@baobabdeck/scheduling';
 import type { QueueConfiguration, SchedulerSettings } from '@baobabdeck/scheduler';
+import { createRandom, type RandomSource } from '@baobabdeck/emulator';
 import type { JobPlans } from './job-plans.js';
 import { createModelFleet, type ModelFleet } from './model-fleet.js';
 import { createModelStore, type ModelStore } from './model-store.js';
 import { createNetwork, type Network } from './network.js';
-import { createRandom, type RandomSource } from './random.js';
 import { createReferee, type Referee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -4,6 +4,7 @@
 import Koa from 'koa';
 import { failureOf, RESULT_CODES, type Failure } from '@baobabdeck/errors';
 import type { WriteEvent } from '@baobabdeck/observability';
+import { listenOn } from '@baobabdeck/peer-protocol';
 import { problemOf } from './exchange.js';
 
 /** Where callers' requests go. */
@@ -73,13 +74,9 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
     answerMalformed(error, socket, writeEvent),
   );
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, resolve);
-  });
-  const address = server.address();
+  const listeningPort = await listenOn(server, ip, port);
   return {
-    port: typeof address === 'object' && address !== null ? address.port : port,
+    port: listeningPort,
     stopAccepting: () => {
       stopping = true;
       server.close();
--- a/packages/peer-protocol/src/call-server.ts
+++ b/packages/peer-protocol/src/call-server.ts
@@ -1,6 +1,7 @@
 /** Answers calls of peers: a frame with a number comes in, a frame with the same number goes back. */
-import { createServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { createFrameReader, encodeFrame } from './codec.js';
+import { listenForSockets, type SocketServer } from './listen-sockets.js';
 
 /** Answers one call; what it resolves to goes back to the caller. */
 export type AnswerCall = (content: unknown) => Promise<unknown>;
@@ -45,35 +46,12 @@
   });
 }
 
-/** A listening server for calls. */
-export interface CallServer {
-  readonly port: number;
-  readonly close: () => void;
-}
-
 /** Listens for calls of peers. Rejects when the port is taken. */
-export async function listenForCalls(
+export function listenForCalls(
   ip: string,
   port: number,
   answer: AnswerCall,
   onFault: (reason: string) => void,
-): Promise<CallServer> {
-  const sockets = new Set<Socket>();
-  const server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('close', () => sockets.delete(socket));
-    serveCalls(socket, answer, onFault);
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, resolve);
-  });
-  const address = server.address();
-  return {
-    port: typeof address === 'object' && address !== null ? address.port : port,
-    close: () => {
-      server.close();
-      sockets.forEach((socket) => socket.destroy());
-    },
-  };
+): Promise<SocketServer> {
+  return listenForSockets(ip, port, (socket) => serveCalls(socket, answer, onFault));
 }
--- a/packages/peer-protocol/src/server.ts
+++ b/packages/peer-protocol/src/server.ts
@@ -1,8 +1,9 @@
 /** Takes the connections of peers. */
-import { createServer, type Server, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { PeerMessage } from '@baobabdeck/types';
 import { createFrameReader } from './codec.js';
 import { readHello, type Hello } from './hello.js';
+import { listenForSockets, type SocketServer } from './listen-sockets.js';
 import { isPeerMessage } from './message-shape.js';
 
 /** What a server does with what comes in. */
@@ -55,35 +56,12 @@
   });
 }
 
-/** A listening server. */
-export interface PeerServer {
-  readonly port: number;
-  readonly close: () => void;
-}
-
 /** Listens for peers. Rejects when the port is taken. */
-export async function listenForPeers(
+export function listenForPeers(
   ip: string,
   port: number,
   handlers: PeerServerHandlers,
-): Promise<PeerServer> {
+): Promise<SocketServer> {
   const current = new Map<string, Socket>();
-  const sockets = new Set<Socket>();
-  const server: Server = createServer((socket) => {
-    sockets.add(socket);
-    socket.on('close', () => sockets.delete(socket));
-    serveConnection(socket, current, handlers);
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, resolve);
-  });
-  const address = server.address();
-  return {
-    port: typeof address === 'object' && address !== null ? address.port : port,
-    close: () => {
-      server.close();
-      sockets.forEach((socket) => socket.destroy());
-    },
-  };
+  return listenForSockets(ip, port, (socket) => serveConnection(socket, current, handlers));
 }
--- a/packages/process/src/event-loop.ts
+++ b/packages/process/src/event-loop.ts
@@ -2,7 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import { reduce, type Effect, type Event, type State } from '@baobabdeck/core';
 import type { Metrics, WriteEvent } from '@baobabdeck/observability';
-import type { Clock } from '@baobabdeck/types';
+import { runSteps, type Clock } from '@baobabdeck/types';
 
 /** An event without its time, which the loop adds. */
 export type EventBody = Event extends infer E ? (E extends Event ? Omit<E, 'at'> : never) : never;
@@ -46,15 +46,9 @@
 
   const step = (event: EventBody): boolean => {
     const startedAt = performance.now();
-    const effects: Effect[] = [];
+    let effects: readonly Effect[] = [];
     try {
-      const steps = reduce(state, { ...event, at: clock.now() });
-      let result = steps.next();
-      while (!result.done) {
-        effects.push(result.value);
-        result = steps.next();
-      }
-      state = result.value;
+      ({ state, effects } = runSteps(reduce(state, { ...event, at: clock.now() })));
     } catch (error) {
       // The state is as it was before the event, and no effect of it was carried out.
       writeEvent('unexpectedError', { kind: event.kind, err: error });
--- a/packages/process/src/runtime.ts
+++ b/packages/process/src/runtime.ts
@@ -15,7 +15,7 @@
   type State,
 } from '@baobabdeck/core';
 import { listenForAdmin, type AdminServer, type Metrics, type WriteEvent } from '@baobabdeck/observability';
-import { helloOf, listenForPeers, type PeerServer } from '@baobabdeck/peer-protocol';
+import { helloOf, listenForPeers, type SocketServer } from '@baobabdeck/peer-protocol';
 import type { Platform } from '@baobabdeck/platform';
 import type { ProcessSettings } from '@baobabdeck/settings';
 import {
@@ -92,7 +92,7 @@
   readonly links: PeerLinks;
   readonly timers: Timers;
   readonly log: LogAccess;
-  readonly peers: PeerServer;
+  readonly peers: SocketServer;
   readonly admin: AdminServer;
   readonly ticking: NodeJS.Timeout;
 }
@@ -201,7 +201,7 @@
         followMembers();
         snapshots.observe(stream, records);
       },
-      onReadFailed: (stream) => dispatch({ kind: 'log-read-failed', stream }),
+      onReadFailed: (stream) => dispatch({ kind: 'stream-unreadable', stream }),
       onAppendSettled: (record, result) =>
         dispatch({ kind: 'append-settled', recordId: record.id, outcome: result.kind }),
     },
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -10,12 +10,15 @@
   type FleetState,
   type ServiceReport,
   type ServiceWishes,
+  type WaveStatus,
 } from '@baobabdeck/scheduling';
 import type { PoolHosts } from '../node/host-lists.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import { claimService, OWNER_PRODUCER, type ClaimedService } from '../owner/claim.js';
+import { claimService, type ClaimedService } from '../owner/claim.js';
+import { openJournal, type OwnedJournal } from '../owner/owned-journal.js';
 import { encodeRecord } from '../owner/record-codec.js';
+import { createReducerLoop, type ReducerLoop, type Untimed } from '../owner/reducer-loop.js';
 import type {
   HostService,
   LogPlace,
@@ -35,16 +38,10 @@
 /** Ticks between two looks at the list of hosts. */
 const TICKS_PER_LIST = 4;
 
-/** Time that a stopping owner waits for a batch under way. */
-const STOP_WAIT_MILLISECONDS = 1_000;
-
 const MILLISECONDS_PER_SECOND = 1_000;
 
-type FleetEventBody = FleetEvent extends infer E
-  ? E extends FleetEvent
-    ? Omit<E, 'at' | 'timeOfDay'>
-    : never
-  : never;
+/** An event without its times. */
+type FleetEventBody = Untimed<FleetEvent>;
 
 /** What an owner needs. */
 export interface FleetOwnerParts {
@@ -84,69 +81,25 @@
 /** Creates the owner of the fleet and begins to claim it. */
 export function createFleetOwner(parts: FleetOwnerParts): FleetOwner {
   const { place, store, clock, writeEvent } = parts;
-  const journal = journalOf(place);
   let claimed: ClaimedService | null = null;
-  let state: FleetState | null = null;
+  let loop: ReducerLoop<FleetState, FleetEventBody> | null = null;
+  let journal: OwnedJournal | null = null;
   let nextOffset = 0;
-  let nextSequence = 1;
   let closed = false;
-  let appending: Promise<void> = Promise.resolve();
-  const queue: FleetEventBody[] = [];
   const isOpen = (): boolean => !closed;
-
-  const step = (body: FleetEventBody): void => {
-    if (state === null || closed) return;
-    const effects: FleetEffect[] = [];
-    try {
-      const steps = reduceFleet(state, { ...body, at: clock.steadyNow(), timeOfDay: clock.now() });
-      let result = steps.next();
-      while (!result.done) {
-        effects.push(result.value);
-        result = steps.next();
-      }
-      state = result.value;
-    } catch (error) {
-      // The state is as it was before the event, and no effect of it was carried out.
-      writeEvent('unexpectedError', { kind: body.kind, subject: 'fleet', err: error });
-      return;
-    }
-    effects.forEach(perform);
-  };
+  const stateNow = (): FleetState | null => loop?.state() ?? null;
 
   const dispatch = (body: FleetEventBody): void => {
-    queue.push(body);
-    if (queue.length > 1) return;
-    while (queue[0] !== undefined) {
-      step(queue[0]);
-      queue.shift();
-    }
+    if (!closed) loop?.dispatch(body);
   };
 
-  const appendUntilStored = async (
-    effect: Extract<FleetEffect, { kind: 'store-fleet-records' }>,
-  ): Promise<void> => {
-    const sequence = nextSequence;
-    nextSequence += 1;
-    while (claimed !== null && !closed) {
-      const askedAt = clock.steadyNow();
-      const outcome = await store.append({
-        place: journal,
-        records: effect.records.map(encodeFleetRecord),
-        producer: { name: OWNER_PRODUCER, epoch: claimed.epoch, sequence },
-        expectedEnd: null,
-      });
-      if (outcome.kind === 'stored') {
-        const { firstOffset } = outcome;
-        dispatch({ kind: 'fleet-records-stored', appendId: effect.appendId, firstOffset, askedAt });
-        return;
-      }
-      if (outcome.kind === 'fenced') {
-        dispatch({ kind: 'ownership-lost' });
-        return;
-      }
-      writeEvent('appendFailed', { subject: 'fleet', outcome });
-      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
-    }
+  const storeRecords = ({
+    appendId,
+    records,
+  }: Extract<FleetEffect, { kind: 'store-fleet-records' }>): void => {
+    journal?.append(appendId, records.map(encodeFleetRecord), (firstOffset, askedAt) =>
+      dispatch({ kind: 'fleet-records-stored', appendId, firstOffset, askedAt }),
+    );
   };
 
   const orderHost = async (effect: Extract<FleetEffect, { kind: 'order-host' }>): Promise<void> => {
@@ -161,7 +114,7 @@
     dispatch({ kind: 'host-order-settled', hostId, fencingEpoch, outcome });
   };
 
-  const tellWaveStatus = async (wave: number, status: 'running' | 'completed'): Promise<void> => {
+  const tellWaveStatus = async (wave: number, status: WaveStatus): Promise<void> => {
     const isStored = await parts.feed.writeWaveStatus(wave, status);
     dispatch({ kind: 'wave-status-told', wave, status, isStored });
   };
@@ -169,7 +122,7 @@
   function perform(effect: FleetEffect): void {
     switch (effect.kind) {
       case 'store-fleet-records':
-        appending = appendUntilStored(effect);
+        storeRecords(effect);
         break;
       case 'order-host':
         void orderHost(effect);
@@ -217,6 +170,7 @@
   const asked = new Set<string>();
   let questionSequence = 0;
   const askService = async (service: string): Promise<void> => {
+    const state = stateNow();
     if (state === null || claimed === null || asked.has(service)) return;
     asked.add(service);
     questionSequence += 1;
@@ -260,13 +214,21 @@
   const begin = async (): Promise<void> => {
     const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: parts.member });
     if (claimRecord === undefined) return;
-    claimed = await claimService({ store, clock, inbox: place, journal, claimRecord, isWanted: isOpen });
+    const journalPlace = journalOf(place);
+    claimed = await claimService({
+      store,
+      clock,
+      inbox: place,
+      journal: journalPlace,
+      claimRecord,
+      isWanted: isOpen,
+    });
     if (claimed === null) {
       if (isOpen()) parts.onSuperseded();
       return;
     }
     nextOffset = claimed.nextOffset;
-    state = restoreFleet({
+    const initial = restoreFleet({
       parameters: parts.parameters,
       now: clock.steadyNow(),
       timeOfDay: clock.now(),
@@ -274,6 +236,25 @@
       provenAt: claimed.provenAt,
       records: claimed.records.flatMap((record) => decodeFleetRecord(record) ?? []),
     });
+    journal = openJournal({
+      store,
+      clock,
+      place: journalPlace,
+      epoch: claimed.epoch,
+      isOpen,
+      onFenced: () => dispatch({ kind: 'ownership-lost' }),
+      writeEvent,
+      logFields: { subject: 'fleet' },
+    });
+    loop = createReducerLoop({
+      initial,
+      reduce: (current, body: FleetEventBody, at, timeOfDay) =>
+        reduceFleet(current, { ...body, at, timeOfDay }),
+      perform,
+      clock,
+      writeEvent,
+      logFields: { subject: 'fleet' },
+    });
     writeEvent('serviceClaimed', { service: null, subject: 'fleet', epoch: claimed.epoch, nextOffset });
     void proveOwnership();
     void run();
@@ -282,21 +263,22 @@
   void begin();
   return {
     place,
-    state: () => state,
+    state: stateNow,
     hostsOf: (pool) => {
+      const state = stateNow();
       if (state === null || state.listedAt === null) return null;
       const ofPool = state.hosts.filter((host) => host.listing.pool === pool);
       return { hosts: [...ofPool.values()].map((host) => host.listing), askedAt: state.listedAt };
     },
-    isServing: () =>
-      state !== null &&
-      !closed &&
-      clock.steadyNow() - state.provenAt < parts.parameters.ownershipProofMilliseconds,
+    isServing: () => {
+      const provenAt = stateNow()?.provenAt ?? -Infinity;
+      return !closed && clock.steadyNow() - provenAt < parts.parameters.ownershipProofMilliseconds;
+    },
     stop: async () => {
       // What is being stored comes first; the resignation follows it.
-      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
+      await journal?.settle();
       dispatch({ kind: 'resign-requested' });
-      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
+      await journal?.settle();
       closed = true;
       writeEvent('serviceGivenUp', { service: null, subject: 'fleet', epoch: claimed?.epoch ?? null });
     },
--- a/packages/scheduler/src/node/configuration.ts
+++ b/packages/scheduler/src/node/configuration.ts
@@ -17,10 +17,6 @@
 export interface ConfigurationFollower {
   readonly current: () => QueueConfiguration | null;
   readonly waves: () => readonly WaveRequest[];
-  /** When the operator's entries were last read in full, on the steady clock; null before. */
-  readonly readAt: () => number | null;
-  /** Takes a configuration that a peer has. */
-  readonly offer: (configuration: QueueConfiguration, source: string) => void;
   readonly close: () => void;
 }
 
@@ -38,17 +34,16 @@
   const { feed, clock, writeEvent } = parts;
   const waves = new Map<number, WaveRequest>();
   let current: QueueConfiguration | null = null;
-  let readAt: number | null = null;
   let nextOffset: number | null = null;
   let closed = false;
   let wasReachable = true;
 
-  const offer = (configuration: QueueConfiguration, source: string): void => {
+  const offer = (configuration: QueueConfiguration): void => {
     if (current !== null && configuration.version <= current.version) return;
     const { version, queues, services } = configuration;
     writeEvent('configurationInForce', {
       version,
-      source,
+      source: 'store',
       former: current?.version ?? null,
       queues: queues.length,
       services: services.length,
@@ -59,7 +54,7 @@
 
   const take = (entry: OperatorEntry): void => {
     if (entry.kind === 'configuration') {
-      offer(entry.configuration, 'store');
+      offer(entry.configuration);
     } else if (!waves.has(entry.wave.wave)) {
       waves.set(entry.wave.wave, entry.wave);
       parts.onWave(entry.wave);
@@ -75,14 +70,12 @@
   };
 
   const readOnce = async (): Promise<void> => {
-    const askedAt = clock.steadyNow();
     const wait = wasReachable ? READ_WAIT_MILLISECONDS : 0;
     const outcome = nextOffset === null ? await feed.readNewest() : await feed.read(nextOffset, wait);
     noteReachable(outcome);
     if (outcome.kind === 'read') {
       outcome.entries.forEach(take);
       nextOffset = outcome.nextOffset;
-      readAt = askedAt;
     } else if (outcome.kind === 'expired') {
       nextOffset = null;
     } else {
@@ -97,8 +90,6 @@
   return {
     current: () => current,
     waves: () => [...waves.values()],
-    readAt: () => readAt,
-    offer,
     close: () => {
       closed = true;
     },
--- /dev/null
+++ b/packages/scheduler/src/owner/reducer-loop.ts
@@ -0,0 +1,55 @@
+/** Runs an owner's reducer: one event at a time, its effects after its state. */
+import type { LogFields, WriteEvent } from '@baobabdeck/observability';
+import { runSteps } from '@baobabdeck/types';
+import type { SteadyClock } from '../node/steady-clock.js';
+
+/** An event without its times, which the loop adds. */
+export type Untimed<Event> = Event extends unknown ? Omit<Event, 'at' | 'timeOfDay'> : never;
+
+/** What a loop needs. */
+export interface ReducerLoopParts<State, Body, Effect> {
+  readonly initial: State;
+  readonly reduce: (state: State, body: Body, at: number, timeOfDay: Date) => Generator<Effect, State, void>;
+  readonly perform: (effect: Effect) => void;
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  /** Names the owner in the log. */
+  readonly logFields: LogFields;
+}
+
+/** The running reducer. */
+export interface ReducerLoop<State, Body> {
+  readonly state: () => State;
+  readonly dispatch: (body: Body) => void;
+}
+
+/** Creates the loop. */
+export function createReducerLoop<State, Body extends { readonly kind: string }, Effect>(
+  parts: ReducerLoopParts<State, Body, Effect>,
+): ReducerLoop<State, Body> {
+  const { reduce, perform, clock, writeEvent, logFields } = parts;
+  let state = parts.initial;
+  const queue: Body[] = [];
+  let busy = false;
+
+  const step = (body: Body): void => {
+    let effects: readonly Effect[] = [];
+    try {
+      ({ state, effects } = runSteps(reduce(state, body, clock.steadyNow(), clock.now())));
+    } catch (error) {
+      // The state is as it was before the event, and no effect of it was carried out.
+      writeEvent('unexpectedError', { kind: body.kind, ...logFields, err: error });
+    }
+    effects.forEach(perform);
+  };
+
+  const dispatch = (body: Body): void => {
+    queue.push(body);
+    if (busy) return;
+    busy = true;
+    for (let next = queue.shift(); next !== undefined; next = queue.shift()) step(next);
+    busy = false;
+  };
+
+  return { state: () => state, dispatch };
+}
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -1,24 +1,30 @@
 /** Owns one service: claims its logs, runs its scheduler and carries out what that decides. */
 import type { WriteEvent } from '@baobabdeck/observability';
 import {
+  reduceService,
   restoreService,
   type SchedulingParameters,
   type ServiceEffect,
+  type ServiceEvent,
   type ServiceState,
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
 import type { LogPlace, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import { claimService, OWNER_PRODUCER, type ClaimedService } from './claim.js';
-import { createOwnerLoop, type OwnerLoop, type ServiceEventBody } from './owner-loop.js';
+import { claimService, type ClaimedService } from './claim.js';
+import { openJournal, type OwnedJournal } from './owned-journal.js';
 import { decodeRecord, encodeRecord } from './record-codec.js';
+import { createReducerLoop, type ReducerLoop, type Untimed } from './reducer-loop.js';
 import { performWorkerEffect } from './worker-effects.js';
 
 const READ_WAIT_MILLISECONDS = 1_000;
 const FAILURE_PAUSE_MILLISECONDS = 100;
 const TICK_MILLISECONDS = 100;
 
+/** An event without its times. */
+export type ServiceEventBody = Untimed<ServiceEvent>;
+
 /** What an owner needs. */
 export interface ServiceOwnerParts {
   readonly service: string;
@@ -52,19 +58,14 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Time that a stopping owner waits for a batch under way. */
-const STOP_WAIT_MILLISECONDS = 1_000;
-
 /** Creates the owner of a service and begins to claim it. */
 export function createServiceOwner(parts: ServiceOwnerParts): ServiceOwner {
   const { service, place, member, parameters, store, clock, writeEvent } = parts;
-  let loop: OwnerLoop | null = null;
+  let loop: ReducerLoop<ServiceState, ServiceEventBody> | null = null;
+  let journal: OwnedJournal | null = null;
   let claimed: ClaimedService | null = null;
-  const journal = journalOf(place);
   let nextOffset = 0;
-  let nextSequence = 1;
   let closed = false;
-  let appending: Promise<void> = Promise.resolve();
 
   const isOpen = (): boolean => !closed;
 
@@ -81,37 +82,16 @@
     if (!closed) loop?.dispatch(event);
   };
 
-  const appendUntilStored = async (
-    effect: Extract<ServiceEffect, { kind: 'store-records' }>,
-  ): Promise<void> => {
-    const records = effect.records.flatMap(encodeRecord);
-    const sequence = nextSequence;
-    nextSequence += 1;
-    while (claimed !== null && !closed) {
-      const askedAt = clock.steadyNow();
-      const producer = { name: OWNER_PRODUCER, epoch: claimed.epoch, sequence };
-      const outcome = await store.append({ place: journal, records, producer, expectedEnd: null });
-      if (outcome.kind === 'stored') {
-        dispatch({ kind: 'records-stored', appendId: effect.appendId, askedAt });
-        return;
-      }
-      if (outcome.kind === 'fenced') {
-        dispatch({ kind: 'ownership-lost' });
-        return;
-      }
-      writeEvent('appendFailed', { service, appendId: effect.appendId, outcome });
-      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
-    }
-  };
-
-  const stopNow = (): void => {
-    closed = true;
+  const storeRecords = ({ appendId, records }: Extract<ServiceEffect, { kind: 'store-records' }>): void => {
+    journal?.append(appendId, records.flatMap(encodeRecord), (_firstOffset, askedAt) =>
+      dispatch({ kind: 'records-stored', appendId, askedAt }),
+    );
   };
 
   const perform = (effect: ServiceEffect): void => {
     switch (effect.kind) {
       case 'store-records':
-        appending = appendUntilStored(effect);
+        storeRecords(effect);
         break;
       case 'log':
         writeEvent(effect.decision, { service, ...effect.fields });
@@ -120,7 +100,7 @@
         parts.suspectWorker();
         break;
       case 'give-up-ownership':
-        stopNow();
+        closed = true;
         parts.onGivenUp(effect.claimsAgain);
         break;
       default:
@@ -160,7 +140,15 @@
   const begin = async (): Promise<void> => {
     const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: member });
     if (claimRecord === undefined) return;
-    claimed = await claimService({ store, clock, inbox: place, journal, claimRecord, isWanted: isOpen });
+    const journalPlace = journalOf(place);
+    claimed = await claimService({
+      store,
+      clock,
+      inbox: place,
+      journal: journalPlace,
+      claimRecord,
+      isWanted: isOpen,
+    });
     if (claimed === null) {
       if (isOpen()) parts.onGivenUp(false);
       return;
@@ -183,7 +171,25 @@
       activeJobs: state.activeJobIds.size,
       nextOffset,
     });
-    loop = createOwnerLoop(state, clock, writeEvent, perform);
+    journal = openJournal({
+      store,
+      clock,
+      place: journalPlace,
+      epoch: claimed.epoch,
+      isOpen,
+      onFenced: () => dispatch({ kind: 'ownership-lost' }),
+      writeEvent,
+      logFields: { service },
+    });
+    loop = createReducerLoop({
+      initial: state,
+      reduce: (current, body: ServiceEventBody, at, timeOfDay) =>
+        reduceService(current, { ...body, at, timeOfDay }),
+      perform,
+      clock,
+      writeEvent,
+      logFields: { service },
+    });
     const cancels = cancelledJobIds.map((jobId) => ({
       offset: 0,
       record: { kind: 'job-cancelled' as const, jobId },
@@ -204,8 +210,8 @@
     catchUp: () => (loop === null ? Promise.resolve(false) : readOnce(0)),
     stop: async () => {
       dispatch({ kind: 'stop-requested' });
-      await Promise.race([appending, clock.sleep(STOP_WAIT_MILLISECONDS)]);
-      stopNow();
+      await journal?.settle();
+      closed = true;
       writeEvent('serviceGivenUp', { service, epoch: claimed?.epoch ?? null });
     },
   };
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -1,6 +1,6 @@
 /** What processes ask one another. */
 import { z } from 'zod';
-import type { HostListing, ServiceReport } from '@baobabdeck/scheduling';
+import type { HostListing, JobStatus, ServiceReport } from '@baobabdeck/scheduling';
 
 /** A question on a job. */
 const statusQuestion = z.object({
@@ -65,10 +65,7 @@
 
 /** A question's answer. */
 export type PeerAnswer =
-  | {
-      readonly kind: 'job-status';
-      readonly status: 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
-    }
+  | { readonly kind: 'job-status'; readonly status: JobStatus }
   | { readonly kind: 'unknown-job' }
   | { readonly kind: 'cancel-noted' }
   | { readonly kind: 'pending-count'; readonly pending: number }
--- a/packages/scheduler/src/peers/tcp-network.ts
+++ b/packages/scheduler/src/peers/tcp-network.ts
@@ -3,7 +3,7 @@
   createCallClient,
   listenForCalls,
   type CallClient,
-  type CallServer,
+  type SocketServer,
 } from '@baobabdeck/peer-protocol';
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { PeerNetwork } from '../ports/index.js';
@@ -11,7 +11,7 @@
 /** Creates the network of one process; it listens at an IP number and a port. */
 export function createTcpNetwork(ip: string, port: number, writeEvent: WriteEvent): PeerNetwork {
   const clients = new Map<string, CallClient>();
-  let server: CallServer | null = null;
+  let server: SocketServer | null = null;
 
   const clientOf = (address: string): CallClient => {
     const known = clients.get(address);
--- a/packages/scheduler/src/ports/operator.ts
+++ b/packages/scheduler/src/ports/operator.ts
@@ -1,5 +1,5 @@
 /** What the operator publishes: the configuration of queues and services, and waves of maintenance. */
-import type { AdviceTerms } from '@baobabdeck/scheduling';
+import type { AdviceTerms, WaveStatus } from '@baobabdeck/scheduling';
 
 /** A queue that callers hand jobs in to. */
 export interface Queue {
@@ -62,9 +62,6 @@
   | { readonly kind: 'expired' }
   | { readonly kind: 'failed'; readonly detail: string };
 
-/** Where a wave stands. */
-export type WaveStatus = 'running' | 'completed';
-
 /** The operator's side of the store. No method throws. */
 export interface OperatorFeed {
   readonly readNewest: () => Promise<OperatorOutcome>;
--- a/packages/scheduling/src/__tests__/fleet.test.ts
+++ b/packages/scheduling/src/__tests__/fleet.test.ts
@@ -1,4 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
+import { runSteps } from '@baobabdeck/types';
 import type { FleetEffect, FleetEvent, HostOrderOutcome } from '../fleet/event.js';
 import { reduceFleet, restoreFleet } from '../fleet/reduce.js';
 import type { FleetRecord, FleetState } from '../fleet/state.js';
@@ -75,19 +76,10 @@
     records,
   });
   const step = (body: Body): readonly FleetEffect[] => {
-    const effects: FleetEffect[] = [];
-    const steps = reduceFleet(state, {
-      ...body,
-      at: now,
-      timeOfDay: new Date(DAY + now - CLAIMED_AT),
-    });
-    let result = steps.next();
-    while (!result.done) {
-      effects.push(result.value);
-      result = steps.next();
-    }
-    state = result.value;
-    return effects;
+    const timeOfDay = new Date(DAY + now - CLAIMED_AT);
+    const result = runSteps(reduceFleet(state, { ...body, at: now, timeOfDay }));
+    ({ state } = result);
+    return result.effects;
   };
   const dispatch = (body: Body): readonly FleetEffect[] => {
     const effects = [...step(body)];
--- a/packages/scheduling/src/__tests__/service-play.ts
+++ b/packages/scheduling/src/__tests__/service-play.ts
@@ -1,5 +1,6 @@
 /** Plays events on one service's scheduler and answers what it asks of the store. */
-import type { JobRequest, StepRequest, TaskKey } from '../model/job.js';
+import { runSteps } from '@baobabdeck/types';
+import { PLAIN_STEP, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
 import type { WorkerListing, WorkerReport } from '../model/worker.js';
 import type { ServiceEffect } from '../service/effect.js';
 import type { ServiceEvent } from '../service/event.js';
@@ -18,25 +19,6 @@
 /** Cores and gigabytes of every worker of a play. */
 export const CAPACITY = { milliCores: 4_000, memoryMegabytes: 8_192, accelerators: 0 };
 
-export const STEP: StepRequest = {
-  taskCount: 1,
-  needs: { milliCores: 1_000, memoryMegabytes: 512, accelerators: 0 },
-  estimatedMilliseconds: 1_000,
-  after: [],
-  savesCheckpoints: false,
-  isGang: false,
-  prefersOneRack: false,
-  requiredLabel: null,
-  rackOfData: null,
-  maximumPerWorker: null,
-  allowsCopies: false,
-  isLasting: false,
-  image: null,
-  tailTargetMilliseconds: null,
-  usesSpareCapacity: false,
-  maximumAbsent: null,
-};
-
 const DAY = new Date('2026-01-01T00:00:00Z').getTime();
 
 export function jobOf(
@@ -49,7 +31,7 @@
     service: 'quotes',
     queue: 'quotes',
     specification: 'work',
-    steps: steps.map((step) => ({ ...STEP, ...step })),
+    steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
     repetition: null,
     priority: 0,
     maximumFailedRuns: 3,
@@ -141,16 +123,10 @@
   });
 
   const step = (body: Body): readonly ServiceEffect[] => {
-    const effects: ServiceEffect[] = [];
     const timeOfDay = new Date(DAY + now - CLAIMED_AT);
-    const steps = reduceService(state, { ...body, at: now, timeOfDay });
-    let result = steps.next();
-    while (!result.done) {
-      effects.push(result.value);
-      result = steps.next();
-    }
-    state = result.value;
-    return effects;
+    const result = runSteps(reduceService(state, { ...body, at: now, timeOfDay }));
+    ({ state } = result);
+    return result.effects;
   };
 
   const dispatch = (body: Body): readonly ServiceEffect[] => {
--- a/packages/scheduling/src/decide/room.ts
+++ b/packages/scheduling/src/decide/room.ts
@@ -49,12 +49,3 @@
 export function hasRoom(request: StepRequest, candidate: Candidate): boolean {
   return fits(roomOf(request), candidate.room);
 }
-
-/** Whether any worker of the pool could ever hold a task of the step, empty as it may become. */
-export function canEverFit(state: ServiceState, request: StepRequest): boolean {
-  return [...state.workers.values()].some(
-    ({ listing }) =>
-      (request.requiredLabel === null || listing.labels.includes(request.requiredLabel)) &&
-      fits(roomOf(request), listing.capacity),
-  );
-}
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -3,7 +3,7 @@
 import type { ServiceReport } from '../service/demand.js';
 import type { SchedulingFields } from '../service/effect.js';
 import type { Instant } from '../service/state.js';
-import type { FleetRecord, HostOrderKind, PoolTerms } from './state.js';
+import type { FleetRecord, HostOrderKind, PoolTerms, WaveStatus } from './state.js';
 
 /** How an order on a host ended. */
 export type HostOrderOutcome =
@@ -51,7 +51,7 @@
   | {
       readonly kind: 'wave-status-told';
       readonly wave: number;
-      readonly status: 'running' | 'completed';
+      readonly status: WaveStatus;
       readonly isStored: boolean;
     }
   | { readonly kind: 'ownership-lost' }
@@ -86,7 +86,7 @@
       readonly fencingEpoch: number;
       readonly delayMilliseconds: number;
     }
-  | { readonly kind: 'tell-wave-status'; readonly wave: number; readonly status: 'running' | 'completed' }
+  | { readonly kind: 'tell-wave-status'; readonly wave: number; readonly status: WaveStatus }
   | { readonly kind: 'give-up-ownership'; readonly reason: string }
   | { readonly kind: 'log'; readonly decision: FleetDecision; readonly fields: SchedulingFields };
 
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -35,7 +35,6 @@
     what,
     phase: 'recording',
     fencingEpoch: null,
-    beganAt: state.now,
     acceptedAt: null,
     unansweredAt: null,
   };
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -14,7 +14,6 @@
   readonly phase: 'recording' | 'sent' | 'accepted';
   /** Null until the record is stored. */
   readonly fencingEpoch: number | null;
-  readonly beganAt: Instant;
   readonly acceptedAt: Instant | null;
   /** When an attempt was last left unanswered: it may still be carried out. */
   readonly unansweredAt: Instant | null;
@@ -37,6 +36,9 @@
   readonly orderedAt: Instant | null;
 }
 
+/** What the operator is told of a wave. */
+export type WaveStatus = 'running' | 'completed';
+
 /** A wave that the operator asks for. */
 export interface WaveState {
   readonly wave: number;
@@ -51,7 +53,7 @@
   readonly begunHostIds: ReadonlySet<string>;
   readonly isCompleted: boolean;
   /** The status that the operator was told last. */
-  readonly toldStatus: 'running' | 'completed' | null;
+  readonly toldStatus: WaveStatus | null;
   readonly isTelling: boolean;
 }
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,5 +14,12 @@
 export type { Instant, ServiceState, TaskState } from './service/state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
 export { reduceFleet, restoreFleet, type FleetRestoreParts } from './fleet/reduce.js';
-export type { FleetParameters, FleetRecord, FleetState, HostOrderKind, PoolTerms } from './fleet/state.js';
+export type {
+  FleetParameters,
+  FleetRecord,
+  FleetState,
+  HostOrderKind,
+  PoolTerms,
+  WaveStatus,
+} from './fleet/state.js';
 export { selectWishes, type ServiceWishes } from './fleet/wishes.js';
--- a/packages/scheduling/src/model/job.ts
+++ b/packages/scheduling/src/model/job.ts
@@ -36,6 +36,26 @@
   readonly maximumAbsent: number | null;
 }
 
+/** One short task that asks for nothing but room; jobs that are made up for emulators and tests vary it. */
+export const PLAIN_STEP: StepRequest = {
+  taskCount: 1,
+  needs: { milliCores: 1_000, memoryMegabytes: 1_024, accelerators: 0 },
+  estimatedMilliseconds: 800,
+  after: [],
+  savesCheckpoints: false,
+  isGang: false,
+  prefersOneRack: false,
+  requiredLabel: null,
+  rackOfData: null,
+  maximumPerWorker: null,
+  allowsCopies: false,
+  isLasting: false,
+  image: null,
+  tailTargetMilliseconds: null,
+  usesSpareCapacity: false,
+  maximumAbsent: null,
+};
+
 /** Repeated runs of a job's steps. */
 export interface Repetition {
   readonly times: number;
--- a/packages/scheduling/src/model/resources.ts
+++ b/packages/scheduling/src/model/resources.ts
@@ -11,11 +11,6 @@
 /** Nothing of anything. */
 export const NO_RESOURCES: Resources = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
 
-/** Cores that one accelerator is worth when work is weighed. */
-const CORES_OF_AN_ACCELERATOR = 8;
-
-const MILLI_CORES_OF_A_CORE = 1_000;
-
 /** The sum of both. */
 export function addResources(left: Resources, right: Resources): Resources {
   return {
@@ -53,8 +48,3 @@
   );
   return Math.max(0, fitting);
 }
-
-/** Cores that resources are worth: an accelerator counts as several. */
-export function weighResources({ milliCores, accelerators }: Resources): number {
-  return milliCores / MILLI_CORES_OF_A_CORE + accelerators * CORES_OF_AN_ACCELERATOR;
-}
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -4,3 +4,4 @@
 export * from './peer-message.js';
 export * from './record.js';
 export * from './request.js';
+export * from './run-steps.js';
