Deal services to the strongest processes

Cause: every process joined the store's group, which deals evenly among its members and knows nothing of their machines.

Change: a process knows its processor from its settings (cpuShare times cores) and names it in its name as a member. It stays in a reserve while enough stronger members are there (choice 8 of docs/design/platform.md); the reserve is a group of its own, since a join is the cheapest call that tells whether the store answers. Connections to peers that were asked lately stay open though they are not in the list: the process that serves the fleet may hold no place.

--- a/packages/fleet-emulator/src/model-store.ts
+++ b/packages/fleet-emulator/src/model-store.ts
@@ -1,5 +1,12 @@
 /** The platform's store as a model: its logs and groups, behind the network. */
-import type { JoinOutcome, LogPlace, NewestOutcome, OwnersOutcome, Store } from '@baobabdeck/scheduler';
+import {
+  SCHEDULER_GROUP,
+  type JoinOutcome,
+  type LogPlace,
+  type NewestOutcome,
+  type OwnersOutcome,
+  type Store,
+} from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
 import { createModelGroup, type ModelGroup } from './model-group.js';
 import { createModelLog, type ModelLog } from './model-log.js';
@@ -16,6 +23,7 @@
 export interface ModelStore {
   readonly portFor: (endpoint: Endpoint) => Store;
   readonly logOf: (place: LogPlace) => ModelLog;
+  /** The group that services are dealt in. */
   readonly group: ModelGroup;
   /** Names that are turned away; the whole store is down for all while `isDown`. */
   readonly refused: Set<string>;
@@ -26,6 +34,14 @@
 export function createModelStore(time: VirtualTime, network: Network, random: RandomSource): ModelStore {
   const logs = new Map<string, ModelLog>();
   const group = createModelGroup(time, random);
+  const otherGroups = new Map<string, ModelGroup>();
+
+  const groupOf = (name: string): ModelGroup => {
+    if (name === SCHEDULER_GROUP) return group;
+    const known = otherGroups.get(name) ?? createModelGroup(time, random);
+    otherGroups.set(name, known);
+    return known;
+  };
 
   const logOf = ({ topic, partition }: LogPlace): ModelLog => {
     const key = `${topic}/${partition}`;
@@ -70,24 +86,25 @@
         call(() => logOf(place).read(fromOffset, waitMilliseconds), failed, failed, waitMilliseconds),
       readNewest: (place) =>
         call<NewestOutcome>(() => ({ kind: 'read', ...logOf(place).newest() }), failed, failed),
-      join: (_group, member, topics, generation) =>
+      join: (name, member, topics, generation) =>
         call<JoinOutcome>(
           () => {
             const places = topics.flatMap((topic) =>
               Array.from({ length: PARTITIONS }, (_, partition) => ({ topic, partition })),
             );
-            return { kind: 'joined' as const, ...group.join(member, places, generation) };
+            return { kind: 'joined' as const, ...groupOf(name).join(member, places, generation) };
           },
           failed,
           failed,
         ),
-      leave: (_group, member) =>
+      leave: (name, member) =>
         call(
-          () => group.leave(member),
+          () => groupOf(name).leave(member),
           () => undefined,
           () => undefined,
         ),
-      listOwners: () => call<OwnersOutcome>(() => ({ kind: 'read', owners: group.owners() }), failed, failed),
+      listOwners: (name) =>
+        call<OwnersOutcome>(() => ({ kind: 'read', owners: groupOf(name).owners() }), failed, failed),
     };
   }
 
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -19,6 +19,8 @@
   readonly hostsPerService: number;
   readonly standbyHosts: number;
   readonly nodes: number;
+  /** Thousandths of a core that each process may use; alike where left out. */
+  readonly milliCoresOf?: (node: number) => number;
 }
 
 /** A whole system in virtual time. */
@@ -40,6 +42,9 @@
 
 const HOSTS_PER_RACK = 3;
 
+/** Processor of processes that are alike. */
+const ALIKE_MILLI_CORES = 1_000;
+
 /** Thousandths of a core and megabytes of each host. */
 const HOST_CAPACITY: HostListing['capacity'] = {
   milliCores: 16_000,
@@ -58,10 +63,11 @@
   absenceNoticeMilliseconds: 4_500,
 };
 
-function settingsOf(index: number): SchedulerSettings {
+function settingsOf(index: number, milliCores: number): SchedulerSettings {
   return {
     nodeName: `node-${index}`,
     dataCentre: 'west',
+    milliCores,
     ip: '127.0.0.1',
     peerPort: 0,
     metricsPort: null,
@@ -163,7 +169,7 @@
       store,
       fleet: models,
       operator,
-      settings: settingsOf(index),
+      settings: settingsOf(index, size.milliCoresOf?.(index) ?? ALIKE_MILLI_CORES),
       switchboard,
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -96,6 +96,12 @@
     level: 'warn',
     message: 'this process claims a service again, so that late orders miss a new worker',
   },
+  groupEntered: {
+    number: 546,
+    level: 'info',
+    message: 'this process takes part in the dealing: too few stronger ones do, or they do not answer',
+  },
+  groupLeft: { number: 547, level: 'info', message: 'this process leaves the dealing to stronger ones' },
   storeUnreachable: { number: 551, level: 'warn', message: 'the store cannot be read' },
   storeReachable: { number: 552, level: 'info', message: 'the store can be read again' },
   logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
--- a/packages/scheduler/src/__tests__/store-loss.test.ts
+++ b/packages/scheduler/src/__tests__/store-loss.test.ts
@@ -76,7 +76,12 @@
       clock,
       isStoreLost: () => true,
       peers: () =>
-        answers.map((_, index) => ({ nodeName: String(index), peerAddress: 'p', incarnation: 'i' })),
+        answers.map((_, index) => ({
+          nodeName: String(index),
+          peerAddress: 'p',
+          incarnation: 'i',
+          milliCores: 0,
+        })),
       ask: ({ nodeName }) => Promise.resolve(answers[Number(nodeName)] ?? null),
     });
     await clock.pass(250);
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 /** The scheduler's process over ports. */
 export { startNode, type NodeParts, type SchedulerNode } from './node/node.js';
+export { SCHEDULER_GROUP } from './node/membership.js';
 export type { SchedulerSettings } from './node/settings.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
--- /dev/null
+++ b/packages/scheduler/src/node/candidacy.ts
@@ -0,0 +1,157 @@
+/**
+ * Decides whether this process belongs in the group that services are dealt in: where enough stronger processes are in
+ * it, services are better kept there. This is advice, as dealing is; claims keep owners apart.
+ */
+import type { WriteEvent } from '@baobabdeck/observability';
+import type { PeerAnswer, PeerQuestion } from '../peers/messages.js';
+import { formatMember, type MemberName } from './member-name.js';
+import type { SteadyClock } from './steady-clock.js';
+
+/** Time between two looks. */
+const LOOK_MILLISECONDS = 400;
+
+/** Age of the list of members from which on a look reads it again, while stronger members answer. */
+const LIST_MILLISECONDS = 2_000;
+
+/** Age of the list up to which it counts where stronger members do not answer; bounds how often it is read. */
+const DOUBTED_LIST_MILLISECONDS = 300;
+
+/** Stronger members without whom nobody stays out: the loss of all but one is covered at once by those left. */
+const LEAST_STRONGER = 3;
+
+/** Time for which too few stronger members are waited for while one of them is there to keep every place: others may be starting. */
+const SHORTAGE_MILLISECONDS = 1_500;
+
+/** Time for which stronger members must have been enough before a member steps out, so that one that flaps moves nothing. */
+const CALM_MILLISECONDS = 2_500;
+
+/** Time for which a member without places, whom the list does not show, counts after it was heard of. */
+const HEARD_MILLISECONDS = 2_000;
+
+/** Whether stronger members keep the places better than this process would. */
+export function areStrongerEnough(
+  milliCores: number,
+  stronger: readonly MemberName[],
+  placeCount: number,
+): boolean {
+  const total = stronger.reduce((sum, member) => sum + member.milliCores, 0);
+  return stronger.length >= LEAST_STRONGER && total >= milliCores * placeCount;
+}
+
+/** Stronger members that the store answers: enough to stay out, too few, or none. */
+type Stronger = 'enough' | 'few' | 'none';
+
+/** What the decision needs. */
+export interface CandidacyParts {
+  readonly clock: SteadyClock;
+  readonly writeEvent: WriteEvent;
+  readonly self: MemberName;
+  /** Places that services and the fleet have. */
+  readonly placeCount: () => number;
+  /** Reads the list of members unless it was read within a time; false where the store does not tell. */
+  readonly readMembers: (ageMilliseconds: number) => Promise<boolean>;
+  /** Members that hold places, as last read. */
+  readonly members: () => readonly MemberName[];
+  readonly ask: (member: MemberName, question: PeerQuestion) => Promise<PeerAnswer | null>;
+  /** Whether this process is in the group without a place, so that the list does not show it. */
+  readonly isUnseen: () => boolean;
+}
+
+/** Whether a process belongs in the group. */
+export interface Candidacy {
+  readonly isCandidate: () => boolean;
+  /** Another process says that it is in the group. */
+  readonly noteMember: (member: MemberName) => void;
+  readonly close: () => void;
+}
+
+/** Begins to decide; a process is no candidate before its first look. */
+export function watchCandidacy(parts: CandidacyParts): Candidacy {
+  const { clock, self } = parts;
+  const heard = new Map<string, { readonly member: MemberName; readonly at: number }>();
+  let isCandidate = false;
+  let enoughSince: number | null = null;
+  let fewSince: number | null = null;
+  let turn = 0;
+  let closed = false;
+
+  const selectStronger = (): readonly MemberName[] => {
+    const since = clock.steadyNow() - HEARD_MILLISECONDS;
+    [...heard].filter(([, { at }]) => at < since).forEach(([name]) => heard.delete(name));
+    const known = [...parts.members(), ...[...heard.values()].map(({ member }) => member)];
+    const distinct = new Map(known.map((member) => [formatMember(member), member]));
+    return [...distinct.values()].filter(({ milliCores }) => milliCores > self.milliCores);
+  };
+
+  const areEnough = (stronger: readonly MemberName[]): boolean =>
+    areStrongerEnough(self.milliCores, stronger, parts.placeCount());
+
+  /** Whether a member lives and the store answers it. */
+  const isServed = async (member: MemberName): Promise<boolean> => {
+    const answer = await parts.ask(member, { kind: 'store-contact' });
+    return answer?.kind === 'store-contact' && !answer.isLost;
+  };
+
+  const pickOne = (members: readonly MemberName[]): MemberName | undefined => {
+    turn += 1;
+    return members[turn % members.length];
+  };
+
+  const isOneServed = async (members: readonly MemberName[]): Promise<boolean> =>
+    (await Promise.all(members.map(isServed))).some((served) => served);
+
+  const look = async (): Promise<Stronger> => {
+    await parts.readMembers(LIST_MILLISECONDS);
+    const known = selectStronger();
+    const one = pickOne(known);
+    if (one !== undefined && areEnough(known) && (await isServed(one))) return 'enough';
+    await parts.readMembers(DOUBTED_LIST_MILLISECONDS);
+    const stronger = selectStronger();
+    if (!(await isOneServed(stronger))) return 'none';
+    return areEnough(stronger) ? 'enough' : 'few';
+  };
+
+  const become = (candidate: boolean): void => {
+    if (candidate === isCandidate) return;
+    isCandidate = candidate;
+    const stronger = selectStronger().length;
+    parts.writeEvent(candidate ? 'groupEntered' : 'groupLeft', { milliCores: self.milliCores, stronger });
+  };
+
+  const decide = (stronger: Stronger): void => {
+    const now = clock.steadyNow();
+    enoughSince = stronger === 'enough' ? (enoughSince ?? now) : null;
+    fewSince = stronger === 'few' ? (fewSince ?? now) : null;
+    if (stronger === 'none') become(true);
+    if (fewSince !== null && now - fewSince >= SHORTAGE_MILLISECONDS) become(true);
+    if (enoughSince !== null && now - enoughSince >= CALM_MILLISECONDS) become(false);
+  };
+
+  /** Weaker members that stay only because the list does not show this process. */
+  const tellWeaker = (): void => {
+    if (!parts.isUnseen()) return;
+    const weaker = parts.members().filter(({ milliCores }) => milliCores < self.milliCores);
+    weaker.forEach((member) => {
+      void parts.ask(member, { kind: 'member-present', member: formatMember(self) });
+    });
+  };
+
+  const watch = async (): Promise<void> => {
+    while (!closed) {
+      decide(await look());
+      tellWeaker();
+      await clock.sleep(LOOK_MILLISECONDS);
+    }
+  };
+  void watch();
+
+  return {
+    isCandidate: () => isCandidate,
+    noteMember: (member) => {
+      heard.set(formatMember(member), { member, at: clock.steadyNow() });
+    },
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -19,11 +19,12 @@
   WorkerOrders,
   WorkerRegister,
 } from '../ports/index.js';
+import { watchCandidacy } from './candidacy.js';
 import { followConfiguration } from './configuration.js';
 import { subjectOf, topicsOf } from './layout.js';
 import { explainSubject, selectStatus, type NodeStatus } from './explain.js';
 import { createLayoutKeeper } from './layout-keeper.js';
-import { formatMember } from './member-name.js';
+import { formatMember, type MemberName } from './member-name.js';
 import { takeMembership } from './membership.js';
 import { createOwnedLogs } from './owned-logs.js';
 import type { SchedulerSettings } from './settings.js';
@@ -81,12 +82,19 @@
     fleet: () => logs.fleet(),
     fleetHolder: () => standby.holder(),
     isStoreLost,
+    noteMember: (present) => candidacy.noteMember(present),
   });
   const peerAddress = await peers.listen(async (content) => {
     const question = readQuestion(content);
     return question === null ? { kind: 'not-owner' } : answerHere(question);
   });
-  const member = formatMember({ nodeName, peerAddress, incarnation: parts.incarnation });
+  const self: MemberName = {
+    nodeName,
+    peerAddress,
+    incarnation: parts.incarnation,
+    milliCores: settings.milliCores,
+  };
+  const member = formatMember(self);
   const directory = createDirectory(store, peers, clock);
   const questions = createOwnerQuestions({
     clock,
@@ -154,13 +162,25 @@
     logs,
     questions,
   });
+  const candidacy = watchCandidacy({
+    clock,
+    writeEvent,
+    self,
+    placeCount: () => keeper.layout().size,
+    readMembers: directory.readAgain,
+    members: directory.members,
+    ask: questions.askMember,
+    isUnseen: () => membership.isWithoutPlace(),
+  });
   const membership = takeMembership({
     store,
     clock,
     member,
     writeEvent,
+    isCandidate: candidacy.isCandidate,
     topics: () => topicsOf(keeper.layout()),
     onDealt: logs.follow,
+    onSteppingOut: logs.giveUp,
   });
   const front = createFront({
     clock,
@@ -192,6 +212,7 @@
     explain: (kind, name) => explainSubject(logs, kind, name),
     stop: async () => {
       stopping = true;
+      candidacy.close();
       await logs.stop();
       await membership.leave();
       await clock.sleep(DRAIN_MILLISECONDS);
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -30,6 +30,8 @@
   readonly has: (place: LogPlace) => boolean;
   /** Works with the places dealt; resolves once those that were taken away are given up. */
   readonly follow: (places: readonly LogPlace[]) => Promise<void>;
+  /** Gives everything up, the fleet too. */
+  readonly giveUp: () => Promise<void>;
   /** Gives everything up, and opens nothing any more. */
   readonly stop: () => Promise<void>;
 }
@@ -39,9 +41,12 @@
   const { clock, layout, openService, openFleet, whenFleetIsVacant } = parts;
   const owners = new Map<string, ServiceOwner>();
   const supersededAt = new Map<string, number>();
+  let dealt: readonly LogPlace[] = [];
   let fleet: FleetOwner | null = null;
   let stopping = false;
 
+  const isDealt = (place: LogPlace): boolean => dealt.some((one) => isSamePlace(one, place));
+
   /** An owner that is stopping may hear of its own successor here: only the owner itself is forgotten. */
   const forget = (owner: ServiceOwner | FleetOwner): void => {
     if (fleet === owner) fleet = null;
@@ -71,7 +76,7 @@
   };
 
   const claimFleet = (place: LogPlace): void => {
-    if (fleet !== null || stopping) return;
+    if (fleet !== null || stopping || !isDealt(place)) return;
     const opened = openFleet(place, () => noteSuperseded(opened));
     fleet = opened;
   };
@@ -93,23 +98,29 @@
   };
 
   const follow = async (places: readonly LogPlace[]): Promise<void> => {
-    const isDealt = (place: LogPlace): boolean => places.some((dealt) => isSamePlace(dealt, place));
+    dealt = places;
     // The fleet stays here: whomever it is dealt to leaves it with the process that serves it.
     await giveUpServices((owner) => !isDealt(owner.place));
     if (stopping) return;
     [...layout()].filter(([, place]) => isDealt(place)).forEach(([subject, place]) => open(subject, place));
   };
 
+  const giveUp = async (): Promise<void> => {
+    dealt = [];
+    await giveUpServices(() => true);
+    await giveUpFleet();
+  };
+
   return {
     services: () => [...owners.values()],
     serviceOf: (service) => [...owners.values()].find((owner) => owner.service === service) ?? null,
     fleet: () => fleet,
     has: (place) => owners.has(placeKey(place)) || (fleet !== null && isSamePlace(fleet.place, place)),
     follow,
+    giveUp,
     stop: async () => {
       stopping = true;
-      await giveUpServices(() => true);
-      await giveUpFleet();
+      await giveUp();
     },
   };
 }
--- a/packages/scheduler/src/node/settings.ts
+++ b/packages/scheduler/src/node/settings.ts
@@ -5,6 +5,8 @@
 export interface SchedulerSettings {
   readonly nodeName: string;
   readonly dataCentre: string;
+  /** Processor that this process may use, in thousandths of a core; 0 where that is not known. */
+  readonly milliCores: number;
   readonly ip: string;
   /** The port for peers. */
   readonly peerPort: number;
--- a/packages/scheduler/src/peers/directory.ts
+++ b/packages/scheduler/src/peers/directory.ts
@@ -11,9 +11,14 @@
 /** Pause between two reads when owners are looked for. */
 const SHORTEST_PAUSE_MILLISECONDS = 100;
 
+/** Time after the last question to a process for which its connection stays open, whether it is in the list or not. */
+const TALK_MILLISECONDS = 10_000;
+
 /** The owners, and calls to them. */
 export interface OwnerDirectory {
   readonly ownerOf: (place: LogPlace) => Promise<MemberName | null>;
+  /** Reads the list unless it was read within a time; false where the store does not tell. */
+  readonly readAgain: (ageMilliseconds: number) => Promise<boolean>;
   /** Every process that was in the list when it was last read. */
   readonly members: () => readonly MemberName[];
   /** Asks a member; null where no answer came in time. */
@@ -25,11 +30,21 @@
 /** Creates the directory. */
 export function createDirectory(store: Store, peers: PeerNetwork, clock: SteadyClock): OwnerDirectory {
   let owners = new Map<string, MemberName>();
+  const askedAt = new Map<string, number>();
   let readAt = -Infinity;
+  let toldAt = -Infinity;
   let reading: Promise<void> | null = null;
 
+  /** Whoever is in the list or was asked lately. */
+  const keepConnections = (): void => {
+    const since = clock.steadyNow() - TALK_MILLISECONDS;
+    [...askedAt].filter(([, at]) => at < since).forEach(([address]) => askedAt.delete(address));
+    const listed = [...owners.values()].map((owner) => owner.peerAddress);
+    peers.keepOnly(new Set([...listed, ...askedAt.keys()]));
+  };
+
   const read = async (): Promise<void> => {
-    const askedAt = clock.steadyNow();
+    const sentAt = clock.steadyNow();
     const outcome = await store.listOwners(SCHEDULER_GROUP);
     if (outcome.kind === 'read') {
       const entries = outcome.owners.flatMap(({ place, member }) => {
@@ -37,9 +52,10 @@
         return name === null ? [] : [[placeKey(place), name] as const];
       });
       owners = new Map(entries);
-      peers.keepOnly(new Set([...owners.values()].map((owner) => owner.peerAddress)));
+      toldAt = sentAt;
+      keepConnections();
     }
-    readAt = askedAt;
+    readAt = sentAt;
   };
 
   const refresh = async (): Promise<void> => {
@@ -54,9 +70,16 @@
       if (clock.steadyNow() - readAt > FRESH_MILLISECONDS) await refresh();
       return owners.get(placeKey(place)) ?? null;
     },
+    readAgain: async (ageMilliseconds) => {
+      const since = clock.steadyNow() - ageMilliseconds;
+      if (toldAt < since) await refresh();
+      return toldAt >= since;
+    },
     members: () => [...new Map([...owners.values()].map((name) => [formatMember(name), name])).values()],
-    ask: (member, question, timeoutMilliseconds) =>
-      peers.ask(member.peerAddress, question, timeoutMilliseconds),
+    ask: (member, question, timeoutMilliseconds) => {
+      askedAt.set(member.peerAddress, clock.steadyNow());
+      return peers.ask(member.peerAddress, question, timeoutMilliseconds);
+    },
     distrust: () => {
       readAt = Math.min(readAt, clock.steadyNow() - FRESH_MILLISECONDS + SHORTEST_PAUSE_MILLISECONDS);
     },
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -37,6 +37,9 @@
 /** A process that the store does not answer asks another whether it is answered. */
 const contactQuestion = z.object({ kind: z.literal('store-contact') });
 
+/** A member of the group that was dealt nothing, so that the list does not show it, tells a weaker one that it is there. */
+const presentNotice = z.object({ kind: z.literal('member-present'), member: z.string() });
+
 /** A process asks another whether it serves the fleet now. */
 const heldQuestion = z.object({ kind: z.literal('fleet-held') });
 
@@ -58,6 +61,7 @@
   hostsQuestion,
   heldQuestion,
   contactQuestion,
+  presentNotice,
 ]);
 
 /** A question to the owner of a service. */
@@ -77,6 +81,7 @@
       readonly ageMilliseconds: number;
     }
   | { readonly kind: 'store-contact'; readonly isLost: boolean }
+  | { readonly kind: 'member-noted' }
   /** The process asked serves the fleet. */
   | { readonly kind: 'fleet-held' }
   /** Another process serves the fleet; its name is that of a member. */
@@ -115,6 +120,7 @@
   }),
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
   z.object({ kind: z.literal('store-contact'), isLost: z.boolean() }),
+  z.object({ kind: z.literal('member-noted') }),
   z.object({ kind: z.literal('fleet-held') }),
   z.object({ kind: z.literal('held-by'), member: z.string() }),
   z.object({ kind: z.literal('not-owner') }),
--- a/packages/scheduler/src/peers/peer-desk.ts
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -6,7 +6,7 @@
   type ServiceState,
 } from '@baobabdeck/scheduling';
 import type { FleetOwner } from '../fleet/fleet-owner.js';
-import { formatMember, type MemberName } from '../node/member-name.js';
+import { formatMember, parseMember, type MemberName } from '../node/member-name.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { ServiceOwner } from '../owner/service-owner.js';
 import type { PeerAnswer, PeerQuestion } from './messages.js';
@@ -21,6 +21,8 @@
   /** The process that serves the fleet in this one's place; null for none. */
   readonly fleetHolder: () => MemberName | null;
   readonly isStoreLost: () => boolean;
+  /** Another process says that it is in the group. */
+  readonly noteMember: (member: MemberName) => void;
 }
 
 /** Tells a service's scheduler which hosts the fleet's owner wants, and reports. */
@@ -63,6 +65,7 @@
   fleet,
   fleetHolder,
   isStoreLost,
+  noteMember,
 }: PeerDeskParts): (question: PeerQuestion) => Promise<PeerAnswer> {
   const answerHosts = (pool: string): PeerAnswer => {
     const holder = fleet() === null ? fleetHolder() : null;
@@ -73,7 +76,14 @@
     return { kind: 'hosts-of-pool', hosts: listed.hosts, ageMilliseconds };
   };
 
+  const notePresent = (text: string): PeerAnswer => {
+    const member = parseMember(text);
+    if (member !== null) noteMember(member);
+    return { kind: 'member-noted' };
+  };
+
   return async (question) => {
+    if (question.kind === 'member-present') return notePresent(question.member);
     if (question.kind === 'store-contact') return { kind: 'store-contact', isLost: isStoreLost() };
     if (question.kind === 'fleet-held') {
       return fleet()?.isServing() === true ? { kind: 'fleet-held' } : NOT_OWNER;
