Let the fleet go from a process that owns a service to one that owns none

Cause: the fleet stays with whoever serves it, whatever the store deals.

Change: a process that has been dealt the fleet for 3 s and owns no service says so when it asks the one that serves it; that one gives the fleet up, as at a planned end, if it owns a service.

Tests: dealing.test.ts deals anew 20 times and fails without the change.

--- a/packages/fleet-emulator/src/__tests__/dealing.test.ts
+++ b/packages/fleet-emulator/src/__tests__/dealing.test.ts
@@ -181,4 +181,17 @@
     await pass(world, 1_600);
     t.deepEqual(readiness(), [false, true, true, true, true, true]);
   });
+
+  it('leave the fleet to one that owns no service, each time that the store deals anew', async (t) => {
+    const size = { services: 1, hostsPerService: 2, standbyHosts: 1, nodes: 4 };
+    const world = createWorld(9, size);
+    await pass(world, START_MILLISECONDS);
+    for (let deal = 0; deal < 20; deal += 1) {
+      world.store.group.dealAnew();
+      await pass(world, STEPPING_OUT_MILLISECONDS);
+      const [fleet, service] = world.store.group.owners();
+      const owned = [...selectOwned(world).values()].map((names) => names.length);
+      if (fleet?.member !== service?.member) t.deepEqual(owned, [1, 1]);
+    }
+  });
 });
--- a/packages/fleet-emulator/src/__tests__/random-play.test.ts
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
-import { playSchedule, SMALL_PLAY } from '../random-play.js';
+import { playSchedule, SMALL_PLAY, UNEVEN_PLAY } from '../random-play.js';
 
 /** A play that broke a rule once. */
 interface KeptPlay {
@@ -21,6 +21,7 @@
 
 const FIRST_FRESH_SEED = 100_001;
 const FRESH_PLAYS = 12;
+const UNEVEN_PLAYS = 6;
 
 describe('schedulers, workers and hosts among random troubles', ({ describe: within, it }) => {
   within('that broke a rule once', ({ itSerially: keeps }) => {
@@ -44,6 +45,17 @@
     });
   });
 
+  within('of unequal strength', ({ itSerially: plays }) => {
+    Array.from({ length: UNEVEN_PLAYS }, (_, index) => FIRST_FRESH_SEED + index).forEach((seed) => {
+      plays(`break no rule with seed ${seed}`, async (t) => {
+        const { violations, errors, completed, runs } = await playSchedule({ ...UNEVEN_PLAY, seed });
+        t.deepEqual(violations, []);
+        t.deepEqual(errors, []);
+        t.true(completed > 0 && runs > completed);
+      });
+    });
+  });
+
   it('tell what they know of themselves, of jobs, workers, hosts and pools', async (t) => {
     const { world } = await playSchedule({ ...SMALL_PLAY, seed: 7 });
     const nodes = world.nodes.flatMap((node) => node.running() ?? []);
--- a/packages/fleet-emulator/src/index.ts
+++ b/packages/fleet-emulator/src/index.ts
@@ -1,4 +1,4 @@
 /** Whole scheduler processes in virtual time. */
-export { playSchedule, SMALL_PLAY, type PlayOptions, type PlayResult } from './random-play.js';
+export { playSchedule, SMALL_PLAY, UNEVEN_PLAY, type PlayOptions, type PlayResult } from './random-play.js';
 export type { RuleName, Violation } from './sightings.js';
 export { TROUBLE_KINDS, type TroubleKind } from './troubles.js';
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -34,6 +34,20 @@
   kinds: TROUBLE_KINDS,
 };
 
+const STRONG_COUNT = 3;
+const STRONG_MILLI_CORES = 1_350;
+const WEAK_MILLI_CORES = 324;
+
+/** The same with processes of unequal strength. */
+export const UNEVEN_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: {
+    ...SMALL_PLAY.size,
+    nodes: 6,
+    milliCoresOf: (node) => (node < STRONG_COUNT ? STRONG_MILLI_CORES : WEAK_MILLI_CORES),
+  },
+};
+
 /** Time before the first traffic. */
 const LEAD_MILLISECONDS = 6_000;
 
--- a/packages/scheduler/src/fleet/fleet-standby.ts
+++ b/packages/scheduler/src/fleet/fleet-standby.ts
@@ -1,10 +1,10 @@
 /**
  * Leaves the fleet with the process that serves it, whomever the store deals it to: every change of its owner keeps
  * hosts from orders for a while. A process that is dealt the fleet claims it only once the last claimant does not
- * answer that it serves it.
+ * answer that it serves it. One that owns a service beside the fleet leaves the fleet to one that would own nothing else.
  */
 import type { SteadyClock } from '../node/steady-clock.js';
-import { parseMember, type MemberName } from '../node/member-name.js';
+import { formatMember, parseMember, type MemberName } from '../node/member-name.js';
 import { decodeRecord } from '../owner/record-codec.js';
 import type { PeerAnswer, PeerQuestion } from '../peers/messages.js';
 import type { LogPlace, Store } from '../ports/index.js';
@@ -12,12 +12,19 @@
 /** Time between two questions to the process that serves the fleet. */
 const LOOK_MILLISECONDS = 300;
 
+/** Time for which the fleet must be dealt to this process before it asks for it: at a start the deal changes often. */
+const STEADY_MILLISECONDS = 3_000;
+
+/** Pause between two looks after which the fleet counts as dealt anew. */
+const DEALT_ANEW_MILLISECONDS = 1_000;
+
 /** What the standby needs. */
 export interface FleetStandbyParts {
   readonly store: Store;
   readonly clock: SteadyClock;
   /** This process. */
-  readonly member: string;
+  readonly self: MemberName;
+  readonly ownsService: () => boolean;
   readonly ask: (member: MemberName, question: PeerQuestion) => Promise<PeerAnswer | null>;
 }
 
@@ -35,10 +42,13 @@
   | { readonly kind: 'unreadable' };
 
 /** Creates a standby that has not looked yet. */
-export function createFleetStandby({ store, clock, member, ask }: FleetStandbyParts): FleetStandby {
+export function createFleetStandby(parts: FleetStandbyParts): FleetStandby {
+  const { store, clock, self, ask } = parts;
+  const member = formatMember(self);
   let holder: MemberName | null = null;
   let isLooking = false;
   let lookedAt = -Infinity;
+  let dealtSince = -Infinity;
 
   const readClaimant = async (place: LogPlace): Promise<Claimant> => {
     const page = await store.readNewest(place);
@@ -53,21 +63,31 @@
     return name === null ? { kind: 'none' } : { kind: 'other', member: name };
   };
 
+  const isFreeFor = (claimant: MemberName): boolean =>
+    !parts.ownsService() &&
+    self.milliCores >= claimant.milliCores &&
+    clock.steadyNow() - dealtSince >= STEADY_MILLISECONDS;
+
+  const isHeldBy = async (claimant: MemberName): Promise<boolean> => {
+    const answer = await ask(claimant, { kind: 'fleet-held', isFree: isFreeFor(claimant) });
+    return answer?.kind === 'fleet-held';
+  };
+
   const lookOnce = async (place: LogPlace, onVacant: () => void): Promise<void> => {
     const claimant = await readClaimant(place);
     if (claimant.kind === 'unreadable') return;
-    const answer = claimant.kind === 'other' ? await ask(claimant.member, { kind: 'fleet-held' }) : null;
-    const isHeld = claimant.kind === 'other' && answer?.kind === 'fleet-held';
-    holder = isHeld ? claimant.member : null;
-    if (!isHeld) onVacant();
+    holder = claimant.kind === 'other' && (await isHeldBy(claimant.member)) ? claimant.member : null;
+    if (holder === null) onVacant();
   };
 
   return {
     holder: () => holder,
     look: (place, onVacant) => {
-      if (isLooking || clock.steadyNow() - lookedAt < LOOK_MILLISECONDS) return;
+      const now = clock.steadyNow();
+      if (isLooking || now - lookedAt < LOOK_MILLISECONDS) return;
       isLooking = true;
-      lookedAt = clock.steadyNow();
+      if (now - lookedAt > DEALT_ANEW_MILLISECONDS) dealtSince = now;
+      lookedAt = now;
       void lookOnce(place, onVacant).finally(() => {
         isLooking = false;
       });
--- a/packages/scheduler/src/node/candidacy.ts
+++ b/packages/scheduler/src/node/candidacy.ts
@@ -8,7 +8,7 @@
 import type { SteadyClock } from './steady-clock.js';
 
 /** Time between two looks. */
-const LOOK_MILLISECONDS = 400;
+const LOOK_MILLISECONDS = 300;
 
 /** Age of the list of members from which on a look reads it again, while stronger members answer. */
 const LIST_MILLISECONDS = 2_000;
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -81,6 +81,7 @@
     ownerOf: (service) => logs.serviceOf(service),
     fleet: () => logs.fleet(),
     fleetHolder: () => standby.holder(),
+    handFleetOver: () => logs.handFleetOver(),
     isStoreLost,
     noteMember: (present) => candidacy.noteMember(present),
   });
@@ -111,7 +112,13 @@
     peers: () => directory.members().filter((one) => formatMember(one) !== member),
     ask: questions.askMember,
   });
-  const standby = createFleetStandby({ store, clock, member, ask: questions.askMember });
+  const standby = createFleetStandby({
+    store,
+    clock,
+    self,
+    ownsService: () => logs.services().length > 0,
+    ask: questions.askMember,
+  });
 
   const logs = createOwnedLogs({
     clock,
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -30,6 +30,8 @@
   readonly has: (place: LogPlace) => boolean;
   /** Works with the places dealt; resolves once those that were taken away are given up. */
   readonly follow: (places: readonly LogPlace[]) => Promise<void>;
+  /** Gives the fleet up if it is dealt to another process and this one owns a service beside it. */
+  readonly handFleetOver: () => void;
   /** Gives everything up, the fleet too. */
   readonly giveUp: () => Promise<void>;
   /** Gives everything up, and opens nothing any more. */
@@ -117,6 +119,9 @@
     fleet: () => fleet,
     has: (place) => owners.has(placeKey(place)) || (fleet !== null && isSamePlace(fleet.place, place)),
     follow,
+    handFleetOver: () => {
+      if (fleet !== null && owners.size > 0 && !isDealt(fleet.place)) void giveUpFleet();
+    },
     giveUp,
     stop: async () => {
       stopping = true;
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -41,7 +41,11 @@
 const presentNotice = z.object({ kind: z.literal('member-present'), member: z.string() });
 
 /** A process asks another whether it serves the fleet now. */
-const heldQuestion = z.object({ kind: z.literal('fleet-held') });
+const heldQuestion = z.object({
+  kind: z.literal('fleet-held'),
+  /** Whether the process that asks would serve the fleet and nothing else. */
+  isFree: z.boolean().default(false),
+});
 
 const host = z.object({
   hostId: z.string(),
--- a/packages/scheduler/src/peers/peer-desk.ts
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -20,6 +20,8 @@
   readonly fleet: () => FleetOwner | null;
   /** The process that serves the fleet in this one's place; null for none. */
   readonly fleetHolder: () => MemberName | null;
+  /** Leaves the fleet to a process that serves nothing else, if this one does. */
+  readonly handFleetOver: () => void;
   readonly isStoreLost: () => boolean;
   /** Another process says that it is in the group. */
   readonly noteMember: (member: MemberName) => void;
@@ -64,6 +66,7 @@
   ownerOf,
   fleet,
   fleetHolder,
+  handFleetOver,
   isStoreLost,
   noteMember,
 }: PeerDeskParts): (question: PeerQuestion) => Promise<PeerAnswer> {
@@ -76,6 +79,12 @@
     return { kind: 'hosts-of-pool', hosts: listed.hosts, ageMilliseconds };
   };
 
+  const answerHeld = (isFree: boolean): PeerAnswer => {
+    if (fleet()?.isServing() !== true) return NOT_OWNER;
+    if (isFree) handFleetOver();
+    return { kind: 'fleet-held' };
+  };
+
   const notePresent = (text: string): PeerAnswer => {
     const member = parseMember(text);
     if (member !== null) noteMember(member);
@@ -85,9 +94,7 @@
   return async (question) => {
     if (question.kind === 'member-present') return notePresent(question.member);
     if (question.kind === 'store-contact') return { kind: 'store-contact', isLost: isStoreLost() };
-    if (question.kind === 'fleet-held') {
-      return fleet()?.isServing() === true ? { kind: 'fleet-held' } : NOT_OWNER;
-    }
+    if (question.kind === 'fleet-held') return answerHeld(question.isFree);
     if (question.kind === 'hosts-of-pool') return answerHosts(question.pool);
     const owner = ownerOf(question.service);
     const state = owner?.state() ?? null;
