--- a/packages/test-tools/src/describe.ts
+++ b/packages/test-tools/src/describe.ts
@@ -5,6 +5,8 @@
 export interface Group {
   readonly describe: (title: string, declare: (group: Group) => void) => void;
   readonly it: (title: string, run: (t: ExecutionContext) => void | Promise<void>) => void;
+  /** Declares a test of a known fault, listed in KNOWN-RED.txt: it must fail, and is printed. */
+  readonly itFails: (title: string, run: (t: ExecutionContext) => void | Promise<void>) => void;
   /** Like `it`, but no other test of the file runs at the same time. */
   readonly itSerially: (title: string, run: (t: ExecutionContext) => void | Promise<void>) => void;
 }
@@ -14,6 +16,7 @@
   return {
     describe: (title, declare) => declare(makeGroup([...path, title])),
     it: (title, run) => test(titleOf(title), run as ImplementationFn<[]>),
+    itFails: (title, run) => test.failing(titleOf(title), run as ImplementationFn<[]>),
     itSerially: (title, run) => test.serial(titleOf(title), run as ImplementationFn<[]>),
   };
 }
