Tell how late an owner is and what its events cost

Nothing measured an owner's events, the lag of a process, or its calls.

Each owner now writes one line a second at most, 546 ownerLoad: events by kind with their count and their milliseconds in the reducer and in what follows, the longest event, how late its timer came, how long the process was busy, what waits (tasks, tasks being recorded, jobs to record, renewals), and its appends with their bytes. 547 loopLate and 548 loopInTime frame the time in which a process is late. taskPlaced carries the time since the task's turn came. Metrics: events by kind, lag, busy time, waiting tasks, waits, calls to the store and to workers by outcome, bytes to the store. The report to the fleet's owner, which is derived outside the reducer, counts as an event of its own kind.

Reducers are as they were, but for the new field. The figures are derived once a line; what that takes is counted as load-summed in the next line.

--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -1,5 +1,6 @@
 /** One scheduler process in virtual time: it can be killed, frozen and started again. */
 import {
+  NO_MEASURES,
   startNode,
   type OperatorFeed,
   type OperatorOutcome,
@@ -165,6 +166,7 @@
       incarnation: `${name}-${ofLife}`,
       clock: clockOf(ofLife),
       writeEvent: (event, fields = {}) => parts.onLog(event, { ...fields, node: name }),
+      measures: NO_MEASURES,
       store: storePort,
       feed: feedOf(endpoint),
       register: fleet.registerFor(endpoint),
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -4,8 +4,8 @@
 /** Upper bounds in seconds for waiting times and run times. */
 const DURATION_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60];
 
-/** Upper bounds in seconds for one step of the reducer. */
-const STEP_BUCKETS = [0.000_01, 0.000_05, 0.000_1, 0.000_5, 0.001, 0.005, 0.01, 0.05];
+/** Upper bounds in seconds for one event of a reducer. */
+const STEP_BUCKETS = [0.000_01, 0.000_05, 0.000_1, 0.000_5, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5];
 
 /** The metrics that the programs write. */
 export interface Metrics {
@@ -25,6 +25,14 @@
   readonly decisions: Counter<'decision'>;
   readonly jobSeconds: Histogram<'service' | 'phase'>;
   readonly droppedLogLines: Counter;
+  readonly ownerEventSeconds: Histogram<'event'>;
+  readonly loopLateSeconds: Histogram;
+  readonly loopBusySeconds: Gauge;
+  readonly taskWaitSeconds: Histogram<'service'>;
+  readonly waitingTasks: Gauge<'service'>;
+  readonly storeCallSeconds: Histogram<'call' | 'outcome'>;
+  readonly storeBytes: Counter;
+  readonly workerCallSeconds: Histogram<'call' | 'outcome'>;
 }
 
 /** Creates the metrics of one process, in a registry of its own. */
@@ -76,5 +84,38 @@
       DURATION_BUCKETS,
     ),
     droppedLogLines: counter('log_lines_dropped_total', 'Log lines that nobody read in time', []),
+    ownerEventSeconds: histogram(
+      'owner_event_seconds',
+      'Time in which an owner works one event in and begins what follows from it',
+      ['event'],
+      STEP_BUCKETS,
+    ),
+    loopLateSeconds: histogram(
+      'loop_late_seconds',
+      'How late a timer of the process comes',
+      [],
+      DURATION_BUCKETS,
+    ),
+    loopBusySeconds: gauge('loop_busy_seconds', 'Time since the start with something to do', []),
+    taskWaitSeconds: histogram(
+      'task_wait_seconds',
+      'Time from the turn of a task until it is given to a worker',
+      ['service'],
+      DURATION_BUCKETS,
+    ),
+    waitingTasks: gauge('waiting_tasks', 'Tasks whose turn has come and that have no worker', ['service']),
+    storeCallSeconds: histogram(
+      'store_call_seconds',
+      'Time of a call to the store by how it ended',
+      ['call', 'outcome'],
+      DURATION_BUCKETS,
+    ),
+    storeBytes: counter('store_bytes_total', 'Bytes of records sent to the store', []),
+    workerCallSeconds: histogram(
+      'worker_call_seconds',
+      'Time of an order to a worker by how it ended',
+      ['call', 'outcome'],
+      DURATION_BUCKETS,
+    ),
   };
 }
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -1,5 +1,5 @@
 /** Owns the fleet: claims its logs, runs its reducer and carries out what that decides on hosts and waves. */
-import type { WriteEvent } from '@baobabdeck/observability';
+import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import {
   reduceFleet,
   restoreFleet,
@@ -12,6 +12,8 @@
   type ServiceWishes,
   type WaveStatus,
 } from '@baobabdeck/scheduling';
+import { sleepAndTellLateness } from '../measure/loop-watch.js';
+import { createOwnerLoad } from '../measure/owner-load.js';
 import type { PoolHosts } from '../node/host-lists.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
@@ -54,6 +56,7 @@
   readonly feed: OperatorFeed;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
+  readonly measures: ProcessMeasures;
   readonly configuration: () => QueueConfiguration | null;
   readonly waves: () => readonly WaveRequest[];
   /** Tells a service's owner its wishes and brings its report back; null where it does not answer. */
@@ -80,7 +83,7 @@
 
 /** Creates the owner of the fleet and begins to claim it. */
 export function createFleetOwner(parts: FleetOwnerParts): FleetOwner {
-  const { place, store, clock, writeEvent } = parts;
+  const { place, store, clock, writeEvent, measures } = parts;
   let claimed: ClaimedService | null = null;
   let loop: ReducerLoop<FleetState, FleetEventBody> | null = null;
   let journal: OwnedJournal | null = null;
@@ -88,6 +91,13 @@
   let closed = false;
   const isOpen = (): boolean => !closed;
   const stateNow = (): FleetState | null => loop?.state() ?? null;
+  const load = createOwnerLoad({
+    clock,
+    writeEvent,
+    measures,
+    logFields: { subject: 'fleet' },
+    queueFigures: () => ({ hosts: stateNow()?.hosts.size ?? 0 }),
+  });
 
   const dispatch = (body: FleetEventBody): void => {
     if (!closed) loop?.dispatch(body);
@@ -207,7 +217,7 @@
   const run = async (): Promise<void> => {
     for (let count = 0; isOpen(); count += 1) {
       tick(count);
-      await clock.sleep(TICK_MILLISECONDS);
+      load.noteLate(await sleepAndTellLateness(clock, TICK_MILLISECONDS));
     }
   };
 
@@ -244,6 +254,7 @@
       isOpen,
       onFenced: () => dispatch({ kind: 'ownership-lost' }),
       writeEvent,
+      load,
       logFields: { subject: 'fleet' },
     });
     loop = createReducerLoop({
@@ -253,6 +264,7 @@
       perform,
       clock,
       writeEvent,
+      load,
       logFields: { subject: 'fleet' },
     });
     writeEvent('serviceClaimed', { service: null, subject: 'fleet', epoch: claimed.epoch, nextOffset });
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,4 +3,7 @@
 export type { SchedulerSettings } from './node/settings.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
+export { measureStore } from './measure/measured-store.js';
+export { NO_MEASURES } from './measure/no-measures.js';
+export { measureWorkers } from './measure/measured-workers.js';
 export * from './ports/index.js';
--- /dev/null
+++ b/packages/scheduler/src/measure/__tests__/owner-load.test.ts
@@ -0,0 +1,166 @@
+import type { LogFields } from '@baobabdeck/observability';
+import { describe } from '@baobabdeck/test-tools';
+import { createReducerLoop } from '../../owner/reducer-loop.js';
+import { openJournal } from '../../owner/owned-journal.js';
+import type { AppendOutcome, Store } from '../../ports/index.js';
+import { NO_MEASURES } from '../no-measures.js';
+import { createOwnerLoad, type OwnerLoad } from '../owner-load.js';
+import { createHandClock, type HandClock } from './hand-clock.js';
+
+interface Line extends LogFields {
+  readonly event: string;
+}
+
+interface Play {
+  readonly clock: HandClock;
+  readonly load: OwnerLoad;
+  readonly lines: readonly Line[];
+  readonly write: (event: string, fields?: LogFields) => void;
+  readonly counted: readonly (readonly [kind: string, milliseconds: number])[];
+}
+
+function begin(): Play {
+  const clock = createHandClock();
+  const lines: Line[] = [];
+  const counted: [string, number][] = [];
+  const write = (event: string, fields: LogFields = {}): void => {
+    lines.push({ ...fields, event });
+  };
+  const load = createOwnerLoad({
+    clock,
+    writeEvent: write,
+    measures: {
+      ...NO_MEASURES,
+      ownerEvent: (kind, milliseconds) => counted.push([kind, milliseconds]),
+      busyMilliseconds: () => clock.steadyNow() / 2,
+    },
+    logFields: { service: 'quotes' },
+    queueFigures: () => ({ waitingTasks: 7 }),
+  });
+  return { clock, load, lines, write, counted };
+}
+
+/** A reducer that takes 4 ms an event, and 3 ms for what follows from it. */
+function loopOf({ clock, load, write }: Play): { readonly dispatch: (body: { kind: string }) => void } {
+  return createReducerLoop({
+    initial: 0,
+    *reduce(state: number, { kind }: { kind: string }) {
+      clock.work(4);
+      if (kind === 'broken') throw new Error('broken');
+      yield kind;
+      return state + 1;
+    },
+    perform: () => clock.work(3),
+    clock,
+    load,
+    writeEvent: write,
+    logFields: {},
+  });
+}
+
+function storeThat(clock: HandClock, outcomes: readonly AppendOutcome[]): Store {
+  const failed = { kind: 'failed' as const, detail: 'no' };
+  const left = [...outcomes];
+  return {
+    append: () => {
+      clock.work(40);
+      return Promise.resolve(left.shift() ?? { kind: 'fenced' });
+    },
+    read: () => Promise.resolve(failed),
+    readNewest: () => Promise.resolve(failed),
+    join: () => Promise.resolve(failed),
+    leave: () => Promise.resolve(),
+    listOwners: () => Promise.resolve(failed),
+    partitionCount: 12,
+  };
+}
+
+describe('the load of an owner', ({ it }) => {
+  it('is one line a second at most, which sums up events by kind', async (t) => {
+    const play = begin();
+    const { dispatch } = loopOf(play);
+    dispatch({ kind: 'ticked' });
+    dispatch({ kind: 'ticked' });
+    dispatch({ kind: 'records-read' });
+    t.deepEqual(play.lines, []);
+    await play.clock.pass(1_000);
+    dispatch({ kind: 'ticked' });
+    t.deepEqual(play.lines, [
+      {
+        event: 'ownerLoad',
+        service: 'quotes',
+        spanMilliseconds: 1_028,
+        busyMilliseconds: 514,
+        waitingTasks: 7,
+        longestMilliseconds: 7,
+        longestKind: 'ticked',
+        lateMilliseconds: 0,
+        appends: 0,
+        longestAppendMilliseconds: 0,
+        appendedBytes: 0,
+        events: { ticked: [3, 12, 9], 'records-read': [1, 4, 3] },
+      },
+    ]);
+    t.deepEqual(play.counted.slice(0, 3), [
+      ['ticked', 7],
+      ['ticked', 7],
+      ['records-read', 7],
+    ]);
+  });
+
+  it('is no line where nothing happens', async (t) => {
+    const { clock, lines } = begin();
+    await clock.pass(60_000);
+    t.deepEqual(lines, []);
+  });
+
+  it('counts an event that the reducer cannot take', async (t) => {
+    const play = begin();
+    const { dispatch } = loopOf(play);
+    await play.clock.pass(1_000);
+    dispatch({ kind: 'broken' });
+    const [, line] = play.lines;
+    t.deepEqual(line?.events, { broken: [1, 4, 0] });
+  });
+
+  it('tells how late the owner was woken at most, and starts anew with each line', async (t) => {
+    const { clock, load, lines } = begin();
+    load.noteLate(30);
+    load.noteLate(420);
+    load.noteLate(10);
+    await clock.pass(1_000);
+    load.noteEvent('ticked', clock.steadyNow(), clock.steadyNow());
+    await clock.pass(1_000);
+    load.noteEvent('ticked', clock.steadyNow(), clock.steadyNow());
+    t.deepEqual(
+      lines.map(({ lateMilliseconds }) => lateMilliseconds),
+      [420, 0],
+    );
+  });
+
+  it('tells of each attempt at an append its time and its bytes', async (t) => {
+    const { clock, load, lines, write } = begin();
+    const journal = openJournal({
+      store: storeThat(clock, [
+        { kind: 'unknown', detail: 'no' },
+        { kind: 'stored', firstOffset: 0, nextOffset: 1 },
+      ]),
+      clock,
+      place: { topic: 'journal', partition: 0 },
+      epoch: 1,
+      isOpen: () => true,
+      onFenced: () => t.fail('nothing is to be fenced'),
+      load,
+      writeEvent: write,
+      logFields: {},
+    });
+    journal.append(1, [{ key: 'progress/1', value: new Uint8Array(90) }], () => undefined);
+    await clock.pass(0);
+    await clock.pass(1_000);
+    load.noteEvent('ticked', clock.steadyNow(), clock.steadyNow());
+    const line = lines.find(({ event }) => event === 'ownerLoad');
+    t.is(line?.appends, 2);
+    t.is(line?.longestAppendMilliseconds, 40);
+    t.is(line?.appendedBytes, 200);
+  });
+});
--- /dev/null
+++ b/packages/scheduler/src/measure/measured-store.ts
@@ -0,0 +1,33 @@
+/** A store each of whose calls is measured. */
+import type { ProcessMeasures } from '@baobabdeck/observability';
+import type { SteadyClock } from '../node/steady-clock.js';
+import type { KeyedRecord, Store } from '../ports/index.js';
+
+/** Bytes of the keys and values of records. */
+export function bytesOf(records: readonly KeyedRecord[]): number {
+  return records.reduce((sum, { key, value }) => sum + key.length + (value?.byteLength ?? 0), 0);
+}
+
+/** Measures the calls to a store. A read that may wait for records counts apart from one that may not. */
+export function measureStore(store: Store, clock: SteadyClock, measures: ProcessMeasures): Store {
+  const measure = async <T extends { readonly kind: string }>(
+    call: string,
+    bytes: number,
+    begin: () => Promise<T>,
+  ): Promise<T> => {
+    const askedAt = clock.steadyNow();
+    const outcome = await begin();
+    measures.storeCall(call, outcome.kind, clock.steadyNow() - askedAt, bytes);
+    return outcome;
+  };
+  return {
+    ...store,
+    append: (request) => measure('append', bytesOf(request.records), () => store.append(request)),
+    read: (place, fromOffset, wait) =>
+      measure(wait > 0 ? 'read-waiting' : 'read', 0, () => store.read(place, fromOffset, wait)),
+    readNewest: (place) => measure('read-newest', 0, () => store.readNewest(place)),
+    join: (group, member, topics, generation) =>
+      measure('join', 0, () => store.join(group, member, topics, generation)),
+    listOwners: (group) => measure('list-owners', 0, () => store.listOwners(group)),
+  };
+}
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -1,10 +1,11 @@
 /** One process of the scheduler: its part of the services, its peers and its callers. */
-import type { WriteEvent } from '@baobabdeck/observability';
+import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import { createFleetStandby } from '../fleet/fleet-standby.js';
 import { createFleetOwner } from '../fleet/fleet-owner.js';
 import { findQueue } from '../front/find-queue.js';
 import { createFront } from '../front/front.js';
 import { createSubmissionWriter } from '../front/submission-writer.js';
+import { watchLoop } from '../measure/loop-watch.js';
 import { createServiceOwner } from '../owner/service-owner.js';
 import { createOwnerQuestions } from '../peers/ask-owner.js';
 import { createDirectory } from '../peers/directory.js';
@@ -42,6 +43,7 @@
   readonly incarnation: string;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
+  readonly measures: ProcessMeasures;
   readonly store: Store;
   readonly feed: OperatorFeed;
   readonly register: WorkerRegister;
@@ -61,10 +63,11 @@
 
 /** Starts a process. Rejects when its port is taken. */
 export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
-  const { settings, clock, writeEvent, feed, hosts, peers } = parts;
+  const { settings, clock, writeEvent, measures, feed, hosts, peers } = parts;
   const { store, isLost: isStoreLost } = watchStore(parts.store, clock);
   const { nodeName } = settings;
   let stopping = false;
+  const loopWatch = watchLoop({ clock, writeEvent, measures });
 
   const keeper = createLayoutKeeper(store, clock);
   const follower = followConfiguration({
@@ -119,6 +122,7 @@
         workers: parts.workers,
         clock,
         writeEvent,
+        measures,
         suspectWorker: () => news.suspect(),
         onClaimed: () => news.tell(owner),
         onGivenUp,
@@ -136,6 +140,7 @@
         feed,
         clock,
         writeEvent,
+        measures,
         configuration: follower.current,
         waves: follower.waves,
         askService: async (service, wishes, epoch, sequence) => {
@@ -195,6 +200,7 @@
       await logs.stop();
       await membership.leave();
       await clock.sleep(DRAIN_MILLISECONDS);
+      loopWatch.close();
       standing.close();
       keeper.close();
       follower.close();
--- a/packages/scheduler/src/owner/owned-journal.ts
+++ b/packages/scheduler/src/owner/owned-journal.ts
@@ -1,5 +1,7 @@
 /** The journal of an owned log: its owner appends each batch until it is stored, or a newer owner has appended. */
 import type { LogFields, WriteEvent } from '@baobabdeck/observability';
+import { bytesOf } from '../measure/measured-store.js';
+import type { OwnerLoad } from '../measure/owner-load.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { KeyedRecord, LogPlace, Store } from '../ports/index.js';
 import { OWNER_PRODUCER } from './claim.js';
@@ -20,6 +22,7 @@
   readonly isOpen: () => boolean;
   readonly onFenced: () => void;
   readonly writeEvent: WriteEvent;
+  readonly load: OwnerLoad;
   /** Names the owner in the log. */
   readonly logFields: LogFields;
 }
@@ -47,9 +50,11 @@
   ): Promise<void> => {
     const producer = { name: OWNER_PRODUCER, epoch, sequence: nextSequence };
     nextSequence += 1;
+    const bytes = bytesOf(records);
     while (parts.isOpen()) {
       const askedAt = clock.steadyNow();
       const outcome = await store.append({ place, records, producer, expectedEnd: null });
+      parts.load.noteAppend(clock.steadyNow() - askedAt, bytes);
       if (outcome.kind === 'stored') {
         onStored(outcome.firstOffset, askedAt);
         return;
--- a/packages/scheduler/src/owner/reducer-loop.ts
+++ b/packages/scheduler/src/owner/reducer-loop.ts
@@ -1,6 +1,7 @@
 /** Runs an owner's reducer: one event at a time, its effects after its state. */
 import type { LogFields, WriteEvent } from '@baobabdeck/observability';
 import { runSteps } from '@baobabdeck/types';
+import type { OwnerLoad } from '../measure/owner-load.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 
 /** An event without its times, which the loop adds. */
@@ -13,6 +14,7 @@
   readonly perform: (effect: Effect) => void;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
+  readonly load: OwnerLoad;
   /** Names the owner in the log. */
   readonly logFields: LogFields;
 }
@@ -27,20 +29,23 @@
 export function createReducerLoop<State, Body extends { readonly kind: string }, Effect>(
   parts: ReducerLoopParts<State, Body, Effect>,
 ): ReducerLoop<State, Body> {
-  const { reduce, perform, clock, writeEvent, logFields } = parts;
+  const { reduce, perform, clock, writeEvent, load, logFields } = parts;
   let state = parts.initial;
   const queue: Body[] = [];
   let busy = false;
 
   const step = (body: Body): void => {
     let effects: readonly Effect[] = [];
+    const beganAt = clock.steadyNow();
     try {
-      ({ state, effects } = runSteps(reduce(state, body, clock.steadyNow(), clock.now())));
+      ({ state, effects } = runSteps(reduce(state, body, beganAt, clock.now())));
     } catch (error) {
       // The state is as it was before the event, and no effect of it was carried out.
       writeEvent('unexpectedError', { kind: body.kind, ...logFields, err: error });
     }
+    const reducedAt = clock.steadyNow();
     effects.forEach(perform);
+    load.noteEvent(body.kind, beganAt, reducedAt);
   };
 
   const dispatch = (body: Body): void => {
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -1,8 +1,9 @@
 /** Owns one service: claims its logs, runs its scheduler and carries out what that decides. */
-import type { WriteEvent } from '@baobabdeck/observability';
+import type { LogFields, ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import {
   reduceService,
   restoreService,
+  selectQueueFigures,
   type SchedulingParameters,
   type ServiceEffect,
   type ServiceEvent,
@@ -10,6 +11,8 @@
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
 import type { LogPlace, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import { sleepAndTellLateness } from '../measure/loop-watch.js';
+import { createOwnerLoad } from '../measure/owner-load.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import { claimService, type ClaimedService } from './claim.js';
@@ -37,6 +40,7 @@
   readonly workers: WorkerOrders;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
+  readonly measures: ProcessMeasures;
   /** A worker does not answer: the list of hosts tells whether its life is over. */
   readonly suspectWorker: () => void;
   /** The claim stands. */
@@ -52,6 +56,8 @@
   /** The scheduler's state; null until the claim stands and once it is lost. */
   readonly state: () => ServiceState | null;
   readonly dispatch: (event: ServiceEventBody) => void;
+  /** A value derived from the state, whose cost counts as that of an event; null where there is no state. */
+  readonly select: <T>(kind: string, selector: (state: ServiceState) => T) => T | null;
   /** Reads the log up to its end as of now; false where it cannot be read. */
   readonly catchUp: () => Promise<boolean>;
   /** Stops: what is being stored is waited for, up to a limit. */
@@ -60,7 +66,7 @@
 
 /** Creates the owner of a service and begins to claim it. */
 export function createServiceOwner(parts: ServiceOwnerParts): ServiceOwner {
-  const { service, place, member, parameters, store, clock, writeEvent } = parts;
+  const { service, place, member, parameters, store, clock, writeEvent, measures } = parts;
   let loop: ReducerLoop<ServiceState, ServiceEventBody> | null = null;
   let journal: OwnedJournal | null = null;
   let claimed: ClaimedService | null = null;
@@ -68,6 +74,17 @@
   let closed = false;
 
   const isOpen = (): boolean => !closed;
+  const stateNow = (): ServiceState | null => (closed ? null : (loop?.state() ?? null));
+
+  const queueFigures = (): LogFields => {
+    const state = stateNow();
+    if (state === null) return {};
+    const figures = selectQueueFigures(state);
+    measures.waitingTasks(service, figures.waitingTasks);
+    return { ...figures };
+  };
+
+  const load = createOwnerLoad({ clock, writeEvent, measures, logFields: { service }, queueFigures });
 
   const decodeAll = (records: readonly StoredKeyedRecord[]): readonly StoredServiceRecord[] =>
     records.flatMap((record) => {
@@ -132,7 +149,7 @@
 
   const tick = async (): Promise<void> => {
     while (isOpen()) {
-      await clock.sleep(TICK_MILLISECONDS);
+      load.noteLate(await sleepAndTellLateness(clock, TICK_MILLISECONDS));
       dispatch({ kind: 'ticked' });
     }
   };
@@ -179,6 +196,7 @@
       isOpen,
       onFenced: () => dispatch({ kind: 'ownership-lost' }),
       writeEvent,
+      load,
       logFields: { service },
     });
     loop = createReducerLoop({
@@ -188,6 +206,7 @@
       perform,
       clock,
       writeEvent,
+      load,
       logFields: { service },
     });
     const cancels = cancelledJobIds.map((jobId) => ({
@@ -205,8 +224,16 @@
   return {
     service,
     place,
-    state: () => (closed ? null : (loop?.state() ?? null)),
+    state: stateNow,
     dispatch,
+    select: (kind, selector) => {
+      const state = stateNow();
+      if (state === null) return null;
+      const beganAt = clock.steadyNow();
+      const selected = selector(state);
+      load.noteEvent(kind, beganAt, clock.steadyNow());
+      return selected;
+    },
     catchUp: () => (loop === null ? Promise.resolve(false) : readOnce(0)),
     stop: async () => {
       dispatch({ kind: 'stop-requested' });
--- a/packages/scheduler/src/peers/peer-desk.ts
+++ b/packages/scheduler/src/peers/peer-desk.ts
@@ -29,8 +29,8 @@
   { releases, returns, epoch, sequence }: Extract<PeerQuestion, { readonly kind: 'service-report' }>,
 ): PeerAnswer {
   owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence });
-  const state = owner.state();
-  return state === null ? NOT_OWNER : { kind: 'service-report', report: selectServiceReport(state) };
+  const report = owner.select('report-asked', selectServiceReport);
+  return report === null ? NOT_OWNER : { kind: 'service-report', report };
 }
 
 function noteCancel(owner: ServiceOwner, jobId: string): PeerAnswer {
--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -4,7 +4,7 @@
 import type { ServiceStep } from '../service/effect.js';
 import { mayAct } from '../service/lease.js';
 import { runFields } from '../service/runs.js';
-import type { Run, ServiceState, TaskState } from '../service/state.js';
+import type { Run, ServiceState, StepState, TaskState } from '../service/state.js';
 import { addRun, findTask, isTaskWaiting, roomOf } from '../service/tasks.js';
 import { keyOf, orderWaitingSteps, type WaitingStep } from './order.js';
 import { candidatesOf, hasRoom, isSuitable, type Candidate } from './room.js';
@@ -80,6 +80,12 @@
   };
 }
 
+/** How long a task has waited since its turn came, or since it was last away. */
+function waitedMilliseconds(state: ServiceState, key: TaskKey, step: StepState): number {
+  const since = findTask(state, key)?.waitingSince ?? state.now;
+  return state.now - Math.max(since, step.readySince ?? since);
+}
+
 function* assign(
   state: ServiceState,
   key: TaskKey,
@@ -97,6 +103,7 @@
       ...runFields(key, run),
       freeMilliCores: chosen.room.milliCores,
       slackMilliseconds: Math.round(waiting.slackMilliseconds),
+      waitedMilliseconds: Math.round(waitedMilliseconds(state, key, waiting.step)),
     },
   };
   return placed;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -10,6 +10,7 @@
 export type { SchedulingParameters } from './service/parameters.js';
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreParts } from './service/restore.js';
+export { selectQueueFigures, type QueueFigures } from './service/queue-figures.js';
 export { selectJobStatus, selectPendingCount } from './service/selectors.js';
 export type { Instant, ServiceState, TaskState } from './service/state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
