Keep the log lines of a process that is busy for seconds

The lines were dropped, by a buffer of 1 MB.

Cause: the reader takes 8 KB at a write, and a process that is busy writes once a turn of its loop: lines of 4.1 s were read at 6.9 s, those of 5.1 s at 11.3 s. The busiest process is the one whose lines are needed.

Change: 8 MB may wait. That is twenty seconds of the busiest owner seen (280 KB a second written, 60 KB a second read). Memory is taken only as lines wait. A process still never waits for its reader.

Tests: a new one holds 6 MB in one turn and fails with the former limit; the one on what does not fit writes 16 MB instead of 2 MB so that it still does not fit, and asserts what it did.

--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -5,7 +5,10 @@
 import { createEventLog } from './event-log.js';
 import { openLogOutput } from './log-output.js';
 
-const MORE_THAN_FITS = 2_000_000;
+/** Two of the size fit with room to spare: what a busy process writes in 20 s. */
+const MUCH = 3_000_000;
+
+const MORE_THAN_FITS = 16_000_000;
 
 describe('the output of a log', ({ it }) => {
   it('writes its lines in their order', async (t) => {
@@ -25,6 +28,17 @@
     rmSync(path);
   });
 
+  it('keeps all lines of a busy process whose reader is slow', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-busy-log-${process.pid}`);
+    const file = openSync(path, 'w');
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    output.write(`${'a'.repeat(MUCH)}\n`);
+    output.write(`${'b'.repeat(MUCH)}\n`);
+    await output.finish();
+    t.is(readFileSync(path, 'utf8').length, 2 * (MUCH + 1));
+    rmSync(path);
+  });
+
   it('drops and counts what its reader does not take, and goes on', (t) => {
     const path = join(tmpdir(), `baobabdeck-full-log-${process.pid}`);
     const file = openSync(path, 'w');
--- a/packages/observability/src/log-output.ts
+++ b/packages/observability/src/log-output.ts
@@ -5,7 +5,7 @@
 const { SonicBoom } = sonicBoom;
 
 /** Bytes of lines that may wait for their reader. */
-const BUFFER_BYTES = 1_048_576;
+const BUFFER_BYTES = 8_388_608;
 
 /** The longest that an end waits for the reader. */
 const FINISH_MILLISECONDS = 500;
