--- a/packages/scheduling/src/service/waiting-queue.ts
+++ b/packages/scheduling/src/service/waiting-queue.ts
@@ -80,7 +80,7 @@
   const total = addToTotal(addToTotal(queue.total, known, -1), load, 1);
   if (load !== null) {
     const leastNeeds = leastResources(queue.leastNeeds, load.needs);
-    return { steps: queue.steps.with(key, load), total, leastNeeds };
+    return { steps: queue.steps.with(key, load, true), total, leastNeeds };
   }
   const steps = queue.steps.without(key);
   return steps.isEmpty ? EMPTY_WAITING_QUEUE : { ...queue, steps, total };
