--- a/packages/scheduling/src/__tests__/waiting-queue.test.ts
+++ b/packages/scheduling/src/__tests__/waiting-queue.test.ts
@@ -1,5 +1,10 @@
 import { describe } from '@baobabdeck/test-tools';
-import { EMPTY_WAITING_QUEUE, setWaiting, waitingInOrder, type WaitingKey } from '../service/waiting-queue.js';
+import {
+  EMPTY_WAITING_QUEUE,
+  setWaiting,
+  waitingInOrder,
+  type WaitingKey,
+} from '../service/waiting-queue.js';
 
 const NEEDS = { milliCores: 500, memoryMegabytes: 64, accelerators: 0 };
 
