Tell new owners nothing of workers that was read long ago

Cause: a process follows the register of workers only while it owns a service, and kept what it had read 16 s before. When the store was back it claimed the service and its owner was told from that: of the host's former life, which held no task, and not of the one that ran two tasks of the step. The fleet asked for the host, the former life was released at once, and the order ended both tasks' work while the replacement of a third had not begun.

What was read counts for 1 s from the question on; a process that owns nothing looks whether it does every 100 ms instead of 400, so a new owner waits no longer for its workers than before.

--- a/packages/fleet-emulator/src/__tests__/random-play.test.ts
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -17,6 +17,7 @@
   { seed: 2144, broke: 'when a task of a young life was started elsewhere too' },
   { seed: 2363, broke: 'when an owner learned of a cancelling by its own reads only' },
   { seed: 2466, broke: 'when a run was stopped without end on a worker that was gone' },
+  { seed: 20_033, broke: 'when a new owner was told of workers from a look before the store was down' },
 ];
 
 const FIRST_FRESH_SEED = 100_001;
--- /dev/null
+++ b/packages/scheduler/src/__tests__/hand-clock.ts
@@ -0,0 +1,32 @@
+/** A clock in the hand of a test. */
+import type { SteadyClock } from '../node/steady-clock.js';
+
+/** A clock that a test moves. */
+export interface HandClock extends SteadyClock {
+  /** Lets time pass, and those that sleep wake. */
+  readonly pass: (milliseconds: number) => Promise<void>;
+}
+
+/** Creates a clock that stands. */
+export function createHandClock(): HandClock {
+  let now = 1_000;
+  let sleepers: readonly { readonly until: number; readonly wake: () => void }[] = [];
+  return {
+    now: () => new Date(now),
+    steadyNow: () => now,
+    sleep: (milliseconds) =>
+      new Promise((resolve) => {
+        sleepers = [...sleepers, { until: now + milliseconds, wake: resolve }];
+      }),
+    pass: async (milliseconds) => {
+      now += milliseconds;
+      const due = sleepers.filter(({ until }) => until <= now);
+      sleepers = sleepers.filter(({ until }) => until > now);
+      due.forEach(({ wake }) => wake());
+      // What woke goes on in the next turns of the loop.
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    },
+  };
+}
--- a/packages/scheduler/src/__tests__/store-loss.test.ts
+++ b/packages/scheduler/src/__tests__/store-loss.test.ts
@@ -1,37 +1,9 @@
 import { describe } from '@baobabdeck/test-tools';
-import type { SteadyClock } from '../node/steady-clock.js';
 import { watchStanding } from '../node/standing.js';
 import { watchStore } from '../node/store-contact.js';
 import type { PeerAnswer } from '../peers/messages.js';
 import type { JoinOutcome, Store } from '../ports/index.js';
-
-interface HandClock extends SteadyClock {
-  /** Lets time pass, and those that sleep wake. */
-  readonly pass: (milliseconds: number) => Promise<void>;
-}
-
-function createHandClock(): HandClock {
-  let now = 1_000;
-  let sleepers: readonly { readonly until: number; readonly wake: () => void }[] = [];
-  return {
-    now: () => new Date(now),
-    steadyNow: () => now,
-    sleep: (milliseconds) =>
-      new Promise((resolve) => {
-        sleepers = [...sleepers, { until: now + milliseconds, wake: resolve }];
-      }),
-    pass: async (milliseconds) => {
-      now += milliseconds;
-      const due = sleepers.filter(({ until }) => until <= now);
-      sleepers = sleepers.filter(({ until }) => until > now);
-      due.forEach(({ wake }) => wake());
-      // What woke goes on in the next turns of the loop.
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
-    },
-  };
-}
+import { createHandClock } from './hand-clock.js';
 
 function storeThat(join: () => JoinOutcome): Store {
   const failed = { kind: 'failed' as const, detail: 'no' };
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -6,9 +6,15 @@
 /** Time between two looks. */
 const LOOK_MILLISECONDS = 400;
 
+/** Time between two questions whether anyone needs the register. */
+const IDLE_MILLISECONDS = 100;
+
+/** Age from which on what was read is told to nobody: a worker may live its next life meanwhile. */
+const OLD_MILLISECONDS = 1_000;
+
 /** The register as last read. */
 export interface RegisterFollower {
-  /** The workers of one pool; null before the first look. */
+  /** The workers of one pool; null where no look was answered lately. */
   readonly workersOf: (pool: string) => readonly WorkerListing[] | null;
   /** Rises with each change. */
   readonly revision: () => number;
@@ -34,6 +40,7 @@
 ): RegisterFollower {
   const workers = new Map<string, WorkerListing>();
   let nextOffset: number | null = null;
+  let lookedAt = -Infinity;
   let revision = 0;
   let closed = false;
 
@@ -48,6 +55,7 @@
   };
 
   const lookOnce = async (): Promise<void> => {
+    const askedAt = clock.steadyNow();
     const outcome = nextOffset === null ? await register.readNewest() : await register.read(nextOffset);
     if (outcome.kind === 'expired') nextOffset = null;
     if (outcome.kind !== 'read') return;
@@ -62,19 +70,23 @@
     }
     outcome.changes.forEach(apply);
     nextOffset = outcome.nextOffset;
+    lookedAt = askedAt;
     onLooked();
   };
 
   const follow = async (): Promise<void> => {
     while (!closed) {
-      if (isNeeded()) await lookOnce();
-      await clock.sleep(LOOK_MILLISECONDS);
+      const isWanted = isNeeded();
+      if (isWanted) await lookOnce();
+      await clock.sleep(isWanted ? LOOK_MILLISECONDS : IDLE_MILLISECONDS);
     }
   };
   void follow();
   return {
     workersOf: (pool) =>
-      nextOffset === null ? null : [...workers.values()].filter((listing) => listing.pool === pool),
+      clock.steadyNow() - lookedAt > OLD_MILLISECONDS
+        ? null
+        : [...workers.values()].filter((listing) => listing.pool === pool),
     revision: () => revision,
     close: () => {
       closed = true;
