Order a host only once its present worker is empty

What runs on a host ends with the order, so lasting tasks were ended beyond what may be absent.

A report names the worker that it is about; the order follows only if that is the worker that the platform lists. Of several lives on a host the newest is the one to be emptied. One test of the fleet and one of the service fail without the change and pass with it.

--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -99,11 +99,12 @@
       hosts: z.array(
         z.object({
           hostId: z.string(),
+          workerId: z.string(),
           committedMilliCores: z.number(),
           taskCount: z.number(),
           lastingCount: z.number(),
           isSound: z.boolean(),
-          release: z.enum(['released', 'draining', 'unknown']).nullable(),
+          release: z.enum(['released', 'draining']).nullable(),
         }),
       ),
       waitingMilliCores: z.number(),
--- a/packages/scheduling/src/__tests__/fleet.test.ts
+++ b/packages/scheduling/src/__tests__/fleet.test.ts
@@ -29,6 +29,7 @@
 function loadOf(hostId: string, fields: Partial<HostLoad> = {}): HostLoad {
   return {
     hostId,
+    workerId: `worker-of-${hostId}`,
     committedMilliCores: 0,
     taskCount: 0,
     lastingCount: 0,
@@ -318,6 +319,25 @@
     t.deepEqual(ordersOf(play.pass(250)), []);
   });
 
+  it('takes no host on the word that a former life of its worker is empty', (t) => {
+    const play = createPlay();
+    const hosts = ['h1', 'h2', 'h3', 'h4'];
+    play.list(...hosts.map((hostId) => hostOf(hostId, 'quotes')));
+    play.dispatch({ kind: 'service-reported', report: reportOf(hosts.map((one) => loadOf(one))) });
+    ask(play, hosts, 4);
+    play.pass(10);
+    const [wanted = ''] = play
+      .state()
+      .hosts.filter(({ wish }) => wish !== null)
+      .keys();
+    const tell = (load: Partial<HostLoad>) => {
+      const report = reportOf([loadOf(wanted, { release: 'released', ...load })]);
+      return ordersOf(play.dispatch({ kind: 'service-reported', report }));
+    };
+    t.deepEqual(tell({ workerId: 'former-life' }), []);
+    t.is(tell({}).length, 1);
+  });
+
   it('is told completed only once every host of it has begun', (t) => {
     const play = createPlay();
     const hosts = ['h1', 'h2'];
--- a/packages/scheduling/src/__tests__/service.test.ts
+++ b/packages/scheduling/src/__tests__/service.test.ts
@@ -203,6 +203,15 @@
     t.deepEqual(startsOf(play.accept(jobOf('a', [{}]))), []);
   });
 
+  it('is emptied of its newest life where the register holds a former one too', (t) => {
+    const play = createPlay();
+    play.addWorkers(['former'], { hostId: 'h1' });
+    play.addWorkers(['newest'], { hostId: 'h1', incarnation: 2 });
+    wish(play, 'h1');
+    const hold = (workerId: string) => play.state().workers.get(workerId)?.hold.kind;
+    t.deepEqual([hold('former'), hold('newest')], ['none', 'leaving']);
+  });
+
   it('is not obeyed for by an older message', (t) => {
     const play = createPlay();
     play.addWorkers(['w1']);
--- a/packages/scheduling/src/fleet/wishes.ts
+++ b/packages/scheduling/src/fleet/wishes.ts
@@ -6,7 +6,7 @@
 /** Time after which a host that is to move, and is still busy, is left in its pool. */
 const MOVE_PATIENCE_MILLISECONDS = 4_000;
 
-/** Works in a service's report: emptied hosts get their orders. */
+/** Works in a service's report: hosts whose worker, as the platform lists it, is emptied get their orders. */
 export function handleServiceReported(
   state: FleetState,
   { report }: FleetEventOf<'service-reported'>,
@@ -21,13 +21,14 @@
     }),
   };
   if (!mayOrder(next)) return next;
-  for (const { hostId, release } of report.hosts) {
+  for (const { hostId, workerId, release } of report.hosts) {
     const host = next.hosts.get(hostId);
     const isReady =
       host?.wish != null &&
       host.order === null &&
       host.restUntil <= next.now &&
-      host.listing.pool === report.service;
+      host.listing.pool === report.service &&
+      host.listing.workerId === workerId;
     if (isReady && release === 'released') next = beginOrder(next, host, host.wish.what);
   }
   return next;
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -16,6 +16,8 @@
 /** How one host of a service is used. */
 export interface HostLoad {
   readonly hostId: string;
+  /** The worker that the rest is about; its host may run another by now. */
+  readonly workerId: string;
   readonly committedMilliCores: number;
   readonly taskCount: number;
   readonly lastingCount: number;
@@ -82,18 +84,18 @@
 }
 
 function loadOf(state: ServiceState, worker: WorkerState): HostLoad {
-  const { hostId } = worker.listing;
+  const { hostId, workerId } = worker.listing;
   const runs = [...runsOn(state, worker)];
   const isReleasing =
-    worker.hold.kind === 'leaving' ||
-    state.releasedWorkers.get(worker.listing.workerId) === worker.listing.incarnation;
+    worker.hold.kind === 'leaving' || state.releasedWorkers.get(workerId) === worker.listing.incarnation;
   return {
     hostId,
+    workerId,
     committedMilliCores: worker.committed.milliCores,
     taskCount: runs.length,
     lastingCount: runs.filter(([key]) => isLastingTask(state, key.jobId, key.step)).length,
     isSound: worker.isListed && worker.isHeld && worker.silentSince === null && !worker.listing.isDraining,
-    release: isReleasing ? selectRelease(state, hostId) : null,
+    release: isReleasing ? selectRelease(state, worker) : null,
   };
 }
 
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -15,7 +15,7 @@
 const WISH_MILLISECONDS = 2_000;
 
 /** How far the emptying of a host has come. */
-export type ReleaseProgress = 'released' | 'draining' | 'unknown';
+export type ReleaseProgress = 'released' | 'draining';
 
 /** Whether a run is known to work at full speed on a worker that answers. */
 function isAtWork(state: ServiceState, run: Run): boolean {
@@ -119,9 +119,14 @@
   return state;
 }
 
+/** The newest life on a host: the register may hold former ones, which run nothing. */
 function workerOnHost(state: ServiceState, hostId: string): WorkerState | null {
-  const onHost = [...state.workers.values()].filter((worker) => worker.listing.hostId === hostId);
-  return onHost.find((worker) => !worker.isGone) ?? onHost[0] ?? null;
+  let newest: WorkerState | null = null;
+  for (const worker of state.workers.values()) {
+    const isNewer = newest === null || worker.listing.incarnation > newest.listing.incarnation;
+    if (worker.listing.hostId === hostId && isNewer) newest = worker;
+  }
+  return newest;
 }
 
 function* wishForHost(state: ServiceState, { hostId, purpose }: HostWished): ServiceStep<ServiceState> {
@@ -167,10 +172,8 @@
   return yield* emptyLeavingWorkers(next);
 }
 
-/** How far a host's emptying has come. A worker whose life is over holds nothing. */
-export function selectRelease(state: ServiceState, hostId: string): ReleaseProgress {
-  const worker = workerOnHost(state, hostId);
-  if (worker === null) return 'unknown';
+/** How far the emptying of a worker has come whose host is wanted. */
+export function selectRelease(state: ServiceState, worker: WorkerState): ReleaseProgress {
   const { workerId, incarnation } = worker.listing;
   const isRecorded =
     state.releasedWorkers.get(workerId) === incarnation &&
