Give no order on a host that was decided on before the process stood still

Cause: an order that was refused while an earlier attempt may come late is given again after a pause, and so is one without an answer. The process was frozen in that pause; when it woke the order went out although nothing looked whether the ownership was still proven. Placing looks, repeating did not.

The proof is looked at in the step that sends the order. One that is held back counts as not sent and is tried again after the usual pause, until the proof is renewed or a newer owner is seen.

--- a/packages/fleet-emulator/src/__tests__/random-play.test.ts
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -18,6 +18,7 @@
   { seed: 2363, broke: 'when an owner learned of a cancelling by its own reads only' },
   { seed: 2466, broke: 'when a run was stopped without end on a worker that was gone' },
   { seed: 20_033, broke: 'when a new owner was told of workers from a look before the store was down' },
+  { seed: 20_196, broke: 'when a process that had been frozen gave an order on a host again' },
 ];
 
 const FIRST_FRESH_SEED = 100_001;
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -1,6 +1,7 @@
 /** Owns the fleet: claims its logs, runs its reducer and carries out what that decides on hosts and waves. */
 import type { WriteEvent } from '@baobabdeck/observability';
 import {
+  mayOrder,
   reduceFleet,
   restoreFleet,
   selectWishes,
@@ -106,6 +107,12 @@
     if (effect.delayMilliseconds > 0) await clock.sleep(effect.delayMilliseconds);
     if (closed) return;
     const { hostId, what, fencingEpoch } = effect;
+    // The process may have stood still since the order was decided.
+    const state = stateNow();
+    if (state === null || !mayOrder({ ...state, now: clock.steadyNow() })) {
+      dispatch({ kind: 'host-order-settled', hostId, fencingEpoch, outcome: 'withheld' });
+      return;
+    }
     const head = { hostId, holder: parts.nodeName, fencingEpoch };
     const outcome =
       what.kind === 'move'
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -17,6 +17,8 @@
   | 'invalid'
   /** Too many orders; nothing was done. */
   | 'throttled'
+  /** Our ownership was not proven recently enough: nothing was sent. */
+  | 'withheld'
   /** No answer: it may have been, or may yet be, carried out. */
   | 'unanswered';
 
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -157,7 +157,7 @@
     return state;
   }
   const { what } = host.order;
-  if (outcome === 'unanswered' || outcome === 'throttled') {
+  if (outcome === 'unanswered' || outcome === 'throttled' || outcome === 'withheld') {
     yield* giveOrder(state, host, REPEAT_PAUSE_MILLISECONDS);
     const unansweredAt = outcome === 'unanswered' ? state.now : host.order.unansweredAt;
     const orderedAt = state.now + REPEAT_PAUSE_MILLISECONDS;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -22,4 +22,5 @@
   PoolTerms,
   WaveStatus,
 } from './fleet/state.js';
+export { mayOrder } from './fleet/orders.js';
 export { selectWishes, type ServiceWishes } from './fleet/wishes.js';
