Tell why a claim does not come on

No line says at which step a claim stands: each attempt that fails was repeated without a word.

549 claimDelayed tells step, outcome, attempts and time of a claim, once a second at most; serviceClaimed tells how long the claim took and how many bytes were read for it.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -99,6 +99,11 @@
   ownerLoad: { number: 546, level: 'info', message: 'what an owner has worked in since its last such line' },
   loopLate: { number: 547, level: 'warn', message: 'this process is late with what it has to do' },
   loopInTime: { number: 548, level: 'info', message: 'this process is in time again' },
+  claimDelayed: {
+    number: 549,
+    level: 'warn',
+    message: 'claim of a service does not come on: the store gives no answer to it',
+  },
   storeUnreachable: { number: 551, level: 'warn', message: 'the store cannot be read' },
   storeReachable: { number: 552, level: 'info', message: 'the store can be read again' },
   logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -232,6 +232,8 @@
       journal: journalPlace,
       claimRecord,
       isWanted: isOpen,
+      writeEvent,
+      logFields: { subject: 'fleet' },
     });
     if (claimed === null) {
       if (isOpen()) parts.onSuperseded();
@@ -267,7 +269,14 @@
       load,
       logFields: { subject: 'fleet' },
     });
-    writeEvent('serviceClaimed', { service: null, subject: 'fleet', epoch: claimed.epoch, nextOffset });
+    writeEvent('serviceClaimed', {
+      service: null,
+      subject: 'fleet',
+      epoch: claimed.epoch,
+      nextOffset,
+      milliseconds: Math.round(claimed.milliseconds),
+      bytes: claimed.bytes,
+    });
     void proveOwnership();
     void run();
   };
--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -2,6 +2,8 @@
  * Claims a service. It has two logs: fronts append to its inbox, its owner alone to its journal. From the claim on the
  * store refuses what earlier owners append to the journal.
  */
+import type { LogFields, WriteEvent } from '@baobabdeck/observability';
+import { bytesOf } from '../measure/measured-store.js';
 import type { KeyedRecord, LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 
@@ -10,6 +12,9 @@
 
 const RETRY_PAUSE_MILLISECONDS = 50;
 
+/** Shortest time between two lines on a claim that does not come on. */
+const DELAY_LINE_MILLISECONDS = 1_000;
+
 /** What a claim needs. */
 export interface ClaimParts {
   readonly store: Store;
@@ -21,6 +26,9 @@
   readonly claimRecord: KeyedRecord;
   /** Whether the service is still wanted; a claim is given up otherwise. */
   readonly isWanted: () => boolean;
+  readonly writeEvent: WriteEvent;
+  /** Names the owner in the log. */
+  readonly logFields: LogFields;
 }
 
 /** A claimed service. */
@@ -33,6 +41,31 @@
   readonly records: readonly StoredKeyedRecord[];
   /** Where to read the inbox on. */
   readonly nextOffset: number;
+  /** Time that the claim took, and what was read for it. */
+  readonly milliseconds: number;
+  readonly bytes: number;
+}
+
+type TellDelay = (step: string, outcome: { readonly kind: string }) => void;
+
+/** A claim with its log. */
+interface Claiming extends ClaimParts {
+  /** An attempt has failed. */
+  readonly tellDelay: TellDelay;
+}
+
+function createDelayLog({ clock, writeEvent, logFields }: ClaimParts): TellDelay {
+  const beganAt = clock.steadyNow();
+  let toldAt = -Infinity;
+  let attempts = 0;
+  return (step, outcome) => {
+    const now = clock.steadyNow();
+    attempts += 1;
+    if (now - toldAt < DELAY_LINE_MILLISECONDS) return;
+    toldAt = now;
+    const milliseconds = Math.round(now - beganAt);
+    writeEvent('claimDelayed', { ...logFields, step, outcome, attempts, milliseconds });
+  };
 }
 
 async function retry<T>(parts: ClaimParts, attempt: () => Promise<T | null>): Promise<T | null> {
@@ -45,23 +78,27 @@
 }
 
 /** The offset of a claim's record; a later one of the same claimant counts instead. */
-async function appendClaim({ store, inbox, claimRecord }: ClaimParts): Promise<number | null> {
+async function appendClaim({ store, inbox, claimRecord, tellDelay }: Claiming): Promise<number | null> {
   const outcome = await store.append({
     place: inbox,
     records: [claimRecord],
     producer: null,
     expectedEnd: null,
   });
-  return outcome.kind === 'stored' ? outcome.firstOffset : null;
+  if (outcome.kind === 'stored') return outcome.firstOffset;
+  tellDelay('claim', outcome);
+  return null;
 }
 
 type Fencing = { readonly kind: 'fencing'; readonly nextOffset: number } | { readonly kind: 'superseded' };
 
-async function fenceOff({ store, journal }: ClaimParts, epoch: number): Promise<Fencing | null> {
+async function fenceOff({ store, journal, tellDelay }: Claiming, epoch: number): Promise<Fencing | null> {
   const producer = { name: OWNER_PRODUCER, epoch, sequence: 0 };
   const outcome = await store.append({ place: journal, records: [], producer, expectedEnd: null });
   if (outcome.kind === 'fenced') return { kind: 'superseded' };
-  return outcome.kind === 'stored' ? { kind: 'fencing', nextOffset: outcome.nextOffset } : null;
+  if (outcome.kind === 'stored') return { kind: 'fencing', nextOffset: outcome.nextOffset };
+  tellDelay('fence', outcome);
+  return null;
 }
 
 interface Log {
@@ -70,14 +107,20 @@
 }
 
 /** The newest record of each key up to an offset at least; pages are no snapshot, so the log is read from them on. */
-async function readLog({ store }: ClaimParts, place: LogPlace, until: number): Promise<Log | null> {
+async function readLog({ store, tellDelay }: Claiming, place: LogPlace, until: number): Promise<Log | null> {
   const page = await store.readNewest(place);
-  if (page.kind !== 'read') return null;
+  if (page.kind !== 'read') {
+    tellDelay(`newest records of ${place.topic}`, page);
+    return null;
+  }
   const newest = new Map(page.records.map((record) => [record.key, record]));
   let { nextOffset } = page;
   while (nextOffset < until) {
     const tail = await store.read(place, nextOffset, 0);
-    if (tail.kind !== 'read') return null;
+    if (tail.kind !== 'read') {
+      tellDelay(`tail of ${place.topic}`, tail);
+      return null;
+    }
     tail.records.forEach((record) => newest.set(record.key, record));
     nextOffset = tail.nextOffset;
   }
@@ -86,8 +129,10 @@
 }
 
 /** Claims a service and reads what is recorded of it; null when it is not wanted any more or a newer claim stands. */
-export async function claimService(parts: ClaimParts): Promise<ClaimedService | null> {
-  const { inbox, journal, clock } = parts;
+export async function claimService(claim: ClaimParts): Promise<ClaimedService | null> {
+  const { inbox, journal, clock } = claim;
+  const parts: Claiming = { ...claim, tellDelay: createDelayLog(claim) };
+  const beganAt = clock.steadyNow();
   const offset = await retry(parts, () => appendClaim(parts));
   if (offset === null) return null;
   // Epoch 0 is that of orders without a token.
@@ -101,5 +146,7 @@
   const inboxLog = await retry(parts, () => readLog(parts, inbox, epoch));
   if (inboxLog === null) return null;
   const records = [...inboxLog.records, ...ownLog.records];
-  return { epoch, claimedAt, provenAt, records, nextOffset: inboxLog.nextOffset };
+  const milliseconds = clock.steadyNow() - beganAt;
+  const bytes = bytesOf(records);
+  return { epoch, claimedAt, provenAt, records, nextOffset: inboxLog.nextOffset, milliseconds, bytes };
 }
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -165,6 +165,8 @@
       journal: journalPlace,
       claimRecord,
       isWanted: isOpen,
+      writeEvent,
+      logFields: { service },
     });
     if (claimed === null) {
       if (isOpen()) parts.onGivenUp(false);
@@ -187,6 +189,8 @@
       jobs: state.jobs.size,
       activeJobs: state.activeJobIds.size,
       nextOffset,
+      milliseconds: Math.round(claimed.milliseconds),
+      bytes: claimed.bytes,
     });
     journal = openJournal({
       store,
