--- a/packages/scheduler/src/measure/__tests__/loop-watch.test.ts
+++ b/packages/scheduler/src/measure/__tests__/loop-watch.test.ts
@@ -1,7 +1,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import { NO_MEASURES } from '../no-measures.js';
 import { watchLoop } from '../loop-watch.js';
-import { createHandClock } from './hand-clock.js';
+import { createHandClock } from '../../__tests__/hand-clock.js';
 
 const LOOK_MILLISECONDS = 100;
 
