Tell at a glance that no worker has room for a step

On a full service most waiting steps fit nowhere; the most that is free of each resource on any worker tells so without a look at the workers. What is freed and what is fresh share one account of room, so a fresh step is held against all workers at its place in the order and the others against the freed ones.

--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -1,21 +1,28 @@
 /** On which worker a task starts. */
 import type { StepRequest, TaskKey } from '../model/job.js';
-import { fits, subtractResources, type Resources } from '../model/resources.js';
 import { roomOf } from '../model/step-needs.js';
 import type { ServiceStep } from '../service/effect.js';
 import { mayAct } from '../service/lease.js';
 import { runFields } from '../service/runs.js';
-import type { Run, ServiceState, StepState, TaskState } from '../service/state.js';
+import type { Run, ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
 import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
 import { NOTHING_TO_PLACE } from '../service/placement-need.js';
 import type { WaitingKey } from '../service/waiting-queue.js';
 import { findWaitingStep, keyOf, orderFreshSteps, orderWaitingSteps, type WaitingStep } from './order.js';
-import { candidateOf, candidatesOf, isSuitable, isUsable, type Candidate } from './room.js';
+import {
+  copyPlaces,
+  everyPlace,
+  freeMilliCoresOn,
+  hasPlace,
+  hasSomePlace,
+  narrowPlaces,
+  placesAmong,
+  takePlace,
+  type Places,
+} from './places.js';
+import { isSuitable } from './room.js';
 import { updateService } from '../service/update.js';
 
-/** Candidates of one pass; their room shrinks as tasks are placed. */
-type Candidates = Map<string, Candidate>;
-
 /** Waiting steps that one event may look at for the room that it frees; the look at all workers goes further. */
 const STEPS_PER_EVENT = 64;
 const STEPS_PER_LOOK = 512;
@@ -32,53 +39,47 @@
   return counts;
 }
 
-function isNear(request: StepRequest, candidate: Candidate): boolean {
-  return request.rackOfData === null || candidate.worker.listing.rack === request.rackOfData;
+function isNear(request: StepRequest, { listing }: WorkerState): boolean {
+  return request.rackOfData === null || listing.rack === request.rackOfData;
 }
 
 /** The fullest worker that has room, near the data if it can be, and none on which the task failed. */
-function compareCandidates(request: StepRequest, task: TaskState): (a: Candidate, b: Candidate) => number {
-  const isAvoided = ({ worker }: Candidate): number =>
-    Number(task.avoidedWorkers.includes(worker.listing.workerId));
-  return (a, b) =>
-    isAvoided(a) - isAvoided(b) ||
-    Number(isNear(request, b)) - Number(isNear(request, a)) ||
-    a.room.milliCores - b.room.milliCores;
+function compareWorkers(
+  request: StepRequest,
+  task: TaskState,
+  places: Places,
+): (left: WorkerState, right: WorkerState) => number {
+  const isAvoided = ({ listing }: WorkerState): number =>
+    Number(task.avoidedWorkers.includes(listing.workerId));
+  return (left, right) =>
+    isAvoided(left) - isAvoided(right) ||
+    Number(isNear(request, right)) - Number(isNear(request, left)) ||
+    freeMilliCoresOn(places, left) - freeMilliCoresOn(places, right);
 }
 
 function chooseWorker(
   waiting: WaitingStep,
   task: TaskState,
-  candidates: Candidates,
+  places: Places,
   counts: ReadonlyMap<string, number>,
-): Candidate | null {
+): WorkerState | null {
   const { request } = waiting;
   const limit = request.maximumPerWorker ?? Infinity;
   const needs = roomOf(request);
-  const compare = compareCandidates(request, task);
-  let best: Candidate | null = null;
-  for (const candidate of candidates.values()) {
+  const compare = compareWorkers(request, task, places);
+  let best: WorkerState | null = null;
+  for (const worker of places.workers) {
     const isAllowed =
-      fits(needs, candidate.room) &&
-      isSuitable(request, candidate.worker) &&
-      (counts.get(candidate.worker.listing.workerId) ?? 0) < limit;
-    if (isAllowed && (best === null || compare(candidate, best) < 0)) best = candidate;
+      hasPlace(places, worker, needs) &&
+      isSuitable(request, worker) &&
+      (counts.get(worker.listing.workerId) ?? 0) < limit;
+    if (isAllowed && (best === null || compare(worker, best) < 0)) best = worker;
   }
   return best;
 }
 
-function fitsSomewhere(needs: Resources, candidates: Candidates): boolean {
-  for (const { room } of candidates.values()) if (fits(needs, room)) return true;
-  return false;
-}
-
-function takeRoom(candidates: Candidates, chosen: Candidate, request: StepRequest): void {
-  const room = subtractResources(chosen.room, roomOf(request));
-  candidates.set(chosen.worker.listing.workerId, { ...chosen, room });
-}
-
-function newRun(state: ServiceState, chosen: Candidate, runNumber: number): Omit<Run, 'placedInVersion'> {
-  const { workerId, incarnation } = chosen.worker.listing;
+function newRun(state: ServiceState, chosen: WorkerState, runNumber: number): Omit<Run, 'placedInVersion'> {
+  const { workerId, incarnation } = chosen.listing;
   return {
     run: runNumber,
     workerId,
@@ -102,10 +103,13 @@
 function* assign(
   state: ServiceState,
   key: TaskKey,
-  chosen: Candidate,
+  chosen: WorkerState,
   runNumber: number,
   waiting: WaitingStep,
+  places: Places,
 ): ServiceStep<ServiceState> {
+  const freeMilliCores = freeMilliCoresOn(places, chosen);
+  takePlace(places, chosen, roomOf(waiting.request));
   const placed = addRun(state, key, newRun(state, chosen, runNumber));
   const run = findTask(placed, key)?.runs.at(-1);
   if (run === undefined) return state;
@@ -114,7 +118,7 @@
     decision: 'taskPlaced',
     fields: {
       ...runFields(key, run),
-      freeMilliCores: chosen.room.milliCores,
+      freeMilliCores,
       slackMilliseconds: Math.round(waiting.slackMilliseconds),
       waitedMilliseconds: Math.round(waitedMilliseconds(state, key, waiting.step)),
     },
@@ -122,102 +126,90 @@
   return placed;
 }
 
-function* placeTasks(
-  state: ServiceState,
-  waiting: WaitingStep,
-  candidates: Candidates,
-): ServiceStep<ServiceState> {
+function countOne(counts: Map<string, number>, { listing }: WorkerState): void {
+  counts.set(listing.workerId, (counts.get(listing.workerId) ?? 0) + 1);
+}
+
+function* placeTasks(state: ServiceState, waiting: WaitingStep, places: Places): ServiceStep<ServiceState> {
   const counts = countOnWorkers(waiting);
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
     if (isTaskWaiting(task)) {
-      const chosen = chooseWorker(waiting, task, candidates, counts);
+      const chosen = chooseWorker(waiting, task, places, counts);
       if (chosen === null) return next;
-      const { workerId } = chosen.worker.listing;
-      counts.set(workerId, (counts.get(workerId) ?? 0) + 1);
-      takeRoom(candidates, chosen, waiting.request);
-      next = yield* assign(next, keyOf(waiting, index), chosen, task.lastRun + 1, waiting);
+      countOne(counts, chosen);
+      next = yield* assign(next, keyOf(waiting, index), chosen, task.lastRun + 1, waiting, places);
     }
   }
   return next;
 }
 
-/** The members of a gang start together or not at all, and only once no member runs any more. */
-function* placeGang(
-  state: ServiceState,
-  waiting: WaitingStep,
-  candidates: Candidates,
-): ServiceStep<ServiceState> {
-  const { tasks } = waiting.step;
-  if (tasks.some((task) => task.runs.length > 0)) return state;
-  const trial: Candidates = new Map(candidates);
+/** A worker for each member of a gang; null where not all find one. */
+function chooseForGang(waiting: WaitingStep, places: Places): readonly WorkerState[] | null {
+  const trial = copyPlaces(places);
   const counts = new Map<string, number>();
-  const chosenWorkers: Candidate[] = [];
-  for (const task of tasks) {
+  const chosenWorkers: WorkerState[] = [];
+  for (const task of waiting.step.tasks) {
     const chosen = chooseWorker(waiting, task, trial, counts);
-    if (chosen === null) return state;
-    const { workerId } = chosen.worker.listing;
-    counts.set(workerId, (counts.get(workerId) ?? 0) + 1);
-    takeRoom(trial, chosen, waiting.request);
+    if (chosen === null) return null;
+    countOne(counts, chosen);
+    takePlace(trial, chosen, roomOf(waiting.request));
     chosenWorkers.push(chosen);
   }
+  return chosenWorkers;
+}
+
+/** The members of a gang start together or not at all, and only once no member runs any more. */
+function* placeGang(state: ServiceState, waiting: WaitingStep, places: Places): ServiceStep<ServiceState> {
+  const { tasks } = waiting.step;
+  if (tasks.some((task) => task.runs.length > 0)) return state;
+  const chosenWorkers = chooseForGang(waiting, places) ?? [];
   const runNumber = Math.max(...tasks.map((task) => task.lastRun)) + 1;
   let next = state;
   for (const [index, chosen] of chosenWorkers.entries()) {
-    takeRoom(candidates, chosen, waiting.request);
-    next = yield* assign(next, keyOf(waiting, index), chosen, runNumber, waiting);
+    next = yield* assign(next, keyOf(waiting, index), chosen, runNumber, waiting, places);
   }
   return next;
 }
 
-function toCandidates(workers: readonly Candidate[]): Candidates {
-  return new Map(workers.map((candidate) => [candidate.worker.listing.workerId, candidate]));
-}
-
-/** Those of some workers that may get tasks. */
-function candidatesAmong(state: ServiceState, workerIds: Iterable<string>): Candidates {
-  const workers = [...workerIds].flatMap((workerId) => state.workers.get(workerId) ?? []);
-  return toCandidates(workers.filter((worker) => isUsable(state, worker)).map(candidateOf));
-}
-
-/** Gives room to the first steps that fit. `workers` are those that may have room for what has waited for a while. */
-function* placeInOrder(state: ServiceState, workers: Candidates): ServiceStep<ServiceState> {
-  const isWholeLook = workers.size >= state.workers.size;
-  let candidates = workers;
+/** Gives room to the first steps that fit: to those that are fresh anywhere, to the others where room was freed. */
+function* placeInOrder(
+  state: ServiceState,
+  freedWorkerIds: ReadonlySet<string>,
+  fresh: ReadonlySet<WaitingKey>,
+): ServiceStep<ServiceState> {
+  const isWholeLook = freedWorkerIds.size >= state.workers.size;
+  const all = fresh.size === 0 ? null : everyPlace(state);
+  let freed = all === null ? placesAmong(state, freedWorkerIds) : narrowPlaces(all, freedWorkerIds);
   let stepsLeft = isWholeLook ? STEPS_PER_LOOK : STEPS_PER_EVENT;
   let gangsLeft = GANGS_PER_EVENT;
   let next = state;
-  const { leastNeeds } = state.waiting;
-  let hasRoomLeft = fitsSomewhere(leastNeeds, candidates);
   for (const [key, { needs }] of orderWaitingSteps(state)) {
-    if (stepsLeft === 0 || !hasRoomLeft) return next;
+    if (stepsLeft === 0 || !hasSomePlace(all ?? freed, state.waiting.leastNeeds)) return next;
     stepsLeft -= 1;
-    const waiting = fitsSomewhere(needs, candidates) ? findWaitingStep(next, key) : null;
-    if (waiting !== null) {
-      const { isGang } = waiting.request;
-      if (!isGang) next = yield* placeTasks(next, waiting, candidates);
-      if (isGang && gangsLeft > 0) {
-        gangsLeft -= 1;
-        // The other members of a gang may have their places on any worker.
-        next = yield* placeGang(next, waiting, toCandidates(candidatesOf(next)));
-        candidates = candidatesAmong(next, candidates.keys());
-      }
-      hasRoomLeft = fitsSomewhere(leastNeeds, candidates);
+    const places = all !== null && fresh.has(key) ? all : freed;
+    const waiting = hasSomePlace(places, needs) ? findWaitingStep(next, key) : null;
+    if (waiting?.request.isGang === true && gangsLeft > 0) {
+      gangsLeft -= 1;
+      // The other members of a gang may have their places on any worker.
+      next = yield* placeGang(next, waiting, all ?? everyPlace(next));
+      if (all === null) freed = placesAmong(next, freedWorkerIds);
     }
+    if (waiting?.request.isGang === false) next = yield* placeTasks(next, waiting, places);
   }
   return next;
 }
 
 /** Looks for places for what began to wait, among all workers. */
 function* placeFresh(state: ServiceState, fresh: readonly WaitingKey[]): ServiceStep<ServiceState> {
-  const candidates = toCandidates(candidatesOf(state));
+  const places = everyPlace(state);
   let next = state;
   for (const key of fresh) {
     const waiting = findWaitingStep(next, key);
-    if (waiting !== null && fitsSomewhere(roomOf(waiting.request), candidates)) {
+    if (waiting !== null && hasSomePlace(places, roomOf(waiting.request))) {
       next = waiting.request.isGang
-        ? yield* placeGang(next, waiting, candidates)
-        : yield* placeTasks(next, waiting, candidates);
+        ? yield* placeGang(next, waiting, places)
+        : yield* placeTasks(next, waiting, places);
     }
   }
   return next;
@@ -232,8 +224,9 @@
   if ((freedWorkerIds.isEmpty() && freshSteps.isEmpty()) || !mayAct(state)) return state;
   const begun: ServiceState = updateService(state, { placement: NOTHING_TO_PLACE });
   if (state.waiting.steps.isEmpty) return begun;
-  if (freedWorkerIds.isEmpty()) return yield* placeFresh(begun, orderFreshSteps(state));
-  if (freshSteps.isEmpty()) return yield* placeInOrder(begun, candidatesAmong(state, freedWorkerIds));
-  const filled = yield* placeInOrder(begun, toCandidates(candidatesOf(state)));
-  return yield* placeFresh(filled, orderFreshSteps(state));
+  const fresh = orderFreshSteps(state);
+  if (freedWorkerIds.isEmpty()) return yield* placeFresh(begun, fresh);
+  const filled = yield* placeInOrder(begun, new Set(freedWorkerIds), new Set(fresh));
+  // Fresh steps behind those that were looked at.
+  return fresh.length === 0 ? filled : yield* placeFresh(filled, fresh);
 }
--- a/packages/scheduling/src/model/resources.ts
+++ b/packages/scheduling/src/model/resources.ts
@@ -38,6 +38,15 @@
   };
 }
 
+/** The greater of both, resource by resource. */
+export function mostResources(left: Resources, right: Resources): Resources {
+  return {
+    milliCores: Math.max(left.milliCores, right.milliCores),
+    memoryMegabytes: Math.max(left.memoryMegabytes, right.memoryMegabytes),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+  };
+}
+
 /** Whether `room` holds `needs`. */
 export function fits(needs: Resources, room: Resources): boolean {
   return (
