--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,6 +1,10 @@
 /** The scheduler's process over ports. */
 export { startNode, type NodeParts, type SchedulerNode } from './node/node.js';
+export { SCHEDULER_GROUP } from './node/membership.js';
 export type { SchedulerSettings } from './node/settings.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
+export { measureStore } from './measure/measured-store.js';
+export { NO_MEASURES } from './measure/no-measures.js';
+export { measureWorkers } from './measure/measured-workers.js';
 export * from './ports/index.js';
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -1,10 +1,11 @@
 /** One process of the scheduler: its part of the services, its peers and its callers. */
-import type { WriteEvent } from '@baobabdeck/observability';
+import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import { createFleetStandby } from '../fleet/fleet-standby.js';
 import { createFleetOwner } from '../fleet/fleet-owner.js';
 import { findQueue } from '../front/find-queue.js';
 import { createFront } from '../front/front.js';
 import { createSubmissionWriter } from '../front/submission-writer.js';
+import { watchLoop } from '../measure/loop-watch.js';
 import { createServiceOwner } from '../owner/service-owner.js';
 import { createOwnerQuestions } from '../peers/ask-owner.js';
 import { createDirectory } from '../peers/directory.js';
@@ -19,11 +20,12 @@
   WorkerOrders,
   WorkerRegister,
 } from '../ports/index.js';
+import { watchCandidacy } from './candidacy.js';
 import { followConfiguration } from './configuration.js';
 import { subjectOf, topicsOf } from './layout.js';
 import { explainSubject, selectStatus, type NodeStatus } from './explain.js';
 import { createLayoutKeeper } from './layout-keeper.js';
-import { formatMember } from './member-name.js';
+import { formatMember, type MemberName } from './member-name.js';
 import { takeMembership } from './membership.js';
 import { createOwnedLogs } from './owned-logs.js';
 import type { SchedulerSettings } from './settings.js';
@@ -42,6 +44,7 @@
   readonly incarnation: string;
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
+  readonly measures: ProcessMeasures;
   readonly store: Store;
   readonly feed: OperatorFeed;
   readonly register: WorkerRegister;
@@ -61,10 +64,11 @@
 
 /** Starts a process. Rejects when its port is taken. */
 export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
-  const { settings, clock, writeEvent, feed, hosts, peers } = parts;
+  const { settings, clock, writeEvent, measures, feed, hosts, peers } = parts;
   const { store, isLost: isStoreLost } = watchStore(parts.store, clock);
   const { nodeName } = settings;
   let stopping = false;
+  const loopWatch = watchLoop({ clock, writeEvent, measures });
 
   const keeper = createLayoutKeeper(store, clock);
   const follower = followConfiguration({
@@ -80,13 +84,21 @@
     ownerOf: (service) => logs.serviceOf(service),
     fleet: () => logs.fleet(),
     fleetHolder: () => standby.holder(),
+    handFleetOver: () => logs.handFleetOver(),
     isStoreLost,
+    noteMember: (present) => candidacy.noteMember(present),
   });
   const peerAddress = await peers.listen(async (content) => {
     const question = readQuestion(content);
     return question === null ? { kind: 'not-owner' } : answerHere(question);
   });
-  const member = formatMember({ nodeName, peerAddress, incarnation: parts.incarnation });
+  const self: MemberName = {
+    nodeName,
+    peerAddress,
+    incarnation: parts.incarnation,
+    milliCores: settings.milliCores,
+  };
+  const member = formatMember(self);
   const directory = createDirectory(store, peers, clock);
   const questions = createOwnerQuestions({
     clock,
@@ -103,7 +115,13 @@
     peers: () => directory.members().filter((one) => formatMember(one) !== member),
     ask: questions.askMember,
   });
-  const standby = createFleetStandby({ store, clock, member, ask: questions.askMember });
+  const standby = createFleetStandby({
+    store,
+    clock,
+    self,
+    ownsService: () => logs.services().length > 0,
+    ask: questions.askMember,
+  });
 
   const logs = createOwnedLogs({
     clock,
@@ -119,6 +137,7 @@
         workers: parts.workers,
         clock,
         writeEvent,
+        measures,
         suspectWorker: () => news.suspect(),
         onClaimed: () => news.tell(owner),
         onGivenUp,
@@ -136,6 +155,7 @@
         feed,
         clock,
         writeEvent,
+        measures,
         configuration: follower.current,
         waves: follower.waves,
         askService: async (service, wishes, epoch, sequence) => {
@@ -154,13 +174,25 @@
     logs,
     questions,
   });
+  const candidacy = watchCandidacy({
+    clock,
+    writeEvent,
+    self,
+    placeCount: () => keeper.layout().size,
+    readMembers: directory.readAgain,
+    members: directory.members,
+    ask: questions.askMember,
+    isUnseen: () => membership.isWithoutPlace(),
+  });
   const membership = takeMembership({
     store,
     clock,
     member,
     writeEvent,
+    isCandidate: candidacy.isCandidate,
     topics: () => topicsOf(keeper.layout()),
     onDealt: logs.follow,
+    onSteppingOut: logs.giveUp,
   });
   const front = createFront({
     clock,
@@ -192,9 +224,11 @@
     explain: (kind, name) => explainSubject(logs, kind, name),
     stop: async () => {
       stopping = true;
+      candidacy.close();
       await logs.stop();
       await membership.leave();
       await clock.sleep(DRAIN_MILLISECONDS);
+      loopWatch.close();
       standing.close();
       keeper.close();
       follower.close();
--- a/packages/scheduling/src/decide/health.ts
+++ b/packages/scheduling/src/decide/health.ts
@@ -6,7 +6,10 @@
 import type { ServiceStep } from '../service/effect.js';
 import { orderStop } from '../service/runs.js';
 import type { Run, ServiceState, WorkerState } from '../service/state.js';
-import { changeTask, findTask, runsOn, setWorker, stepRequestOf } from '../service/tasks.js';
+import { changeTask, findTask, runsOn } from '../service/tasks.js';
+import { setWorker } from '../service/worker-index.js';
+import { stepRequestOf } from '../model/step-needs.js';
+import { updateTask, updateWorker } from '../service/update.js';
 
 /** Failed runs in a row after which a worker rests. */
 const FAILURES_IN_A_ROW = 3;
@@ -82,23 +85,25 @@
   const { workerId, hostId } = worker.listing;
   const milliseconds = restMilliseconds(worker.restsInARow);
   yield { kind: 'log', decision: 'workerEjected', fields: { workerId, hostId, reason, milliseconds } };
-  return setWorker(state, {
-    ...worker,
-    restUntil: state.now + milliseconds,
-    restsInARow: worker.restsInARow + 1,
-    failuresInARow: 0,
-  });
+  return setWorker(
+    state,
+    updateWorker(worker, {
+      restUntil: state.now + milliseconds,
+      restsInARow: worker.restsInARow + 1,
+      failuresInARow: 0,
+    }),
+  );
 }
 
-function* examine(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
-  if (worker.failuresInARow >= FAILURES_IN_A_ROW) {
-    return yield* rest(state, worker, 'it fails what it starts');
-  }
+/** Ticks in which each worker's runs are looked at once; the looks are spread over them. */
+const TICKS_PER_EXAMINATION = 5;
+
+function* stopStandingStill(state: ServiceState, worker: WorkerState): ServiceStep<ServiceState> {
   const standing = findStandingStill(state, worker);
   if (standing.length === 0) return state;
   let next = worker.restUntil > state.now ? state : yield* rest(state, worker, 'its tasks stand still');
   for (const { key, run } of standing) {
-    next = changeTask(next, key, (task) => ({ ...task, slowStops: task.slowStops + 1 }));
+    next = changeTask(next, key, (task) => updateTask(task, { slowStops: task.slowStops + 1 }));
     next = yield* orderStop(next, key, run, 'it stands still on its worker');
   }
   return next;
@@ -107,9 +112,15 @@
 /** Lets sick workers rest, and takes away what stands still on them. */
 export function* restSickWorkers(state: ServiceState): ServiceStep<ServiceState> {
   let next = state;
-  for (const worker of state.workers.values()) {
-    const current = next.workers.get(worker.listing.workerId);
-    if (current?.isHeld === true && current.silentSince === null) next = yield* examine(next, current);
+  let position = state.ticks.count;
+  for (const workerId of state.workers.keys()) {
+    position += 1;
+    const worker = next.workers.get(workerId);
+    if (worker?.isHeld === true && worker.silentSince === null) {
+      const isFailing = worker.failuresInARow >= FAILURES_IN_A_ROW;
+      if (isFailing) next = yield* rest(next, worker, 'it fails what it starts');
+      else if (position % TICKS_PER_EXAMINATION === 0) next = yield* stopStandingStill(next, worker);
+    }
   }
   return next;
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -2,10 +2,14 @@
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
 import { taskIdOf, type JobRequest } from '../model/job.js';
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
+import { setJob } from './job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
+import { NOTHING_TO_PLACE } from './placement-need.js';
 import { allTasks, isTaskWaiting } from './tasks.js';
+import { EMPTY_WAITING_QUEUE } from './waiting-queue.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
+import { updateJob, updateOccurrence, updateService, updateStep, updateTask } from './update.js';
 
 /** What a new owner starts from. */
 export interface RestoreParts {
@@ -37,7 +41,16 @@
     workers: PersistentMap(),
     orphanTaskIds: PersistentSet(),
     releasedWorkers: PersistentMap(),
-    placementIsDue: true,
+    waiting: EMPTY_WAITING_QUEUE,
+    placement: NOTHING_TO_PLACE,
+    repeatingJobIds: PersistentSet(),
+    wholeJobIds: PersistentSet(),
+    brokenGangJobIds: PersistentSet(),
+    overJobIds: PersistentSet(),
+    needlessJobIds: PersistentSet(),
+    endedJobIds: PersistentOrderedSet(),
+    unstoredWorkerIds: PersistentSet(),
+    ticks: { count: 0, lastAt: now },
     dirtyJobIds: PersistentSet(),
     forgottenJobIds: PersistentSet(),
     fleetMessage: { epoch: 0, sequence: 0 },
@@ -66,14 +79,13 @@
 }
 
 function restoreTask(progress: TaskProgress, now: Instant): TaskState {
-  return {
-    ...newTask(now),
+  return updateTask(newTask(now), {
     isDone: progress.isDone,
     lastRun: progress.lastRun,
     failedRuns: progress.failedRuns,
     checkpoint: progress.checkpoint,
     runs: progress.runs.map((run) => restoreRun(run, now)),
-  };
+  });
 }
 
 function restoreStep(step: StepState, recorded: readonly TaskProgress[], now: Instant): StepState {
@@ -82,12 +94,11 @@
     const known = byIndex.get(index);
     return known === undefined ? task : restoreTask(known, now);
   });
-  return {
-    ...step,
+  return updateStep(step, {
     tasks,
     doneCount: tasks.filter((task) => task.isDone).length,
     waitingCount: tasks.filter(isTaskWaiting).length,
-  };
+  });
 }
 
 function restoreOccurrences(
@@ -98,10 +109,9 @@
 ): PersistentMap<number, OccurrenceState> {
   const restored = progress.occurrences.map(({ occurrence, steps }) => {
     const fresh = newOccurrence(request, occurrence, dueAt, now);
-    const filled: OccurrenceState = {
-      ...fresh,
+    const filled: OccurrenceState = updateOccurrence(fresh, {
       steps: fresh.steps.map((step, index) => restoreStep(step, steps[index] ?? [], now)),
-    };
+    });
     return [occurrence, markReadySteps(request, filled, now)] as const;
   });
   return PersistentMap(restored);
@@ -113,15 +123,14 @@
 function restoreJob(state: ServiceState, request: JobRequest, progress: JobProgress | undefined): JobState {
   const acceptedAgo = state.timeOfDay.getTime() - request.acceptedAt.getTime();
   const age = Math.min(LONGEST_BELIEVED_AGE_MILLISECONDS, Math.max(0, acceptedAgo));
-  const fresh = newJob({ ...state, now: state.now - age }, request);
+  const fresh = newJob(updateService(state, { now: state.now - age }), request);
   if (progress === undefined) return fresh;
   const dueAt = state.now - age;
   const isActive = progress.phase === 'active';
   const recorded = restoreOccurrences(request, progress, dueAt, state.now);
   // An active job's first occurrence exists from its acceptance, also before anything of it is recorded.
   const occurrences = isActive && recorded.isEmpty() ? fresh.occurrences : recorded;
-  return {
-    ...fresh,
+  return updateJob(fresh, {
     phase: progress.phase,
     recordedPhase: progress.phase,
     cancelRequested: progress.phase === 'cancelled',
@@ -131,7 +140,7 @@
     hasStarted: progress.occurrences.length > 0 || progress.occurrencesDoneBelow > 0,
     endedInVersion: isActive ? null : 0,
     endedAt: isActive ? null : state.now,
-  };
+  });
 }
 
 interface Gathered {
@@ -164,13 +173,22 @@
   readonly cancelledJobIds: readonly string[];
 } {
   const { requests, progress, cancelled, released } = gather(parts.records);
-  let state = { ...emptyState(parts), releasedWorkers: PersistentMap(released) };
+  let state = updateService(emptyState(parts), { releasedWorkers: PersistentMap(released) });
   for (const [jobId, request] of requests) {
     const job = restoreJob(state, request, progress.get(jobId));
-    state = { ...state, jobs: state.jobs.set(jobId, job), activeJobIds: state.activeJobIds.add(jobId) };
+    state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
-  const orphans = [...allTasks(state)].flatMap(([key, task]) =>
-    task.runs.length > 0 ? [taskIdOf(key)] : [],
-  );
-  return { state: { ...state, orphanTaskIds: PersistentSet(orphans) }, cancelledJobIds: [...cancelled] };
+  const keysWithRuns = [...allTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [key] : []));
+  const restored = [...state.jobs.values()];
+  const jobIdsOf = (jobs: readonly JobState[]): readonly string[] => jobs.map(({ request }) => request.jobId);
+  return {
+    state: {
+      ...state,
+      orphanTaskIds: PersistentSet(keysWithRuns.map(taskIdOf)),
+      needlessJobIds: PersistentSet(keysWithRuns.map(({ jobId }) => jobId)),
+      brokenGangJobIds: PersistentSet(jobIdsOf(restored.filter((job) => job.hasGang))),
+      endedJobIds: PersistentOrderedSet(jobIdsOf(restored.filter((job) => job.endedAt !== null))),
+    },
+    cancelledJobIds: [...cancelled],
+  };
 }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -16,7 +16,9 @@
 } from './losses.js';
 import { orderStop } from './runs.js';
 import type { ServiceState, WorkerState } from './state.js';
-import { adoptOrphans, changeRun, findRun, findTask, runsOn, setWorker } from './tasks.js';
+import { adoptOrphans, changeRun, findRun, findTask, runsOn } from './tasks.js';
+import { removeWorker, setWorker } from './worker-index.js';
+import { updateRun, updateService, updateWorker } from './update.js';
 
 function newWorker(state: ServiceState, listing: WorkerListing): WorkerState {
   const { clockMilliseconds } = listing;
@@ -35,6 +37,7 @@
     storedEnd: 0,
     hold: { kind: 'none' },
     committed: NO_RESOURCES,
+    lastingCount: 0,
     tasks: PersistentMap(),
     restUntil: 0,
     failuresInARow: 0,
@@ -46,19 +49,27 @@
 /** Time without a question to a worker after which it is asked although ends wait to be stored. */
 const LONGEST_PAUSE_MILLISECONDS = 300;
 
-/** Asks the workers that nobody asks now: at once where their ends are stored, else after a pause. */
-export function* renewIdleLeases(state: ServiceState): ServiceStep<ServiceState> {
+function isIdle(state: ServiceState, worker: WorkerState): boolean {
+  const isStored = worker.processedEnd <= worker.storedEnd;
+  const pausedFor = state.now - (worker.lastReportAt ?? -Infinity);
+  return !worker.reportPending && (isStored || pausedFor >= LONGEST_PAUSE_MILLISECONDS);
+}
+
+/** Asks those of some workers that nobody asks now: at once where their ends are stored, else after a pause. */
+export function* renewLeasesOf(state: ServiceState, workerIds: Iterable<string>): ServiceStep<ServiceState> {
   let next = state;
-  for (const worker of state.workers.values()) {
-    const isStored = worker.processedEnd <= worker.storedEnd;
-    const pausedFor = state.now - (worker.lastReportAt ?? -Infinity);
-    if (!worker.reportPending && (isStored || pausedFor >= LONGEST_PAUSE_MILLISECONDS)) {
-      next = yield* renewLease(next, worker.listing.workerId, 0);
-    }
+  for (const workerId of workerIds) {
+    const worker = next.workers.get(workerId);
+    if (worker !== undefined && isIdle(next, worker)) next = yield* renewLease(next, workerId, 0);
   }
   return next;
 }
 
+/** Asks every worker that nobody asks now. */
+export function* renewIdleLeases(state: ServiceState): ServiceStep<ServiceState> {
+  return yield* renewLeasesOf(state, state.workers.keys());
+}
+
 /** Asks a worker for its lists and renews its lease. */
 export function* renewLease(
   state: ServiceState,
@@ -81,7 +92,7 @@
     waitMilliseconds: worker.isHeld ? state.parameters.reportWaitMilliseconds : 0,
     delayMilliseconds,
   };
-  return setWorker(state, { ...offered, reportPending: true });
+  return setWorker(state, updateWorker(offered, { reportPending: true }));
 }
 
 /** Whether an order to a former life of a worker may yet be carried out by the one that follows. */
@@ -94,7 +105,7 @@
   const { workerId, hostId, incarnation } = listing;
   yield { kind: 'log', decision: 'workerFound', fields: { workerId, hostId, incarnation } };
   const reborn = mayGetLateStart(state, workerId) ? workerId : state.reborn;
-  const added = setWorker({ ...state, reborn }, newWorker(state, listing));
+  const added = setWorker(updateService(state, { reborn }), newWorker(state, listing));
   return yield* renewLease(adoptOrphans(added, workerId, incarnation), workerId, 0);
 }
 
@@ -122,10 +133,14 @@
   );
   const settledAt = state.now;
   for (const [key, run] of kept) {
-    next = changeRun(next, key, run, (one) => ({ ...one, incarnation, phase: 'running', settledAt }));
+    next = changeRun(next, key, run, (one) => updateRun(one, { incarnation, phase: 'running', settledAt }));
   }
   const orphanTaskIds = next.orphanTaskIds.union(kept.map(([key]) => taskIdOf(key)));
-  next = yield* addWorker({ ...next, orphanTaskIds, workers: next.workers.remove(workerId) }, listing);
+  const needlessJobIds = next.needlessJobIds.union(kept.map(([key]) => key.jobId));
+  next = yield* addWorker(
+    removeWorker(updateService(next, { orphanTaskIds, needlessJobIds }), workerId),
+    listing,
+  );
   for (const [key, run] of kept) {
     const moved = findRun(findTask(next, key), workerId, incarnation, run.run);
     const isDoubtful = run.mayStartLate || run.phase === 'starting';
@@ -139,7 +154,7 @@
   if (known === undefined) return yield* addWorker(state, listing);
   if (known.listing.incarnation < listing.incarnation) return yield* replaceWorker(state, known, listing);
   if (known.listing.incarnation > listing.incarnation) return state;
-  return setWorker(state, { ...known, listing, isListed: true });
+  return setWorker(state, updateWorker(known, { listing, isListed: true }));
 }
 
 /** Forgets workers that neither the register nor any run needs. */
@@ -147,7 +162,7 @@
   const workers = state.workers.filter(
     (worker) => worker.isListed || !worker.tasks.isEmpty() || (!worker.isGone && worker.silentSince === null),
   );
-  return workers.size === state.workers.size ? state : { ...state, workers };
+  return workers.size === state.workers.size ? state : updateService(state, { workers });
 }
 
 /** Works in the register of workers. */
@@ -159,7 +174,7 @@
   let next = state;
   for (const worker of state.workers.values()) {
     if (worker.isListed && !listedIds.has(worker.listing.workerId)) {
-      next = setWorker(next, { ...worker, isListed: false });
+      next = setWorker(next, updateWorker(worker, { isListed: false }));
     }
   }
   for (const listing of workers) next = yield* listWorker(next, listing);
@@ -181,7 +196,7 @@
       next = yield* loseWorker(next, workerId, 'its host runs it no more');
     }
     if (isAlive && worker.isGone) {
-      next = yield* renewLease(setWorker(next, { ...worker, isGone: false }), workerId, 0);
+      next = yield* renewLease(setWorker(next, updateWorker(worker, { isGone: false })), workerId, 0);
     }
   }
   next = yield* dropFormerRuns(next, hosts);
