--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -2,6 +2,7 @@
 import type { HostListing, HostOrderOutcome } from '@baobabdeck/scheduling';
 import { encodeFleetRecord } from '../fleet/fleet-codec.js';
 import { createFleetOwner, type FleetOwner } from '../fleet/fleet-owner.js';
+import { NO_MEASURES } from '../measure/no-measures.js';
 import type { LogPlace, Store } from '../ports/index.js';
 import { createHandClock, type HandClock } from './hand-clock.js';
 
@@ -65,6 +66,7 @@
     },
     clock,
     writeEvent: () => undefined,
+    measures: NO_MEASURES,
     configuration: () => ({
       version: 1,
       queues: [],
