--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -65,8 +65,8 @@
       writeWaveStatus: () => Promise.resolve(true),
     },
     clock,
-    writeEvent: () => undefined,
     measures: NO_MEASURES,
+    writeEvent: () => undefined,
     configuration: () => ({
       version: 1,
       queues: [],
--- a/packages/scheduler/src/__tests__/hand-clock.ts
+++ b/packages/scheduler/src/__tests__/hand-clock.ts
@@ -1,13 +1,15 @@
-/** A clock in the hand of a test. */
+/** A clock that a test moves by hand. */
 import type { SteadyClock } from '../node/steady-clock.js';
 
-/** A clock that a test moves. */
+/** A clock for tests. */
 export interface HandClock extends SteadyClock {
+  /** Moves the clock while nothing else can run, as busy code does: nobody wakes. */
+  readonly work: (milliseconds: number) => void;
   /** Lets time pass, and those that sleep wake. */
   readonly pass: (milliseconds: number) => Promise<void>;
 }
 
-/** Creates a clock that stands. */
+/** Creates a clock that stands still. */
 export function createHandClock(): HandClock {
   let now = 1_000;
   let sleepers: readonly { readonly until: number; readonly wake: () => void }[] = [];
@@ -18,6 +20,9 @@
       new Promise((resolve) => {
         sleepers = [...sleepers, { until: now + milliseconds, wake: resolve }];
       }),
+    work: (milliseconds) => {
+      now += milliseconds;
+    },
     pass: async (milliseconds) => {
       now += milliseconds;
       const due = sleepers.filter(({ until }) => until <= now);
--- a/packages/scheduler/src/measure/__tests__/owner-load.test.ts
+++ b/packages/scheduler/src/measure/__tests__/owner-load.test.ts
@@ -5,7 +5,7 @@
 import type { AppendOutcome, Store } from '../../ports/index.js';
 import { NO_MEASURES } from '../no-measures.js';
 import { createOwnerLoad, type OwnerLoad } from '../owner-load.js';
-import { createHandClock, type HandClock } from './hand-clock.js';
+import { createHandClock, type HandClock } from '../../__tests__/hand-clock.js';
 
 interface Line extends LogFields {
   readonly event: string;
