Measure what one event of a scheduler costs by the tasks that wait

`npm run bench -- event-cost` plays the events of the regression test on 50 full workers and prints the median of 200 events of each kind, in microseconds, with 10 to 10,000 waiting tasks.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -2,6 +2,7 @@
 import type { Experiment } from './experiment.js';
 import { atMostOnce } from './experiments/at-most-once.js';
 import { bursts } from './experiments/bursts.js';
+import { eventCost } from './experiments/event-cost.js';
 import { gateway } from './experiments/gateway.js';
 import { overload } from './experiments/overload.js';
 import { recovery } from './experiments/recovery.js';
@@ -21,4 +22,5 @@
   slopes,
   gateway,
   urgent,
+  eventCost,
 ];
--- a/packages/scheduling/src/__tests__/crowded-service.ts
+++ b/packages/scheduling/src/__tests__/crowded-service.ts
@@ -52,6 +52,7 @@
   let unsettled: Start[] = [];
   let jobs = 0;
   let waiting = 0;
+  let extraJobId: string | null = null;
   let turn = 0;
 
   const newJob = (taskCount: number): JobRequest => {
@@ -111,15 +112,25 @@
   note(play.accept(...jobsFor(waitingTasks)));
   workerIds.forEach((workerId) => note(report(workerId, false)));
 
+  /** Brings the tasks that wait back to as many as asked for. */
+  const restore = (): void => {
+    play.pass(EVENT_MILLISECONDS);
+    settleAll();
+    if (extraJobId !== null) {
+      play.cancel(extraJobId);
+      waiting -= TASKS_PER_JOB;
+      extraJobId = null;
+    }
+    if (waiting < waitingTasks) note(play.accept(newJob(TASKS_PER_JOB)));
+  };
+
   const nextWorker = (): string => {
     turn += 1;
     return workerIds[turn % workerIds.length] ?? '';
   };
 
   const prepare = (event: CrowdedEvent): (() => void) => {
-    play.pass(EVENT_MILLISECONDS);
-    settleAll();
-    if (waiting < waitingTasks) note(play.accept(newJob(TASKS_PER_JOB)));
+    restore();
     switch (event) {
       case 'a report with one end': {
         const workerId = nextWorker();
@@ -129,6 +140,7 @@
         return () => note(play.pass(EVENT_MILLISECONDS));
       case 'a job accepted': {
         const job = newJob(TASKS_PER_JOB);
+        extraJobId = job.jobId;
         return () => note(play.accept(job));
       }
       default: {
--- a/packages/scheduling/src/__tests__/service-play.ts
+++ b/packages/scheduling/src/__tests__/service-play.ts
@@ -1,6 +1,7 @@
 /** Plays events on one service's scheduler and answers what it asks of the store. */
 import { runSteps } from '@baobabdeck/types';
 import { PLAIN_STEP, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
+import type { ServiceRecord } from '../model/records.js';
 import type { WorkerListing, WorkerReport } from '../model/worker.js';
 import type { ServiceEffect } from '../service/effect.js';
 import type { ServiceEvent } from '../service/event.js';
@@ -77,6 +78,7 @@
     fields?: Partial<WorkerListing>,
   ) => readonly ServiceEffect[];
   readonly accept: (...requests: readonly JobRequest[]) => readonly ServiceEffect[];
+  readonly cancel: (jobId: string) => readonly ServiceEffect[];
   /** A worker's lists as of now. */
   readonly report: (workerId: string, lists: Partial<WorkerReport>) => readonly ServiceEffect[];
   /** Every run that was started and has not been settled is taken by its worker. */
@@ -142,6 +144,14 @@
     return effects;
   };
 
+  const readRecords = (records: readonly ServiceRecord[]): readonly ServiceEffect[] => {
+    const stored = records.map((record) => {
+      offset += 1;
+      return { offset, record };
+    });
+    return dispatch({ kind: 'records-read', records: stored, askedAt: now });
+  };
+
   const report: ServicePlay['report'] = (workerId, lists) =>
     dispatch({
       kind: 'worker-reported',
@@ -169,13 +179,9 @@
       const found = dispatch({ kind: 'workers-listed', workers: listed });
       return [...found, ...names.flatMap((name) => report(name, {}))];
     },
-    accept: (...requests) => {
-      const records = requests.map((request) => {
-        offset += 1;
-        return { offset, record: { kind: 'job-accepted' as const, request } };
-      });
-      return dispatch({ kind: 'records-read', records, askedAt: now });
-    },
+    accept: (...requests) =>
+      readRecords(requests.map((request) => ({ kind: 'job-accepted' as const, request }))),
+    cancel: (jobId) => readRecords([{ kind: 'job-cancelled', jobId }]),
     report,
     settleStarts: () => {
       const settled = started;
