Play a grown fleet in the emulator, on processors that take time

It now also plays 4 services with 248 hosts and 32 processes, a quarter of them on processors four times as fast. Each queue in its turn of 4 s asks for five times its mean and a twentieth of it in between. A process does one thing at a time: answers, timers and calls wait for it, and what it sends leaves when it is done.

The referee has two more rules: no job stands still for 3 s beside room for two of its tasks while under half of its service is in use, and half of the jobs are done within three times their objective. Each fires in a test on a scene that breaks it, and not on one that barely keeps it.

--- a/packages/bench/src/soak-main.ts
+++ b/packages/bench/src/soak-main.ts
@@ -1,7 +1,6 @@
-/** `npm run soak -- [--fleet] --minutes N [--seed S]`: random schedules for as long as asked. */
+/** `npm run soak -- [--fleet [--size grown [--no-cpu]]] --minutes N [--seed S]`: random schedules for as long as asked. */
 import { parseArgs } from 'node:util';
 import { createRandom, drawActions, runSchedule } from '@baobabdeck/emulator';
-import { playSchedule, SMALL_PLAY } from '@baobabdeck/fleet-emulator';
 
 const ACTIONS_PER_RUN = 30;
 const MILLISECONDS_PER_MINUTE = 60_000;
@@ -10,6 +9,10 @@
   options: {
     /** Plays schedulers with workers and hosts; otherwise gateways with targets. */
     fleet: { type: 'boolean', default: false },
+    /** Of the fleet: `small` with every kind of trouble, or `grown` with bursts on bounded processors. */
+    size: { type: 'string', default: 'small' },
+    /** Lets what processes do take no time. */
+    'no-cpu': { type: 'boolean', default: false },
     minutes: { type: 'string', default: '1' },
     seed: { type: 'string', default: '1' },
     /** Ends after so many seeds, whatever the time. */
@@ -19,8 +22,15 @@
 const minutes = Number(values.minutes);
 const firstSeed = Number(values.seed);
 const mostSeeds = values.seeds === undefined ? Infinity : Number(values.seeds);
-if (!(minutes > 0) || !Number.isInteger(firstSeed) || !(mostSeeds > 0)) {
-  process.stderr.write('soak: [2009] expected --minutes and --seeds above 0 and a whole --seed\n');
+if (
+  !(minutes > 0) ||
+  !Number.isInteger(firstSeed) ||
+  !(mostSeeds > 0) ||
+  !['small', 'grown'].includes(values.size)
+) {
+  process.stderr.write(
+    'soak: [2009] expected --minutes and --seeds above 0, a whole --seed and --size small or grown\n',
+  );
   process.exit(2);
 }
 
@@ -36,13 +46,27 @@
   return { faults, requests };
 }
 
-async function playFleet(seed: number): Promise<SeedReport> {
-  const { violations, errors, accepted } = await playSchedule({ ...SMALL_PLAY, seed });
-  const broken = violations.map(({ rule, at, detail }) => `${rule} at ${at} ms: ${detail}`);
-  return { faults: [...broken, ...errors], requests: accepted };
+const GROWN_TURNS = 2;
+
+/** Loads the emulator, which counts the processes' work only if that is asked for beforehand. */
+async function loadFleetPlay(): Promise<(seed: number) => Promise<SeedReport>> {
+  if (values.size === 'grown') await import('@baobabdeck/fleet-emulator/count-from-now-on');
+  const { GROWN_SIZE, playSchedule, playTurns, SMALL_PLAY } = await import('@baobabdeck/fleet-emulator');
+  const grown = values['no-cpu'] ? { ...GROWN_SIZE, processors: null } : GROWN_SIZE;
+  return async (seed) => {
+    const { violations, errors, accepted, world } =
+      values.size === 'grown'
+        ? await playTurns({ seed, size: grown, turns: GROWN_TURNS })
+        : await playSchedule({ ...SMALL_PLAY, seed });
+    if (values.size === 'grown') {
+      process.stdout.write(`seed ${seed}: ${world.referee.servedShare().toFixed(3)} served\n`);
+    }
+    const broken = violations.map(({ rule, at, detail }) => `${rule} at ${at} ms: ${detail}`);
+    return { faults: [...broken, ...errors], requests: accepted };
+  };
 }
 
-const play = values.fleet ? playFleet : playGateways;
+const play = values.fleet ? await loadFleetPlay() : playGateways;
 const endAt = Date.now() + minutes * MILLISECONDS_PER_MINUTE;
 let seed = firstSeed;
 let requests = 0;
--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -7,6 +7,8 @@
 import type { RuleName } from '../sightings.js';
 import type { VirtualTime } from '../virtual-time.js';
 
+const CAPACITY = { milliCores: 4_000, memoryMegabytes: 8_192, accelerators: 0 };
+
 const STEP: StepRequest = { ...PLAIN_STEP, taskCount: 2 };
 
 function planOf(...steps: readonly Partial<StepRequest>[]): JobPlan {
@@ -19,6 +21,8 @@
     },
     service: 'service-0',
     maximumFailedRuns: 3,
+    handedInAt: 100_000,
+    objectiveMilliseconds: 2_000,
     taskPlan: () => ({ runMilliseconds: 1_000, failingRuns: 0 }),
   };
 }
@@ -47,6 +51,8 @@
   } as unknown as ModelWorker;
   const host = {
     hostId: 'host-0',
+    pool: 'service-0',
+    capacity: CAPACITY,
     state: 'up',
     worker,
     downFor: null,
@@ -56,6 +62,7 @@
   const time: VirtualTime = {
     now: () => now,
     after: () => undefined,
+    whenSettled: () => undefined,
     runUntil: (until) => {
       now = until;
       return Promise.resolve();
@@ -217,6 +224,58 @@
     });
   });
 
+  within('sees a job at rest', ({ it: sees }) => {
+    const accepted = (plan: JobPlan): Scene => {
+      const scene = createScene(plan);
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      return scene;
+    };
+
+    sees('of which nothing runs beside free room', async (t) => {
+      const scene = accepted(planOf({}));
+      await scene.referee.watchRest(4_000);
+      t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
+    });
+
+    sees('whose lasting task does not run beside free room', async (t) => {
+      const scene = accepted(planOf({ isLasting: true }));
+      scene.start(FIRST, 1);
+      await scene.referee.watchRest(4_000);
+      t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
+    });
+
+    sees('and nothing in one of which something runs', async (t) => {
+      const scene = accepted(planOf({}));
+      scene.start(FIRST, 1);
+      await scene.referee.watchRest(4_000);
+      t.deepEqual(rulesOf(scene), []);
+    });
+
+    sees('and nothing in one that has room for one task only', async (t) => {
+      const scene = accepted(planOf({ needs: { ...STEP.needs, milliCores: 2_500 } }));
+      await scene.referee.watchRest(4_000);
+      t.deepEqual(rulesOf(scene), []);
+    });
+
+    sees('that was done too late to be served', (t) => {
+      const scene = accepted(planOf({ taskCount: 1 }));
+      scene.start(FIRST, 1);
+      scene.pass(6_001);
+      scene.end(FIRST, 1, 'done');
+      scene.referee.checkServed(0.5);
+      t.deepEqual(rulesOf(scene), ['enough-is-served']);
+    });
+
+    sees('and nothing in one that was done within three times its objective', (t) => {
+      const scene = accepted(planOf({ taskCount: 1 }));
+      scene.start(FIRST, 1);
+      scene.pass(6_000);
+      scene.end(FIRST, 1, 'done');
+      scene.referee.checkServed(0.5);
+      t.deepEqual(rulesOf(scene), []);
+    });
+  });
+
   within('sees a status', ({ it: sees }) => {
     sees('that is shown too early', (t) => {
       const scene = createScene(planOf({}));
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -1,7 +1,8 @@
 /** Callers: they hand jobs in, ask for them and cancel some, as patient as real ones. */
 import { PLAIN_STEP, type StepRequest } from '@baobabdeck/scheduling';
-import type { CallerService, Queue, SubmittedJob } from '@baobabdeck/scheduler';
+import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
+import type { VirtualNode } from './virtual-node.js';
 import type { World } from './world.js';
 
 /** Time for which a caller waits for an answer. */
@@ -11,9 +12,6 @@
 const RETRY_MILLISECONDS = 500;
 const MOST_TRIES = 4;
 
-/** Time between two questions on a job. */
-const ASK_MILLISECONDS = 1_500;
-
 function drawStep(random: RandomSource, index: number): StepRequest {
   const base: StepRequest = {
     ...PLAIN_STEP,
@@ -31,12 +29,14 @@
   return { ...base, savesCheckpoints: random.chance(0.4) };
 }
 
-function drawJob(random: RandomSource, jobId: string): SubmittedJob {
+/** A job of one to three steps, of which one may be a gang. */
+export function drawMixedJob(random: RandomSource, jobId: string): SubmittedJob {
   const steps = Array.from({ length: 1 + random.below(3) }, (_, index) => drawStep(random, index));
   return { jobId, specification: `work of ${jobId}`, steps, repetition: null };
 }
 
-function drawLastingJob(random: RandomSource, jobId: string): SubmittedJob {
+/** A job whose tasks last. */
+export function drawLastingJob(random: RandomSource, jobId: string): SubmittedJob {
   const step: StepRequest = {
     ...PLAIN_STEP,
     taskCount: 2 + random.below(3),
@@ -47,14 +47,26 @@
   return { jobId, specification: `service of ${jobId}`, steps: [step], repetition: null };
 }
 
+/** The longest chain of estimated run times. */
+function chainMilliseconds(steps: readonly StepRequest[]): number {
+  const ends: number[] = [];
+  steps.forEach((step) => {
+    const startsAfter = Math.max(0, ...step.after.map((earlier) => ends[earlier] ?? 0));
+    ends.push(startsAfter + step.estimatedMilliseconds);
+  });
+  return Math.max(0, ...ends);
+}
+
 /** Registers the truth about a job. */
-function plan(world: World, job: SubmittedJob, queue: Queue): void {
+function plan(world: World, job: SubmittedJob, queue: Queue, failingShare: number): void {
   const { random } = world;
   const drawn = new Map<string, { readonly runMilliseconds: number; readonly failingRuns: number }>();
   world.plans.set(job.jobId, {
     job,
     service: queue.service,
     maximumFailedRuns: queue.maximumFailedRuns,
+    handedInAt: world.time.now(),
+    objectiveMilliseconds: queue.targetMilliseconds + queue.stretch * chainMilliseconds(job.steps),
     taskPlan: ({ occurrence, step, index }) => {
       const id = `${occurrence}/${step}/${index}`;
       const known = drawn.get(id);
@@ -63,7 +75,7 @@
       const isStraggler = random.chance(0.03);
       const truth = {
         runMilliseconds: estimate * (0.5 + random.uniform()) * (isStraggler ? 7 : 1),
-        failingRuns: random.chance(0.02) ? 1 + random.below(3) : 0,
+        failingRuns: random.chance(failingShare) ? 1 + random.below(3) : 0,
       };
       drawn.set(id, truth);
       return truth;
@@ -71,8 +83,8 @@
   });
 }
 
-function pickCallers(world: World): CallerService | null {
-  const running = world.nodes.flatMap((node) => node.running()?.callers ?? []);
+function pickNode(world: World): VirtualNode | null {
+  const running = world.nodes.filter((node) => node.running() !== null);
   return running.length === 0 ? null : world.random.pick(running);
 }
 
@@ -83,37 +95,46 @@
       world.time.after(RETRY_MILLISECONDS, () => handIn(world, job, queue, tries + 1, onAccepted));
     }
   };
-  const callers = pickCallers(world);
-  const found = callers?.findQueue(queue.hostName, queue.pathPrefix + job.jobId);
-  if (callers === null || found?.kind !== 'found') {
+  const node = pickNode(world);
+  if (node === null) {
     again();
     return;
   }
-  // A process that dies with the request leaves the caller without an answer.
-  world.referee.onSubmitAnswered(job.jobId, 'unknown');
-  void callers.submit(found.queue, job, PATIENCE_MILLISECONDS).then((answer) => {
-    world.referee.onSubmitAnswered(job.jobId, answer.kind);
-    if (answer.kind === 'accepted') onAccepted();
-    else again();
+  node.receive(({ callers }) => {
+    const found = callers.findQueue(queue.hostName, queue.pathPrefix + job.jobId);
+    if (found.kind !== 'found') {
+      again();
+      return;
+    }
+    // A process that dies with the request leaves the caller without an answer.
+    world.referee.onSubmitAnswered(job.jobId, 'unknown');
+    void callers.submit(found.queue, job, PATIENCE_MILLISECONDS).then((answer) => {
+      world.referee.onSubmitAnswered(job.jobId, answer.kind);
+      if (answer.kind === 'accepted') onAccepted();
+      else again();
+    });
   });
 }
 
 /** Asks for a job now and then until it is over. */
-function follow(world: World, jobId: string, queue: Queue): void {
-  const callers = pickCallers(world);
-  const again = (): void => world.time.after(ASK_MILLISECONDS, () => follow(world, jobId, queue));
-  if (callers === null) {
+function follow(world: World, jobId: string, queue: Queue, askMilliseconds: number): void {
+  const node = pickNode(world);
+  const again = (): void =>
+    world.time.after(askMilliseconds, () => follow(world, jobId, queue, askMilliseconds));
+  if (node === null) {
     again();
     return;
   }
   let isAnswered = false;
-  void callers.askStatus(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
-    isAnswered = true;
-    if (answer.kind !== 'unavailable') {
-      world.referee.onStatusShown(jobId, answer.kind === 'known' ? answer.status : null);
-    }
-    const isOver = answer.kind === 'known' && answer.status !== 'queued' && answer.status !== 'running';
-    if (!isOver) again();
+  node.receive(({ callers }) => {
+    void callers.askStatus(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
+      isAnswered = true;
+      if (answer.kind !== 'unavailable') {
+        world.referee.onStatusShown(jobId, answer.kind === 'known' ? answer.status : null);
+      }
+      const isOver = answer.kind === 'known' && answer.status !== 'queued' && answer.status !== 'running';
+      if (!isOver) again();
+    });
   });
   // A process that dies with the question never answers it.
   world.time.after(2 * PATIENCE_MILLISECONDS, () => {
@@ -122,18 +143,20 @@
 }
 
 function cancel(world: World, jobId: string, queue: Queue): void {
-  const callers = pickCallers(world);
+  const node = pickNode(world);
   world.referee.onCancelSent(jobId);
-  if (callers === null) {
+  if (node === null) {
     world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
     return;
   }
   let isAnswered = false;
-  void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
-    isAnswered = true;
-    if (answer.kind === 'unavailable') {
-      world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
-    } else world.referee.onCancelAcknowledged(jobId);
+  node.receive(({ callers }) => {
+    void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
+      isAnswered = true;
+      if (answer.kind === 'unavailable') {
+        world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
+      } else world.referee.onCancelAcknowledged(jobId);
+    });
   });
   world.time.after(2 * PATIENCE_MILLISECONDS, () => {
     if (!isAnswered) cancel(world, jobId, queue);
@@ -142,10 +165,18 @@
 
 /** How callers behave. */
 export interface CallerHabits {
-  /** Jobs a second of each queue. */
-  readonly jobsPerSecond: number;
+  /** Jobs a second of a queue at the most. */
+  readonly jobsPerSecond: (queue: Queue) => number;
+  /** Whether a job is handed in now that would be at the highest rate. */
+  readonly isDue: (random: RandomSource, queue: Queue, now: number) => boolean;
+  readonly drawJob: (random: RandomSource, jobId: string, queue: Queue) => SubmittedJob;
+  readonly drawLastingJob: (random: RandomSource, jobId: string) => SubmittedJob;
+  /** Milliseconds between two questions on a job. */
+  readonly askMilliseconds: number;
   readonly lastingJobsPerQueue: number;
   readonly cancelShare: number;
+  /** Share of the tasks that fail by their own fault, once to three times. */
+  readonly failingShare: number;
   /** Until when jobs are handed in. */
   readonly until: number;
 }
@@ -163,9 +194,9 @@
   };
 
   const begin = (job: SubmittedJob, queue: Queue): void => {
-    plan(world, job, queue);
+    plan(world, job, queue, habits.failingShare);
     handIn(world, job, queue, 0, () => {
-      follow(world, job.jobId, queue);
+      follow(world, job.jobId, queue, habits.askMilliseconds);
       if (random.chance(habits.cancelShare)) {
         time.after(random.exponential(2_000), () => cancel(world, job.jobId, queue));
       }
@@ -174,13 +205,16 @@
 
   operator.configuration.queues.forEach((queue) => {
     for (let index = 0; index < habits.lastingJobsPerQueue; index += 1) {
-      begin(drawLastingJob(random, nextId()), queue);
+      begin(habits.drawLastingJob(random, nextId()), queue);
     }
+    const pause = (): number => random.exponential(MILLISECONDS_PER_SECOND / habits.jobsPerSecond(queue));
     const next = (): void => {
       if (time.now() > habits.until) return;
-      begin(drawJob(random, nextId()), queue);
-      time.after(random.exponential(MILLISECONDS_PER_SECOND / habits.jobsPerSecond), next);
+      if (habits.isDue(random, queue, time.now())) {
+        begin(habits.drawJob(random, nextId(), queue), queue);
+      }
+      time.after(pause(), next);
     };
-    time.after(random.exponential(MILLISECONDS_PER_SECOND / habits.jobsPerSecond), next);
+    time.after(pause(), next);
   });
 }
--- a/packages/fleet-emulator/src/job-plans.ts
+++ b/packages/fleet-emulator/src/job-plans.ts
@@ -14,6 +14,9 @@
   readonly job: SubmittedJob;
   readonly service: string;
   readonly maximumFailedRuns: number;
+  /** When it is first handed in, and in how many milliseconds from then its caller wants its result. */
+  readonly handedInAt: number;
+  readonly objectiveMilliseconds: number;
   readonly taskPlan: (key: TaskKey) => TaskPlan;
 }
 
--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -1,5 +1,4 @@
 /** Rules on what callers are told of their jobs, and on work that must go on. */
-import type { TaskKey } from '@baobabdeck/scheduling';
 import { stepOfTask } from './job-plans.js';
 import type { Referee, RefereeParts } from './referee.js';
 import type { Sightings } from './sightings.js';
@@ -18,7 +17,7 @@
 
 /** Creates the rules. */
 export function createJobRules({ time, plans }: RefereeParts, sightings: Sightings): JobRules {
-  const { report, jobs, jobOf, runsOf, isOn, hasDone, tasksOfStep, isStepDone, allTasks } = sightings;
+  const { report, jobs, jobOf, runsOf, isOn, hasDone, isStepDone, hasFailedOften, allTasks } = sightings;
   let completed = 0;
 
   const isTrulyDone = (jobId: string): boolean => {
@@ -29,19 +28,6 @@
     );
   };
 
-  const hasFailedOften = (jobId: string): boolean => {
-    const plan = plans.get(jobId);
-    if (plan === undefined) return false;
-    const failedRuns = (key: TaskKey): number => runsOf(key).filter((run) => run.end === 'failed').length;
-    return allTasks(jobId).some((key) => {
-      const isGang = plan.job.steps[key.step]?.isGang === true;
-      const failed = isGang
-        ? tasksOfStep(key, key.step).reduce((sum, member) => sum + failedRuns(member), 0)
-        : failedRuns(key);
-      return failed >= plan.maximumFailedRuns;
-    });
-  };
-
   const onStatusShown: Referee['onStatusShown'] = (jobId, status) => {
     const job = jobOf(jobId);
     if (status === null) {
--- a/packages/fleet-emulator/src/network.ts
+++ b/packages/fleet-emulator/src/network.ts
@@ -7,6 +7,8 @@
   readonly name: string;
   /** Hands something over to the endpoint, unless it was killed since the call. */
   readonly deliver: (action: () => void) => void;
+  /** Lets a call of the endpoint leave, at once or when it comes to it. */
+  readonly send: (action: () => void) => void;
 }
 
 /** What is wrong with the network now. */
@@ -94,15 +96,17 @@
       const isLate = random.chance(conditions.lateCalls.get(to) ?? 0);
       const lateness = isLate ? LATE_FROM_MILLISECONDS + random.uniform() * LATE_SPAN_MILLISECONDS : 0;
       const isLost = isLate || random.chance(conditions.lostAnswers.get(to) ?? 0);
-      time.after(delayTo(to) + lateness, () =>
-        arrive(from.name, to, (wasHeldUp) => {
-          void Promise.resolve(execute(isLate || wasHeldUp)).then((value) => {
-            if (isLost) return;
-            time.after(delayTo(to), () => {
-              if (!isCut(to, from.name)) settle(() => value);
+      from.send(() =>
+        time.after(delayTo(to) + lateness, () =>
+          arrive(from.name, to, (wasHeldUp) => {
+            void Promise.resolve(execute(isLate || wasHeldUp)).then((value) => {
+              if (isLost) return;
+              time.after(delayTo(to), () => {
+                if (!isCut(to, from.name)) settle(() => value);
+              });
             });
-          });
-        }),
+          }),
+        ),
       );
     });
 
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -1,8 +1,8 @@
 /** Plays a random schedule of traffic and troubles from a seed, and tells which rules broke. */
-import { startCallers } from './callers.js';
-import type { Violation } from './sightings.js';
+import { drawLastingJob, drawMixedJob, startCallers } from './callers.js';
+import { resultOf, type PlayResult } from './play-result.js';
 import { beginTrouble, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
-import { createWorld, type World, type WorldSize } from './world.js';
+import { createWorld, type WorldSize } from './world.js';
 
 /** What to play. */
 export interface PlayOptions {
@@ -15,20 +15,9 @@
   readonly kinds: readonly TroubleKind[];
 }
 
-/** What came of it. */
-export interface PlayResult {
-  readonly violations: readonly Violation[];
-  readonly runs: number;
-  readonly accepted: number;
-  readonly completed: number;
-  /** Log lines on unexpected errors and on violations of what must hold. */
-  readonly errors: readonly string[];
-  readonly world: World;
-}
-
 /** A small system with every kind of trouble. */
 export const SMALL_PLAY: Omit<PlayOptions, 'seed'> = {
-  size: { services: 2, hostsPerService: 5, standbyHosts: 2, nodes: 3 },
+  size: { services: 2, hostsPerService: 5, standbyHosts: 2, nodes: 3, processors: null },
   busyMilliseconds: 25_000,
   troubleEveryMilliseconds: 2_500,
   kinds: TROUBLE_KINDS,
@@ -40,16 +29,23 @@
 /** Time after the last trouble in which all that was accepted must come to an end. */
 const REST_MILLISECONDS = 60_000;
 
-/** Log events that no play should bring about. */
-const UNEXPECTED = ['unexpectedError', 'invariantViolated'];
-
 /** Plays a schedule. */
 export async function playSchedule(options: PlayOptions): Promise<PlayResult> {
   const world = createWorld(options.seed, options.size);
   const { time, random, referee } = world;
   const until = LEAD_MILLISECONDS + options.busyMilliseconds;
   await time.runUntil(LEAD_MILLISECONDS);
-  startCallers(world, { jobsPerSecond: 1.2, lastingJobsPerQueue: 1, cancelShare: 0.1, until });
+  startCallers(world, {
+    jobsPerSecond: () => 1.2,
+    isDue: () => true,
+    drawJob: drawMixedJob,
+    drawLastingJob,
+    lastingJobsPerQueue: 1,
+    cancelShare: 0.1,
+    failingShare: 0.02,
+    askMilliseconds: 1_500,
+    until,
+  });
   const next = (): void => {
     if (time.now() > until) return;
     const kind = random.pick(options.kinds);
@@ -61,6 +57,5 @@
   time.after(random.exponential(options.troubleEveryMilliseconds), next);
   await time.runUntil(until + REST_MILLISECONDS);
   await referee.checkRest();
-  const errors = world.log.filter((line) => UNEXPECTED.some((name) => line.includes(name)));
-  return { violations: referee.violations, ...referee.counts(), errors, world };
+  return resultOf(world);
 }
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -5,6 +5,7 @@
 import { createJobRules } from './job-rules.js';
 import type { ModelHost } from './model-fleet.js';
 import type { WorkerObserver } from './observer.js';
+import { createRestRules } from './rest-rules.js';
 import { createSightings, type Violation } from './sightings.js';
 import { createTaskRules } from './task-rules.js';
 import type { VirtualTime } from './virtual-time.js';
@@ -17,6 +18,11 @@
   readonly onStatusShown: (jobId: string, status: JobStatus | null) => void;
   /** Checks at the end of a calm stretch that nothing was left undone. */
   readonly checkRest: () => Promise<void>;
+  /** Lets time pass without traffic, in which no job stands still for long beside free room. */
+  readonly watchRest: (milliseconds: number) => Promise<void>;
+  /** Jobs that were done within three times their objective, as a share of those that were handed in. */
+  readonly servedShare: () => number;
+  readonly checkServed: (floor: number) => void;
   readonly violations: readonly Violation[];
   readonly counts: () => { readonly runs: number; readonly completed: number; readonly accepted: number };
 }
@@ -38,7 +44,9 @@
   const taskRules = createTaskRules(parts, sightings);
   const hostRules = createHostRules(parts, sightings, taskRules.onStop);
   const jobRules = createJobRules(parts, sightings);
+  const restRules = createRestRules(parts, sightings);
   return {
+    ...restRules,
     ...taskRules,
     ...hostRules,
     onStatusShown: jobRules.onStatusShown,
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -19,6 +19,8 @@
   | 'status-is-true'
   | 'accepted-is-known'
   | 'work-goes-on'
+  | 'nothing-waits-beside-room'
+  | 'enough-is-served'
   | 'wave-truly-completed';
 
 /** A broken rule. */
@@ -63,6 +65,8 @@
   readonly hasDone: (key: TaskKey) => boolean;
   readonly tasksOfStep: (key: TaskKey, step: number) => readonly TaskKey[];
   readonly isStepDone: (key: TaskKey, step: number) => boolean;
+  /** Whether one of its tasks has failed as often as one may. */
+  readonly hasFailedOften: (jobId: string) => boolean;
   readonly allTasks: (jobId: string) => readonly TaskKey[];
 }
 
@@ -120,6 +124,19 @@
     ).flat();
   };
 
+  const hasFailedOften = (jobId: string): boolean => {
+    const plan = plans.get(jobId);
+    if (plan === undefined) return false;
+    const failedRuns = (key: TaskKey): number => runsOf(key).filter((run) => run.end === 'failed').length;
+    return allTasks(jobId).some((key) => {
+      const isGang = plan.job.steps[key.step]?.isGang === true;
+      const failed = isGang
+        ? tasksOfStep(key, key.step).reduce((sum, member) => sum + failedRuns(member), 0)
+        : failedRuns(key);
+      return failed >= plan.maximumFailedRuns;
+    });
+  };
+
   return {
     violations,
     report: (rule, detail) => {
@@ -133,6 +150,7 @@
     hasDone,
     tasksOfStep,
     isStepDone,
+    hasFailedOften,
     allTasks,
   };
 }
--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -15,6 +15,7 @@
 import type { ModelFleet } from './model-fleet.js';
 import { STORE, type ModelStore } from './model-store.js';
 import type { Endpoint, Network } from './network.js';
+import type { Processor } from './processor.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** What the operator has published. */
@@ -32,6 +33,7 @@
   readonly fleet: ModelFleet;
   readonly operator: OperatorDesk;
   readonly settings: SchedulerSettings;
+  readonly processor: Processor;
   /** Answers of peers by their address. */
   readonly switchboard: Map<string, (content: unknown) => Promise<unknown>>;
   readonly onLog: (name: string, fields: Readonly<Record<string, unknown>>) => void;
@@ -43,6 +45,8 @@
   readonly endpoint: Endpoint;
   /** Null while it is down or starting. */
   readonly running: () => SchedulerNode | null;
+  /** Hands a call of somebody outside to the process; one that dies before it comes to it never does. */
+  readonly receive: (handle: (node: SchedulerNode) => void) => void;
   readonly kill: () => void;
   readonly freeze: (milliseconds: number) => void;
   readonly start: () => void;
@@ -60,7 +64,7 @@
 
 /** Creates a process that does not run yet. */
 export function createVirtualNode(parts: VirtualNodeParts): VirtualNode {
-  const { time, network, store, fleet, operator, settings } = parts;
+  const { time, network, store, fleet, operator, settings, processor } = parts;
   const name = settings.nodeName;
   let life = 0;
   /** The life that was started last: overlapping troubles may each start the process again. */
@@ -68,17 +72,22 @@
   let frozenUntil = 0;
   let running: SchedulerNode | null = null;
 
-  /** Hands something over to one life; a frozen one gets it when it wakes. */
-  const deliverTo = (ofLife: number, action: () => void): void => {
+  /** Hands something over to one life by its processor; a frozen one gets it when it wakes. */
+  const deliverTo = (ofLife: number, action: () => void, run = processor.run): void => {
     if (ofLife !== life) return;
     const wait = frozenUntil - time.now();
-    if (wait > 0) time.after(wait, () => deliverTo(ofLife, action));
-    else action();
+    if (wait > 0) time.after(wait, () => deliverTo(ofLife, action, run));
+    else {
+      run(() => {
+        if (ofLife === life) action();
+      });
+    }
   };
 
   const endpointOf = (ofLife: number): Endpoint => ({
     name,
     deliver: (action) => deliverTo(ofLife, action),
+    send: processor.sendCall,
   });
 
   const clockOf = (ofLife: number): SteadyClock => ({
@@ -138,9 +147,13 @@
         name,
         (content) =>
           new Promise((resolve) => {
-            deliverTo(ofLife, () => {
-              void answer(content).then(resolve);
-            });
+            deliverTo(
+              ofLife,
+              () => {
+                void answer(content).then(resolve);
+              },
+              processor.runCall,
+            );
           }),
       );
       return Promise.resolve(name);
@@ -187,14 +200,20 @@
     time.after(START_MILLISECONDS, () => {
       if (ofLife !== life || startedLife === ofLife) return;
       startedLife = ofLife;
-      void boot(ofLife);
+      processor.run(() => {
+        void boot(ofLife);
+      });
     });
   };
 
   return {
     name,
-    endpoint: { name, deliver: (action) => action() },
+    endpoint: { name, deliver: (action) => action(), send: (action) => action() },
     running: () => running,
+    receive: (handle) =>
+      processor.runCall(() => {
+        if (running !== null) handle(running);
+      }),
     kill,
     freeze: (milliseconds) => {
       frozenUntil = Math.max(frozenUntil, time.now() + milliseconds);
--- a/packages/fleet-emulator/src/virtual-time.ts
+++ b/packages/fleet-emulator/src/virtual-time.ts
@@ -4,6 +4,8 @@
 export interface VirtualTime {
   readonly now: () => number;
   readonly after: (milliseconds: number, action: () => void) => void;
+  /** Calls back once all that the present event brings about has been done, before the next event. */
+  readonly whenSettled: (action: () => void) => void;
   /** Plays every event up to a time. */
   readonly runUntil: (time: number) => Promise<void>;
 }
@@ -60,6 +62,7 @@
 /** Creates a clock that stands at 0. */
 export function createVirtualTime(): VirtualTime {
   const heap: Entry[] = [];
+  let settling: (() => void)[] = [];
   let now = 0;
   let order = 0;
 
@@ -73,14 +76,24 @@
     return first;
   };
 
-  const runUntil = async (time: number): Promise<void> => {
+  /** Lets everything happen that the present event brings about. */
+  const finishEvent = async (): Promise<void> => {
     await settle();
+    while (settling.length > 0) {
+      const actions = settling;
+      settling = [];
+      actions.forEach((action) => action());
+    }
+  };
+
+  const runUntil = async (time: number): Promise<void> => {
+    await finishEvent();
     while (heap[0] !== undefined && heap[0].at <= time) {
       const entry = takeFirst();
       if (entry !== undefined) {
         now = Math.max(now, entry.at);
         entry.action();
-        await settle();
+        await finishEvent();
       }
     }
     now = Math.max(now, time);
@@ -93,6 +106,9 @@
       order += 1;
       siftUp(heap, heap.length - 1);
     },
+    whenSettled: (action) => {
+      settling.push(action);
+    },
     runUntil,
   };
 }
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -5,6 +5,7 @@
 import type { JobPlans } from './job-plans.js';
 import { createModelFleet, type ModelFleet } from './model-fleet.js';
 import { createModelStore, type ModelStore } from './model-store.js';
+import { createProcessor, FREE_PROCESSOR, type Processor, type ProcessorCosts } from './processor.js';
 import { createNetwork, type Network } from './network.js';
 import { createReferee, type Referee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
@@ -19,6 +20,8 @@
   readonly hostsPerService: number;
   readonly standbyHosts: number;
   readonly nodes: number;
+  /** The machines' processors, with the cores of each process's; null where they take no time. */
+  readonly processors: (ProcessorCosts & { readonly coresOf: (node: number) => number }) | null;
 }
 
 /** A whole system in virtual time. */
@@ -30,6 +33,7 @@
   readonly fleet: ModelFleet;
   readonly operator: OperatorDesk;
   readonly nodes: readonly VirtualNode[];
+  readonly processors: readonly Processor[];
   readonly plans: JobPlans;
   readonly referee: Referee;
   /** When a trouble last began or ended. */
@@ -38,6 +42,9 @@
   readonly log: string[];
 }
 
+/** Time within which machines come up. */
+const START_SPAN_MILLISECONDS = 2_000;
+
 const HOSTS_PER_RACK = 3;
 
 /** Thousandths of a core and megabytes of each host. */
@@ -156,8 +163,14 @@
   }
   addHosts(models, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
-  const nodes = Array.from({ length: size.nodes }, (_, index) =>
+  const processors = Array.from({ length: size.nodes }, (_, index) =>
+    size.processors === null
+      ? FREE_PROCESSOR
+      : createProcessor(time, size.processors.coresOf(index), size.processors),
+  );
+  const nodes = processors.map((processor, index) =>
     createVirtualNode({
+      processor,
       time,
       network,
       store,
@@ -172,7 +185,11 @@
       },
     }),
   );
-  nodes.forEach((node) => node.start());
+  // Machines with a bounded processor come up one by one, so that the fastest is not always the first.
+  nodes.forEach((node) => {
+    if (size.processors === null) node.start();
+    else time.after(random.uniform() * START_SPAN_MILLISECONDS, node.start);
+  });
   world = {
     time,
     network,
@@ -181,6 +198,7 @@
     fleet: models,
     operator,
     nodes,
+    processors,
     plans,
     referee,
     lastTroubleAt: 0,
