--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -1,11 +1,15 @@
 import { closeSync, openSync, readFileSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { describe } from '@baobabdeck/test-tools';
 import { createEventLog } from './event-log.js';
 import { openLogOutput } from './log-output.js';
 
-const MORE_THAN_FITS = 2_000_000;
+/** Two of the size fit with room to spare: what a busy process writes in 20 s. */
+const MUCH = 3_000_000;
+
+const MORE_THAN_FITS = 16_000_000;
 
 describe('the output of a log', ({ it }) => {
   it('writes its lines in their order', async (t) => {
@@ -25,6 +29,55 @@
     rmSync(path);
   });
 
+  it('keeps all lines of a busy process whose reader is slow', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-busy-log-${process.pid}`);
+    const file = openSync(path, 'w');
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    output.write(`${'a'.repeat(MUCH)}\n`);
+    output.write(`${'b'.repeat(MUCH)}\n`);
+    await output.finish();
+    t.is(readFileSync(path, 'utf8').length, 2 * (MUCH + 1));
+    rmSync(path);
+  });
+
+  it('writes lines that come together in their order, with none left out', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-many-lines-${process.pid}`);
+    const file = openSync(path, 'w');
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    const places = Array.from({ length: 3_000 }, (_, place) => place);
+    for (const place of places) {
+      output.write(`${place}\n`);
+      if (place % 100 === 0) await nextTurn();
+    }
+    await output.finish();
+    t.is(readFileSync(path, 'utf8'), places.map((place) => `${place}\n`).join(''));
+    rmSync(path);
+  });
+
+  it('writes a line that no other follows', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-lone-line-${process.pid}`);
+    const file = openSync(path, 'w');
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    output.write('alone\n');
+    while (readFileSync(path, 'utf8') === '') await nextTurn();
+    t.is(readFileSync(path, 'utf8'), 'alone\n');
+    await output.finish();
+    rmSync(path);
+  });
+
+  it('counts each line of those that are dropped together', (t) => {
+    const path = join(tmpdir(), `baobabdeck-dropped-lines-${process.pid}`);
+    const file = openSync(path, 'w');
+    let dropped = 0;
+    const output = openLogOutput(file, () => {
+      dropped += 1;
+    });
+    output.write('a\nb\n'.padEnd(MORE_THAN_FITS, 'c'));
+    t.is(dropped, 2);
+    closeSync(file);
+    rmSync(path);
+  });
+
   it('drops and counts what its reader does not take, and goes on', (t) => {
     const path = join(tmpdir(), `baobabdeck-full-log-${process.pid}`);
     const file = openSync(path, 'w');
