--- a/packages/bench/src/soak-main.ts
+++ b/packages/bench/src/soak-main.ts
@@ -52,7 +52,8 @@
 async function loadFleetPlay(): Promise<(seed: number) => Promise<SeedReport>> {
   if (values.size === 'grown') await import('@baobabdeck/fleet-emulator/count-from-now-on');
   const { GROWN_SIZE, playSchedule, playTurns, SMALL_PLAY } = await import('@baobabdeck/fleet-emulator');
-  const grown = values['no-cpu'] ? { ...GROWN_SIZE, processors: null } : GROWN_SIZE;
+  const { costs, ...free } = GROWN_SIZE;
+  const grown = values['no-cpu'] || costs === undefined ? free : { ...free, costs };
   return async (seed) => {
     const { violations, errors, accepted, world } =
       values.size === 'grown'
--- a/packages/fleet-emulator/src/count-hooks.ts
+++ b/packages/fleet-emulator/src/count-hooks.ts
@@ -5,7 +5,8 @@
 import { countWork } from './count-work.js';
 
 /** Code whose work is counted: what runs in a process, from its ports inwards. */
-const COUNTED = /\/packages\/(?:scheduler|scheduling|types)\/dist\/|\/node_modules\/(?:immutable|sorted-btree)\//;
+const COUNTED =
+  /\/packages\/(?:scheduler|scheduling|types)\/dist\/|\/node_modules\/(?:immutable|sorted-btree)\//;
 
 /** Loads a module, and lets it count if it is to. */
 export const load: LoadHook = async (url, context, nextLoad) => {
--- a/packages/fleet-emulator/src/count-work.ts
+++ b/packages/fleet-emulator/src/count-work.ts
@@ -1,6 +1,9 @@
-/** Makes source code count its own work: one unit for each call of a function and each turn of a loop. */
+/**
+ * Makes source code count its own work: one unit for each call of a function, each turn of a loop, and each element or
+ * property that a spread copies.
+ */
 import ts from 'typescript';
-import { COUNT_EXPRESSION } from './work-counter.js';
+import { COUNT_EXPRESSION, SPREAD_FUNCTION } from './work-counter.js';
 
 interface Insertion {
   readonly at: number;
@@ -40,6 +43,10 @@
     if (ts.isBlock(body)) yield* countBlock(body);
     else yield* countExpression(body);
   } else if (isLoop(node)) yield* countStatement(node.statement);
+  else if (ts.isSpreadAssignment(node) || ts.isSpreadElement(node)) {
+    yield { at: node.expression.getStart(), text: `${SPREAD_FUNCTION}(` };
+    yield { at: node.expression.getEnd(), text: ')' };
+  }
   const children: ts.Node[] = [];
   ts.forEachChild(node, (child) => {
     children.push(child);
--- a/packages/fleet-emulator/src/grown-play.ts
+++ b/packages/fleet-emulator/src/grown-play.ts
@@ -16,13 +16,13 @@
   readonly turns: number;
 }
 
-/** Cores of most machines; every fourth is four times as fast. */
-const SLOW_CORES = 0.324;
-const FAST_CORES = 1.296;
+/** Thousandths of a core of most machines; every fourth is four times as fast. */
+const SLOW_MILLI_CORES = 324;
+const FAST_MILLI_CORES = 1_296;
 const MACHINES_PER_FAST_ONE = 4;
 
 /** What a call costs a core by way of an HTTP client, and what a core does of counted work. */
-export const USUAL_COSTS: ProcessorCosts = { callMilliseconds: 0.4, unitsPerMillisecond: 50_000 };
+export const USUAL_COSTS: ProcessorCosts = { callMilliseconds: 0.4, unitsPerMillisecond: 30_000 };
 
 /** Four services with their hosts and 32 processes on machines with a bounded processor. */
 export const GROWN_SIZE: WorldSize = {
@@ -30,10 +30,9 @@
   hostsPerService: 52,
   standbyHosts: 40,
   nodes: 32,
-  processors: {
-    ...USUAL_COSTS,
-    coresOf: (node) => (node % MACHINES_PER_FAST_ONE === MACHINES_PER_FAST_ONE - 1 ? FAST_CORES : SLOW_CORES),
-  },
+  milliCoresOf: (node) =>
+    node % MACHINES_PER_FAST_ONE === MACHINES_PER_FAST_ONE - 1 ? FAST_MILLI_CORES : SLOW_MILLI_CORES,
+  costs: USUAL_COSTS,
 };
 
 /** Time before the first traffic. */
@@ -119,7 +118,7 @@
   const world = createWorld(seed, size);
   const { time, referee } = world;
   await time.runUntil(LEAD_MILLISECONDS);
-  if (size.processors !== null && countedWork() === 0) {
+  if (size.costs !== undefined && countedWork() === 0) {
     throw new Error('Expected count-from-now-on to be imported before the processes, found nothing counted');
   }
   const isInTurn = (queue: Queue, now: number): boolean =>
--- a/packages/fleet-emulator/src/processor.ts
+++ b/packages/fleet-emulator/src/processor.ts
@@ -7,9 +7,9 @@
   /** Milliseconds of a whole core for one call that a process makes or answers. */
   readonly callMilliseconds: number;
   /**
-   * Units of work that a whole core does in a millisecond: calls of functions and turns of loops in the packages
-   * scheduler, scheduling and types and in the persistent collections. What the runtime does by itself, such as copying
-   * an array, costs nothing. Infinite where work costs nothing.
+   * Units of work that a whole core does in a millisecond: calls of functions, turns of loops and what spreads copy, in
+   * the packages scheduler, scheduling and types and in the collections. What else the runtime does by itself, such as
+   * slicing an array, costs nothing. Infinite where work costs nothing.
    */
   readonly unitsPerMillisecond: number;
 }
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -17,12 +17,26 @@
 
 /** A small system with every kind of trouble. */
 export const SMALL_PLAY: Omit<PlayOptions, 'seed'> = {
-  size: { services: 2, hostsPerService: 5, standbyHosts: 2, nodes: 3, processors: null },
+  size: { services: 2, hostsPerService: 5, standbyHosts: 2, nodes: 3 },
   busyMilliseconds: 25_000,
   troubleEveryMilliseconds: 2_500,
   kinds: TROUBLE_KINDS,
 };
 
+const STRONG_COUNT = 3;
+const STRONG_MILLI_CORES = 1_350;
+const WEAK_MILLI_CORES = 324;
+
+/** The same with processes of unequal strength. */
+export const UNEVEN_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: {
+    ...SMALL_PLAY.size,
+    nodes: 6,
+    milliCoresOf: (node) => (node < STRONG_COUNT ? STRONG_MILLI_CORES : WEAK_MILLI_CORES),
+  },
+};
+
 /** Time before the first traffic. */
 const LEAD_MILLISECONDS = 6_000;
 
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -20,8 +20,10 @@
   readonly hostsPerService: number;
   readonly standbyHosts: number;
   readonly nodes: number;
-  /** The machines' processors, with the cores of each process's; null where they take no time. */
-  readonly processors: (ProcessorCosts & { readonly coresOf: (node: number) => number }) | null;
+  /** What things cost a process's processor; they take no time where left out. */
+  readonly costs?: ProcessorCosts;
+  /** Thousandths of a core that each process may use; alike where left out. */
+  readonly milliCoresOf?: (node: number) => number;
 }
 
 /** A whole system in virtual time. */
@@ -47,6 +49,11 @@
 
 const HOSTS_PER_RACK = 3;
 
+const MILLI_CORES_PER_CORE = 1_000;
+
+/** Processor of processes that are alike. */
+const ALIKE_MILLI_CORES = 1_000;
+
 /** Thousandths of a core and megabytes of each host. */
 const HOST_CAPACITY: HostListing['capacity'] = {
   milliCores: 16_000,
@@ -65,10 +72,11 @@
   absenceNoticeMilliseconds: 4_500,
 };
 
-function settingsOf(index: number): SchedulerSettings {
+function settingsOf(index: number, milliCores: number): SchedulerSettings {
   return {
     nodeName: `node-${index}`,
     dataCentre: 'west',
+    milliCores,
     ip: '127.0.0.1',
     peerPort: 0,
     metricsPort: null,
@@ -163,10 +171,11 @@
   }
   addHosts(models, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
+  const milliCoresOf = size.milliCoresOf ?? (() => ALIKE_MILLI_CORES);
   const processors = Array.from({ length: size.nodes }, (_, index) =>
-    size.processors === null
+    size.costs === undefined
       ? FREE_PROCESSOR
-      : createProcessor(time, size.processors.coresOf(index), size.processors),
+      : createProcessor(time, milliCoresOf(index) / MILLI_CORES_PER_CORE, size.costs),
   );
   const nodes = processors.map((processor, index) =>
     createVirtualNode({
@@ -176,7 +185,7 @@
       store,
       fleet: models,
       operator,
-      settings: settingsOf(index),
+      settings: settingsOf(index, milliCoresOf(index)),
       switchboard,
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
@@ -187,7 +196,7 @@
   );
   // Machines with a bounded processor come up one by one, so that the fastest is not always the first.
   nodes.forEach((node) => {
-    if (size.processors === null) node.start();
+    if (size.costs === undefined) node.start();
     else time.after(random.uniform() * START_SPAN_MILLISECONDS, node.start);
   });
   world = {
