--- a/packages/fleet-emulator/src/__tests__/late-orders.test.ts
+++ b/packages/fleet-emulator/src/__tests__/late-orders.test.ts
@@ -37,7 +37,14 @@
   if (queue === undefined || callers === undefined) throw new Error('No process takes jobs');
   const { service, maximumFailedRuns } = queue;
   const taskPlan = () => ({ runMilliseconds: 300, failingRuns: 0 });
-  world.plans.set(JOB.jobId, { job: JOB, service, maximumFailedRuns, taskPlan });
+  world.plans.set(JOB.jobId, {
+    job: JOB,
+    service,
+    maximumFailedRuns,
+    handedInAt: world.time.now(),
+    objectiveMilliseconds: 1_000,
+    taskPlan,
+  });
   const answer = callers.submit(queue, JOB, 1_000);
   await world.time.runUntil(world.time.now() + 100);
   world.referee.onSubmitAnswered(JOB.jobId, (await answer).kind);
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -5,6 +5,7 @@
 import type { JobPlans } from './job-plans.js';
 import { createModelFleet, type ModelFleet } from './model-fleet.js';
 import { createModelStore, type ModelStore } from './model-store.js';
+import { createProcessor, FREE_PROCESSOR, type Processor, type ProcessorCosts } from './processor.js';
 import { createNetwork, type Network } from './network.js';
 import { createReferee, type Referee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
@@ -19,6 +20,8 @@
   readonly hostsPerService: number;
   readonly standbyHosts: number;
   readonly nodes: number;
+  /** What things cost a process's processor; they take no time where left out. */
+  readonly costs?: ProcessorCosts;
   /** Thousandths of a core that each process may use; alike where left out. */
   readonly milliCoresOf?: (node: number) => number;
 }
@@ -32,6 +35,7 @@
   readonly fleet: ModelFleet;
   readonly operator: OperatorDesk;
   readonly nodes: readonly VirtualNode[];
+  readonly processors: readonly Processor[];
   readonly plans: JobPlans;
   readonly referee: Referee;
   /** When a trouble last began or ended. */
@@ -40,8 +44,13 @@
   readonly log: string[];
 }
 
+/** Time within which machines come up. */
+const START_SPAN_MILLISECONDS = 2_000;
+
 const HOSTS_PER_RACK = 3;
 
+const MILLI_CORES_PER_CORE = 1_000;
+
 /** Processor of processes that are alike. */
 const ALIKE_MILLI_CORES = 1_000;
 
@@ -162,14 +171,21 @@
   }
   addHosts(models, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
-  const nodes = Array.from({ length: size.nodes }, (_, index) =>
+  const milliCoresOf = size.milliCoresOf ?? (() => ALIKE_MILLI_CORES);
+  const processors = Array.from({ length: size.nodes }, (_, index) =>
+    size.costs === undefined
+      ? FREE_PROCESSOR
+      : createProcessor(time, milliCoresOf(index) / MILLI_CORES_PER_CORE, size.costs),
+  );
+  const nodes = processors.map((processor, index) =>
     createVirtualNode({
+      processor,
       time,
       network,
       store,
       fleet: models,
       operator,
-      settings: settingsOf(index, size.milliCoresOf?.(index) ?? ALIKE_MILLI_CORES),
+      settings: settingsOf(index, milliCoresOf(index)),
       switchboard,
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
@@ -178,7 +194,11 @@
       },
     }),
   );
-  nodes.forEach((node) => node.start());
+  // Machines with a bounded processor come up one by one, so that the fastest is not always the first.
+  nodes.forEach((node) => {
+    if (size.costs === undefined) node.start();
+    else time.after(random.uniform() * START_SPAN_MILLISECONDS, node.start);
+  });
   world = {
     time,
     network,
@@ -187,6 +207,7 @@
     fleet: models,
     operator,
     nodes,
+    processors,
     plans,
     referee,
     lastTroubleAt: 0,
