--- /dev/null
+++ b/packages/scheduling/src/__tests__/waiting-queue.test.ts
@@ -0,0 +1,43 @@
+import { describe } from '@baobabdeck/test-tools';
+import {
+  EMPTY_WAITING_QUEUE,
+  setWaiting,
+  waitingInOrder,
+  type WaitingKey,
+} from '../service/waiting-queue.js';
+
+const NEEDS = { milliCores: 500, memoryMegabytes: 64, accelerators: 0 };
+
+const NOW = 1_000;
+
+function keyOf(jobId: string, fields: Partial<WaitingKey> = {}): WaitingKey {
+  return { isLasting: false, priority: 0, startBy: NOW, jobId, occurrence: 0, step: 0, ...fields };
+}
+
+describe('the queue of waiting steps', ({ it }) => {
+  it('knows what waits altogether, also after a step has changed', (t) => {
+    const six = setWaiting(EMPTY_WAITING_QUEUE, keyOf('a'), { tasks: 6, needs: NEEDS });
+    const two = setWaiting(six, keyOf('a'), { tasks: 2, needs: NEEDS });
+    const one = setWaiting(two, keyOf('a'), { tasks: 1, needs: NEEDS });
+    t.deepEqual(six.total, { tasks: 6, milliCores: 3_000 });
+    t.deepEqual(two.total, { tasks: 2, milliCores: 1_000 });
+    t.deepEqual(one.total, { tasks: 1, milliCores: 500 });
+    t.deepEqual(setWaiting(one, keyOf('a'), null), EMPTY_WAITING_QUEUE);
+  });
+
+  it('begins with lasting work, goes by priority and least slack, and ends with what is late', (t) => {
+    const keys = [
+      keyOf('late', { startBy: NOW - 1 }),
+      keyOf('urgent', { startBy: NOW + 1 }),
+      keyOf('less-important', { priority: 1, startBy: NOW }),
+      keyOf('later', { startBy: NOW + 500 }),
+      keyOf('lasting', { isLasting: true, startBy: NOW + 900 }),
+    ];
+    const queue = keys.reduce(
+      (filled, key) => setWaiting(filled, key, { tasks: 1, needs: NEEDS }),
+      EMPTY_WAITING_QUEUE,
+    );
+    const order = [...waitingInOrder(queue, NOW)].map(([{ jobId }]) => jobId);
+    t.deepEqual(order, ['lasting', 'urgent', 'later', 'less-important', 'late']);
+  });
+});
--- a/packages/scheduling/src/service/queue-figures.ts
+++ b/packages/scheduling/src/service/queue-figures.ts
@@ -21,17 +21,6 @@
   for (const { steps } of job?.occurrences.values() ?? []) yield* steps;
 }
 
-function countWaiting(state: ServiceState): number {
-  let count = 0;
-  for (const jobId of state.activeJobIds) {
-    const job = state.jobs.get(jobId);
-    for (const step of job?.phase === 'active' ? stepsOf(job) : []) {
-      if (step.readySince !== null) count += step.waitingCount;
-    }
-  }
-  return count;
-}
-
 /** Only jobs with a change that is not stored can have such tasks. */
 function countRecording(state: ServiceState): number {
   const stored = state.appendInFlight?.jobVersions.keys() ?? [];
@@ -49,7 +38,7 @@
 export function selectQueueFigures(state: ServiceState): QueueFigures {
   return {
     activeJobs: state.activeJobIds.size,
-    waitingTasks: countWaiting(state),
+    waitingTasks: state.waiting.total.tasks,
     recordingTasks: countRecording(state),
     jobsToRecord: state.dirtyJobIds.size,
     workers: state.workers.size,
