--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -2,6 +2,7 @@
 import type { HostListing, HostOrderOutcome } from '@baobabdeck/scheduling';
 import { encodeFleetRecord } from '../fleet/fleet-codec.js';
 import { createFleetOwner, type FleetOwner } from '../fleet/fleet-owner.js';
+import { NO_MEASURES } from '../measure/no-measures.js';
 import type { LogPlace, Store } from '../ports/index.js';
 import { createHandClock, type HandClock } from './hand-clock.js';
 
@@ -64,6 +65,7 @@
       writeWaveStatus: () => Promise.resolve(true),
     },
     clock,
+    measures: NO_MEASURES,
     writeEvent: () => undefined,
     configuration: () => ({
       version: 1,
--- a/packages/scheduler/src/measure/__tests__/claim-lines.test.ts
+++ b/packages/scheduler/src/measure/__tests__/claim-lines.test.ts
@@ -2,7 +2,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import { claimService } from '../../owner/claim.js';
 import type { NewestOutcome, Store } from '../../ports/index.js';
-import { createHandClock } from './hand-clock.js';
+import { createHandClock } from '../../__tests__/hand-clock.js';
 
 const FAILED: NewestOutcome = { kind: 'failed', detail: 'no answer in time' };
 
