Hand a log's reader no more at a write than it takes

Cause: up to 16 KB were handed over at a write, and what shows the logs there takes 8 KB of it.

Change: whole lines of 8,192 characters at most a write.

Test: one records the writes of 500 lines; it fails with the gathering as it was.

--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -1,4 +1,4 @@
-import { closeSync, openSync, readFileSync, rmSync } from 'node:fs';
+import fs, { closeSync, openSync, readFileSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setImmediate as nextTurn } from 'node:timers/promises';
@@ -54,6 +54,25 @@
     rmSync(path);
   });
 
+  it('hands over whole lines, and no more at a write than a reader takes', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-small-writes-${process.pid}`);
+    const file = openSync(path, 'w');
+    const written: string[] = [];
+    const plainWrite = fs.write;
+    fs.write = ((fileDescriptor: number, text: unknown, ...rest: readonly unknown[]) => {
+      if (fileDescriptor === file) written.push(String(text));
+      Reflect.apply(plainWrite, fs, [fileDescriptor, text, ...rest]);
+    }) as typeof fs.write;
+    const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
+    const line = `${'a'.repeat(460)}\n`;
+    for (let place = 0; place < 500; place += 1) output.write(line);
+    await output.finish();
+    fs.write = plainWrite;
+    t.is(written.join('').length, 500 * line.length);
+    t.true(written.every((text) => text.length <= 8_192 && text.endsWith('\n')));
+    rmSync(path);
+  });
+
   it('writes a line that no other follows', async (t) => {
     const path = join(tmpdir(), `baobabdeck-lone-line-${process.pid}`);
     const file = openSync(path, 'w');
--- a/packages/observability/src/log-output.ts
+++ b/packages/observability/src/log-output.ts
@@ -7,8 +7,8 @@
 /** Bytes of lines that may wait for their reader. */
 const BUFFER_BYTES = 8_388_608;
 
-/** Characters of lines from which on they are written without waiting for more. */
-const GATHERED_CHARACTERS = 8_192;
+/** The most that one write hands over, in characters of lines: some readers take no more of a write. */
+const WRITE_CHARACTERS = 8_192;
 
 /** The longest that a line waits for others to be written with it: one write costs as much as many lines. */
 const GATHER_MILLISECONDS = 20;
@@ -25,7 +25,12 @@
 
 /** Opens a file descriptor; `onDropped` hears of each line that is dropped. */
 export function openLogOutput(fileDescriptor: number, onDropped: () => void): LogOutput {
-  const output = new SonicBoom({ fd: fileDescriptor, sync: false, maxLength: BUFFER_BYTES });
+  const output = new SonicBoom({
+    fd: fileDescriptor,
+    sync: false,
+    maxLength: BUFFER_BYTES,
+    maxWrite: WRITE_CHARACTERS,
+  });
   let isOpen = true;
   let gathered = '';
   let timer: NodeJS.Timeout | null = null;
@@ -45,8 +50,9 @@
   return {
     write: (line) => {
       if (!isOpen) return;
+      if (gathered.length + line.length > WRITE_CHARACTERS) writeGathered();
       gathered += line;
-      if (gathered.length >= GATHERED_CHARACTERS) writeGathered();
+      if (gathered.length >= WRITE_CHARACTERS) writeGathered();
       else timer ??= setTimeout(writeGathered, GATHER_MILLISECONDS);
     },
     finish: () =>
