Wait for the lines of a log in its tests, not for half a second

Seen: in one run of the whole suite, with a load of 41 on 8 processors, "hands over whole lines" found 39,185 of 230,500 characters written.

Cause: the test, mine, waited for the output to finish, which gives its reader up after 500 ms; 29 writes took longer. A time that passes decided it. The test that keeps 6 MB has the same fault and did not fail.

Change: both wait until all is written, then assert the same: all characters, whole lines, 8,192 at most a write, nothing dropped. A line that never comes ends in the runner's time limit. "Writes lines that come together" and "writes its lines in their order" wait for the same half second and are as before.

--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -1,4 +1,4 @@
-import fs, { closeSync, openSync, readFileSync, rmSync } from 'node:fs';
+import fs, { closeSync, openSync, readFileSync, rmSync, statSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setImmediate as nextTurn } from 'node:timers/promises';
@@ -35,6 +35,7 @@
     const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
     output.write(`${'a'.repeat(MUCH)}\n`);
     output.write(`${'b'.repeat(MUCH)}\n`);
+    while (statSync(path).size < 2 * (MUCH + 1)) await nextTurn();
     await output.finish();
     t.is(readFileSync(path, 'utf8').length, 2 * (MUCH + 1));
     rmSync(path);
@@ -66,6 +67,7 @@
     const output = openLogOutput(file, () => t.fail('nothing is to be dropped'));
     const line = `${'a'.repeat(460)}\n`;
     for (let place = 0; place < 500; place += 1) output.write(line);
+    while (written.join('').length < 500 * line.length) await nextTurn();
     await output.finish();
     fs.write = plainWrite;
     t.is(written.join('').length, 500 * line.length);
