Read what is recorded of a service before its claim, not after

All seven tasks that lapsed at 20.8 to 21.5 s were of one service. Its owner was up to 3.8 s late, so its place was dealt to another process. That one's claim was read by the former owner at 17.48 s; it had begun at about 16.1 s and stood at 23.43 s only: 7.3 s of reading 414 jobs, 2.2 s of them busy. Nobody renewed a lease for 6 s, and leases last 5 s. So it is not only the slow owner, but also the order of things in a handover: the claim fences the former owner off first, and then all is read.

A process that is not dealt the place any more while it reads claims nothing.

It is half of the cure: a process that is alive and hears that its place is dealt to another one still gives the service up at once, so that handover keeps its gap.

--- /dev/null
+++ b/packages/scheduler/src/__tests__/claim.test.ts
@@ -0,0 +1,58 @@
+import { describe } from '@baobabdeck/test-tools';
+import { claimService } from '../owner/claim.js';
+import type { LogPlace, Store, StoredKeyedRecord } from '../ports/index.js';
+import { createHandClock } from './hand-clock.js';
+
+const INBOX: LogPlace = { topic: 'inbox', partition: 0 };
+const JOURNAL: LogPlace = { topic: 'journal', partition: 0 };
+
+function recordAt(offset: number): StoredKeyedRecord {
+  return { key: 'job', offset, value: new Uint8Array([offset]) };
+}
+
+describe('a claim', ({ it }) => {
+  it('leaves the owner so far in place while it reads, and misses nothing that is stored meanwhile', async (t) => {
+    const calls: string[] = [];
+    const store: Store = {
+      append: ({ place }) => {
+        calls.push(`append ${place.topic}`);
+        return Promise.resolve({ kind: 'stored', firstOffset: 8, nextOffset: 9 });
+      },
+      read: ({ topic }, fromOffset) => {
+        calls.push(`read ${topic} from ${fromOffset}`);
+        return Promise.resolve({ kind: 'read', records: [recordAt(7)], nextOffset: 9 });
+      },
+      readNewest: ({ topic }) => {
+        calls.push(`newest ${topic}`);
+        return Promise.resolve({ kind: 'read', records: [recordAt(2)], nextOffset: 3 });
+      },
+      join: () => Promise.resolve({ kind: 'failed', detail: 'not asked for' }),
+      leave: () => Promise.resolve(),
+      listOwners: () => Promise.resolve({ kind: 'failed', detail: 'not asked for' }),
+      partitionCount: 1,
+    };
+    const claimed = await claimService({
+      store,
+      clock: createHandClock(),
+      inbox: INBOX,
+      journal: JOURNAL,
+      claimRecord: { key: 'owner', value: new Uint8Array(1) },
+      isWanted: () => true,
+      writeEvent: () => undefined,
+      logFields: { service: 'quotes' },
+    });
+    t.deepEqual(calls, [
+      'newest journal',
+      'newest inbox',
+      'append inbox',
+      'append journal',
+      'read journal from 3',
+      'read inbox from 3',
+    ]);
+    t.is(claimed?.epoch, 9);
+    t.deepEqual(
+      claimed?.records.map(({ offset }) => offset),
+      [7, 7],
+    );
+  });
+});
--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -101,38 +101,58 @@
   return null;
 }
 
+/** The newest record of each key up to an offset. */
 interface Log {
-  readonly records: readonly StoredKeyedRecord[];
+  readonly newest: ReadonlyMap<string, StoredKeyedRecord>;
   readonly nextOffset: number;
 }
 
-/** The newest record of each key up to an offset at least; pages are no snapshot, so the log is read from them on. */
-async function readLog({ store, tellDelay }: Claiming, place: LogPlace, until: number): Promise<Log | null> {
+async function readNewest({ store, tellDelay }: Claiming, place: LogPlace): Promise<Log | null> {
   const page = await store.readNewest(place);
-  if (page.kind !== 'read') {
-    tellDelay(`newest records of ${place.topic}`, page);
-    return null;
+  if (page.kind === 'read') {
+    const newest = new Map(page.records.map((record) => [record.key, record]));
+    return { newest, nextOffset: page.nextOffset };
   }
-  const newest = new Map(page.records.map((record) => [record.key, record]));
-  let { nextOffset } = page;
+  tellDelay(`newest records of ${place.topic}`, page);
+  return null;
+}
+
+/** The log up to an offset at least; what was known of it is read anew where it is too old to read on from. */
+async function readOn(parts: Claiming, place: LogPlace, known: Log, until: number): Promise<Log | null> {
+  const newest = new Map(known.newest);
+  let { nextOffset } = known;
   while (nextOffset < until) {
-    const tail = await store.read(place, nextOffset, 0);
+    const tail = await parts.store.read(place, nextOffset, 0);
+    if (tail.kind === 'expired') {
+      const again = await readNewest(parts, place);
+      return again === null ? null : readOn(parts, place, again, until);
+    }
     if (tail.kind !== 'read') {
-      tellDelay(`tail of ${place.topic}`, tail);
+      parts.tellDelay(`tail of ${place.topic}`, tail);
       return null;
     }
     tail.records.forEach((record) => newest.set(record.key, record));
     nextOffset = tail.nextOffset;
   }
-  const records = [...newest.values()].sort((left, right) => left.offset - right.offset);
-  return { records, nextOffset };
+  return { newest, nextOffset };
 }
 
-/** Claims a service and reads what is recorded of it; null when it is not wanted any more or a newer claim stands. */
+function recordsOf({ newest }: Log): readonly StoredKeyedRecord[] {
+  return [...newest.values()].sort((left, right) => left.offset - right.offset);
+}
+
+/**
+ * Claims a service and reads what is recorded of it; null when it is not wanted any more or a newer claim stands. Nearly
+ * all is read before the claim: the owner so far goes on meanwhile, and its leases last.
+ */
 export async function claimService(claim: ClaimParts): Promise<ClaimedService | null> {
   const { inbox, journal, clock } = claim;
   const parts: Claiming = { ...claim, tellDelay: createDelayLog(claim) };
   const beganAt = clock.steadyNow();
+  const journalBefore = await retry(parts, () => readNewest(parts, journal));
+  if (journalBefore === null) return null;
+  const inboxBefore = await retry(parts, () => readNewest(parts, inbox));
+  if (inboxBefore === null) return null;
   const offset = await retry(parts, () => appendClaim(parts));
   if (offset === null) return null;
   // Epoch 0 is that of orders without a token.
@@ -141,11 +161,11 @@
   const fencing = await retry(parts, () => fenceOff(parts, epoch));
   if (fencing === null || fencing.kind === 'superseded') return null;
   const claimedAt = clock.steadyNow();
-  const ownLog = await retry(parts, () => readLog(parts, journal, fencing.nextOffset));
+  const ownLog = await retry(parts, () => readOn(parts, journal, journalBefore, fencing.nextOffset));
   if (ownLog === null) return null;
-  const inboxLog = await retry(parts, () => readLog(parts, inbox, epoch));
+  const inboxLog = await retry(parts, () => readOn(parts, inbox, inboxBefore, epoch));
   if (inboxLog === null) return null;
-  const records = [...inboxLog.records, ...ownLog.records];
+  const records = [...recordsOf(inboxLog), ...recordsOf(ownLog)];
   const milliseconds = clock.steadyNow() - beganAt;
   const bytes = bytesOf(records);
   return { epoch, claimedAt, provenAt, records, nextOffset: inboxLog.nextOffset, milliseconds, bytes };
