--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -105,6 +105,11 @@
     message: 'this process is to be dealt services; no stronger ones suffice',
   },
   groupLeft: { number: 550, level: 'info', message: 'this process leaves services to stronger ones' },
+  claimDelayed: {
+    number: 555,
+    level: 'warn',
+    message: 'claim of a service does not come on: the store gives no answer to it',
+  },
   storeUnreachable: { number: 551, level: 'warn', message: 'the store cannot be read' },
   storeReachable: { number: 552, level: 'info', message: 'the store can be read again' },
   logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
--- a/packages/scheduler/src/measure/__tests__/hand-clock.ts
+++ b/packages/scheduler/src/__tests__/hand-clock.ts
@@ -1,5 +1,5 @@
 /** A clock that a test moves by hand. */
-import type { SteadyClock } from '../../node/steady-clock.js';
+import type { SteadyClock } from '../node/steady-clock.js';
 
 /** A clock for tests. */
 export interface HandClock extends SteadyClock {
--- a/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
+++ b/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
@@ -3,7 +3,7 @@
 import { measureStore } from '../measured-store.js';
 import { measureWorkers } from '../measured-workers.js';
 import { NO_MEASURES } from '../no-measures.js';
-import { createHandClock } from './hand-clock.js';
+import { createHandClock } from '../../__tests__/hand-clock.js';
 
 const PLACE = { topic: 'journal', partition: 0 };
 
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -9,6 +9,7 @@
 import { runsOn } from './tasks.js';
 import { offerWorker, setWorker } from './worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
+import { updateService, updateWorker } from './update.js';
 
 /** Time for which tasks that save nothing may hold a host up that is due for maintenance. */
 const MAINTENANCE_PATIENCE_MILLISECONDS = 8_000;
@@ -17,7 +18,7 @@
 const WISH_MILLISECONDS = 2_000;
 
 /** How far the emptying of a host has come. */
-export type ReleaseProgress = 'released' | 'draining' | 'unknown';
+export type ReleaseProgress = 'released' | 'draining';
 
 /** Whether a run is known to work at full speed on a worker that answers. */
 function isAtWork(state: ServiceState, run: Run): boolean {
@@ -106,17 +107,16 @@
   const { workerId, incarnation } = worker.listing;
   if (state.releasedWorkers.get(workerId) === incarnation) return state;
   const record = { kind: 'worker-released' as const, workerId, incarnation };
-  return {
-    ...state,
+  return updateService(state, {
     releasedWorkers: state.releasedWorkers.set(workerId, incarnation),
     releaseRecords: [...state.releaseRecords, record],
-  };
+  });
 }
 
 function withdrawStaleWish(state: ServiceState, worker: WorkerState): ServiceState {
   const { hold } = worker;
   if (hold.kind !== 'leaving' || state.now - hold.wishedAt <= WISH_MILLISECONDS) return state;
-  return setWorker(state, { ...worker, hold: { kind: 'none' } });
+  return setWorker(state, updateWorker(worker, { hold: { kind: 'none' } }));
 }
 
 /** Goes on with emptying the workers that are wanted or that shut down. */
@@ -141,9 +141,14 @@
   return state;
 }
 
+/** The newest life on a host: the register may hold former ones, which run nothing. */
 function workerOnHost(state: ServiceState, hostId: string): WorkerState | null {
-  const onHost = [...state.workers.values()].filter((worker) => worker.listing.hostId === hostId);
-  return onHost.find((worker) => !worker.isGone) ?? onHost[0] ?? null;
+  let newest: WorkerState | null = null;
+  for (const worker of state.workers.values()) {
+    const isNewer = newest === null || worker.listing.incarnation > newest.listing.incarnation;
+    if (worker.listing.hostId === hostId && isNewer) newest = worker;
+  }
+  return newest;
 }
 
 function* wishForHost(state: ServiceState, { hostId, purpose }: HostWished): ServiceStep<ServiceState> {
@@ -155,7 +160,10 @@
     yield { kind: 'log', decision: 'releaseBegun', fields };
   }
   const since = worker.hold.kind === 'leaving' ? worker.hold.since : state.now;
-  return setWorker(state, { ...worker, hold: { kind: 'leaving', purpose, since, wishedAt: state.now } });
+  return setWorker(
+    state,
+    updateWorker(worker, { hold: { kind: 'leaving', purpose, since, wishedAt: state.now } }),
+  );
 }
 
 function* useHostAgain(state: ServiceState, hostId: string): ServiceStep<ServiceState> {
@@ -163,12 +171,11 @@
   if (worker === null) return state;
   const { workerId } = worker.listing;
   yield { kind: 'log', decision: 'releaseWithdrawn', fields: { hostId, workerId } };
-  const used = setWorker(state, { ...worker, hold: { kind: 'none' } });
-  const returned: ServiceState = {
-    ...used,
+  const used = setWorker(state, updateWorker(worker, { hold: { kind: 'none' } }));
+  const returned: ServiceState = updateService(used, {
     releasedWorkers: used.releasedWorkers.remove(workerId),
     releaseRecords: [...used.releaseRecords, { kind: 'worker-returned', workerId }],
-  };
+  });
   return offerWorker(returned, workerId);
 }
 
@@ -183,16 +190,16 @@
   event: ServiceEventOf<'hosts-wished'>,
 ): ServiceStep<ServiceState> {
   if (isOlder(state, event)) return state;
-  let next: ServiceState = { ...state, fleetMessage: { epoch: event.epoch, sequence: event.sequence } };
+  let next: ServiceState = updateService(state, {
+    fleetMessage: { epoch: event.epoch, sequence: event.sequence },
+  });
   for (const hostId of event.returns) next = yield* useHostAgain(next, hostId);
   for (const wished of event.releases) next = yield* wishForHost(next, wished);
   return yield* emptyLeavingWorkers(next);
 }
 
-/** How far a host's emptying has come. A worker whose life is over holds nothing. */
-export function selectRelease(state: ServiceState, hostId: string): ReleaseProgress {
-  const worker = workerOnHost(state, hostId);
-  if (worker === null) return 'unknown';
+/** How far the emptying of a worker has come whose host is wanted. */
+export function selectRelease(state: ServiceState, worker: WorkerState): ReleaseProgress {
   const { workerId, incarnation } = worker.listing;
   const isRecorded =
     state.releasedWorkers.get(workerId) === incarnation &&
