Leave services to the strong after an outage of the store

Cause: stronger processes that the store does not answer counted as gone, though it answered nobody; after the outage the list is empty, since all members have run out.

Change: a process that the store does not answer decides nothing; for 1.5 s after that it steps in only if no stronger one that it knows lives.

--- a/packages/fleet-emulator/src/__tests__/dealing.test.ts
+++ b/packages/fleet-emulator/src/__tests__/dealing.test.ts
@@ -145,6 +145,21 @@
     t.true(selectOwners(world).every((node) => node < STRONG_COUNT));
   });
 
+  [1, 2, 3, 4].forEach((seed) => {
+    it(`that are weak stay out when the store was down for everyone, with seed ${seed}`, async (t) => {
+      const world = createUneven(seed);
+      await pass(world, START_MILLISECONDS);
+      const before = world.log.filter((line) => line.includes('groupEntered')).length;
+      world.store.isDown = true;
+      await pass(world, 4_300);
+      world.store.isDown = false;
+      await pass(world, START_MILLISECONDS);
+      t.is(world.log.filter((line) => line.includes('groupEntered')).length, before);
+      t.deepEqual(selectNames(world), ALL);
+      t.true(selectOwners(world).every((node) => node < STRONG_COUNT));
+    });
+  });
+
   it('that are weak stay out when a strong one starts again and again', async (t) => {
     const world = createUneven(6);
     await pass(world, START_MILLISECONDS);
--- a/packages/scheduler/src/node/candidacy.ts
+++ b/packages/scheduler/src/node/candidacy.ts
@@ -25,6 +25,12 @@
 /** Time for which stronger members must have been enough before a member steps out, so that one that flaps moves nothing. */
 const CALM_MILLISECONDS = 2_500;
 
+/** Time after an outage of the store for which stronger processes that live are left time to join again. */
+const RETURN_MILLISECONDS = 1_500;
+
+/** Time for which a stronger process counts as known after the list last showed it. */
+const REMEMBERED_MILLISECONDS = 15_000;
+
 /** Time for which a member without places, whom the list does not show, counts after it was heard of. */
 const HEARD_MILLISECONDS = 2_000;
 
@@ -38,8 +44,11 @@
   return stronger.length >= LEAST_STRONGER && total >= milliCores * placeCount;
 }
 
-/** Stronger members that the store answers: enough to stay out, too few, or none. */
-type Stronger = 'enough' | 'few' | 'none';
+/** Stronger processes that the store answers: enough members to stay out, some, or none; `unknown` where the store is lost. */
+type Stronger = 'enough' | 'few' | 'none' | 'unknown';
+
+/** Whether a process lives and the store answers it. */
+type Contact = 'served' | 'unserved' | 'silent';
 
 /** What the decision needs. */
 export interface CandidacyParts {
@@ -53,6 +62,8 @@
   /** Members that hold places, as last read. */
   readonly members: () => readonly MemberName[];
   readonly ask: (member: MemberName, question: PeerQuestion) => Promise<PeerAnswer | null>;
+  /** The store does not answer this process. */
+  readonly isStoreLost: () => boolean;
   /** Whether this process is in the group without a place, so that the list does not show it. */
   readonly isUnseen: () => boolean;
 }
@@ -69,6 +80,8 @@
 export function watchCandidacy(parts: CandidacyParts): Candidacy {
   const { clock, self } = parts;
   const heard = new Map<string, { readonly member: MemberName; readonly at: number }>();
+  const remembered = new Map<string, { readonly member: MemberName; readonly at: number }>();
+  let lostAt = -Infinity;
   let isCandidate = false;
   let enoughSince: number | null = null;
   let fewSince: number | null = null;
@@ -86,10 +99,14 @@
   const areEnough = (stronger: readonly MemberName[]): boolean =>
     areStrongerEnough(self.milliCores, stronger, parts.placeCount());
 
-  /** Whether a member lives and the store answers it. */
-  const isServed = async (member: MemberName): Promise<boolean> => {
-    const answer = await parts.ask(member, { kind: 'store-contact' });
-    return answer?.kind === 'store-contact' && !answer.isLost;
+  /** Stronger members, and those that were listed a moment ago: an outage of the store may have emptied the list. */
+  const selectRemembered = (stronger: readonly MemberName[]): readonly MemberName[] => {
+    const now = clock.steadyNow();
+    stronger.forEach((member) => remembered.set(formatMember(member), { member, at: now }));
+    [...remembered].forEach(([name, { at }]) => {
+      if (at < now - REMEMBERED_MILLISECONDS) remembered.delete(name);
+    });
+    return [...remembered.values()].map(({ member }) => member);
   };
 
   const pickOne = (members: readonly MemberName[]): MemberName | undefined => {
@@ -97,18 +114,38 @@
     return members[turn % members.length];
   };
 
-  const isOneServed = async (members: readonly MemberName[]): Promise<boolean> =>
-    (await Promise.all(members.map(isServed))).some((served) => served);
+  const askContact = async (member: MemberName): Promise<Contact> => {
+    const answer = await parts.ask(member, { kind: 'store-contact' });
+    if (answer?.kind !== 'store-contact') return 'silent';
+    return answer.isLost ? 'unserved' : 'served';
+  };
+
+  const lookClosely = async (): Promise<Stronger> => {
+    await parts.readMembers(DOUBTED_LIST_MILLISECONDS);
+    const stronger = selectStronger();
+    const recalled = selectRemembered(stronger);
+    // After an outage all come back within a moment, and this process may be the first that the store answers.
+    const isReturning = clock.steadyNow() - lostAt < RETURN_MILLISECONDS;
+    const contacts = await Promise.all((isReturning ? recalled : stronger).map(askContact));
+    if (parts.isStoreLost()) return 'unknown';
+    if (areEnough(stronger) && contacts.includes('served')) return 'enough';
+    if (isReturning) return contacts.some((contact) => contact !== 'silent') ? 'unknown' : 'none';
+    return contacts.includes('served') ? 'few' : 'none';
+  };
 
   const look = async (): Promise<Stronger> => {
+    if (parts.isStoreLost()) {
+      lostAt = clock.steadyNow();
+      return 'unknown';
+    }
     await parts.readMembers(LIST_MILLISECONDS);
     const known = selectStronger();
     const one = pickOne(known);
-    if (one !== undefined && areEnough(known) && (await isServed(one))) return 'enough';
-    await parts.readMembers(DOUBTED_LIST_MILLISECONDS);
-    const stronger = selectStronger();
-    if (!(await isOneServed(stronger))) return 'none';
-    return areEnough(stronger) ? 'enough' : 'few';
+    if (one !== undefined && areEnough(known) && (await askContact(one)) === 'served') {
+      selectRemembered(known);
+      return 'enough';
+    }
+    return lookClosely();
   };
 
   const become = (candidate: boolean): void => {
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -182,6 +182,7 @@
     readMembers: directory.readAgain,
     members: directory.members,
     ask: questions.askMember,
+    isStoreLost,
     isUnseen: () => membership.isWithoutPlace(),
   });
   const membership = takeMembership({
