Let a look at all workers go on behind the steps it tried in vain

Found by review of the fix: where more steps than one look may try stand at the head of the order and find no worker (a label that none has, gangs too large), a task behind them was never offered the room that was free, for each look began at the head again. Callers would have seen it stand still.

Steps for which there is nowhere room cost a look nothing of its budget now, and one that ends early says how far it came; the next begins there.

--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -23,12 +23,15 @@
 import { isSuitable } from './room.js';
 import { updateService } from '../service/update.js';
 
-/** Waiting steps that one event may look at for the room that it frees; the look at all workers goes further. */
+/** Waiting steps that one event may look at for the room that it frees. */
 const STEPS_PER_EVENT = 64;
-const STEPS_PER_LOOK = 512;
+
+/** Steps that the look at all workers may try to place; the next look goes on behind them. */
+const STEPS_PER_LOOK = 2_048;
 
 /** Gangs that one event may try to place: each needs a look at every worker. */
-const GANGS_PER_EVENT = 8;
+const GANGS_PER_EVENT = 2;
+const GANGS_PER_LOOK = 64;
 
 function countOnWorkers({ step, request }: WaitingStep): Map<string, number> {
   const counts = new Map<string, number>();
@@ -172,25 +175,33 @@
   return next;
 }
 
+/** What is left of the steps and gangs that one event may try. */
+interface Budget {
+  steps: number;
+  gangs: number;
+}
+
+function isSpent({ steps, gangs }: Budget): boolean {
+  return steps === 0 || gangs === 0;
+}
+
 /** Gives room to the first steps that fit: to those that are fresh anywhere, to the others where room was freed. */
 function* placeInOrder(
   state: ServiceState,
   freedWorkerIds: ReadonlySet<string>,
   fresh: ReadonlySet<WaitingKey>,
 ): ServiceStep<ServiceState> {
-  const isWholeLook = freedWorkerIds.size >= state.workers.size;
   const all = fresh.size === 0 ? null : everyPlace(state);
   let freed = all === null ? placesAmong(state, freedWorkerIds) : narrowPlaces(all, freedWorkerIds);
-  let stepsLeft = isWholeLook ? STEPS_PER_LOOK : STEPS_PER_EVENT;
-  let gangsLeft = GANGS_PER_EVENT;
+  const budget: Budget = { steps: STEPS_PER_EVENT, gangs: GANGS_PER_EVENT };
   let next = state;
   for (const [key, { needs }] of orderWaitingSteps(state)) {
-    if (stepsLeft === 0 || !hasSomePlace(all ?? freed, state.waiting.leastNeeds)) return next;
-    stepsLeft -= 1;
+    if (budget.steps === 0 || !hasSomePlace(all ?? freed, state.waiting.leastNeeds)) return next;
+    budget.steps -= 1;
     const places = all !== null && fresh.has(key) ? all : freed;
     const waiting = hasSomePlace(places, needs) ? findWaitingStep(next, key) : null;
-    if (waiting?.request.isGang === true && gangsLeft > 0) {
-      gangsLeft -= 1;
+    if (waiting?.request.isGang === true && budget.gangs > 0) {
+      budget.gangs -= 1;
       // The other members of a gang may have their places on any worker.
       next = yield* placeGang(next, waiting, all ?? everyPlace(next));
       if (all === null) freed = placesAmong(next, freedWorkerIds);
@@ -200,6 +211,32 @@
   return next;
 }
 
+/**
+ * Holds many waiting steps against every worker, in their order. Where more stand at the head than one look may try, the
+ * next look begins behind them, so that none waits beside free room for good.
+ */
+function* lookAtAll(state: ServiceState): ServiceStep<ServiceState> {
+  const places = everyPlace(state);
+  const budget: Budget = { steps: STEPS_PER_LOOK, gangs: GANGS_PER_LOOK };
+  let position = 0;
+  let next = updateService(state, { lookedAtSteps: 0 });
+  for (const [key, { needs }] of orderWaitingSteps(state)) {
+    if (!hasSomePlace(places, state.waiting.leastNeeds)) return next;
+    if (isSpent(budget)) return updateService(next, { lookedAtSteps: position });
+    position += 1;
+    const isBehind = position > state.lookedAtSteps;
+    const waiting = isBehind && hasSomePlace(places, needs) ? findWaitingStep(next, key) : null;
+    if (waiting !== null) {
+      budget.steps -= 1;
+      budget.gangs -= Number(waiting.request.isGang);
+      next = waiting.request.isGang
+        ? yield* placeGang(next, waiting, places)
+        : yield* placeTasks(next, waiting, places);
+    }
+  }
+  return next;
+}
+
 /** Looks for places for what began to wait, among all workers. */
 function* placeFresh(state: ServiceState, fresh: readonly WaitingKey[]): ServiceStep<ServiceState> {
   const places = everyPlace(state);
@@ -224,6 +261,7 @@
   if ((freedWorkerIds.isEmpty() && freshSteps.isEmpty()) || !mayAct(state)) return state;
   const begun: ServiceState = updateService(state, { placement: NOTHING_TO_PLACE });
   if (state.waiting.steps.isEmpty) return begun;
+  if (freedWorkerIds.size >= state.workers.size) return yield* lookAtAll(begun);
   const fresh = orderFreshSteps(state);
   if (freedWorkerIds.isEmpty()) return yield* placeFresh(begun, fresh);
   const filled = yield* placeInOrder(begun, new Set(freedWorkerIds), new Set(fresh));
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -85,6 +85,7 @@
   if (request.isGang) return false;
   // What is on a worker that shuts down ends with it, so no wait helps.
   if (worker.listing.isDraining) return request.isLasting || request.savesCheckpoints;
+  if (!request.isLasting && !request.savesCheckpoints) return false;
   if (!hasPlaceElsewhere(candidates, key, step, request)) return false;
   return request.isLasting ? mayTakeAway(state, step, request, run) : request.savesCheckpoints;
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -43,6 +43,7 @@
     releasedWorkers: PersistentMap(),
     waiting: EMPTY_WAITING_QUEUE,
     placement: NOTHING_TO_PLACE,
+    lookedAtSteps: 0,
     repeatingJobIds: PersistentSet(),
     wholeJobIds: PersistentSet(),
     brokenGangJobIds: PersistentSet(),
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -207,6 +207,8 @@
   readonly releasedWorkers: PersistentMap<string, number>;
   readonly waiting: WaitingQueue;
   readonly placement: PlacementNeed;
+  /** Waiting steps at the head of the order that the last look at all workers tried in vain; 0 where it came to the end. */
+  readonly lookedAtSteps: number;
   /** Active jobs whose steps run several times. */
   readonly repeatingJobIds: PersistentSet<string>;
   /** Active jobs with steps whose tasks must all run at once: lasting ones and gangs. */
--- a/packages/scheduling/src/service/update.ts
+++ b/packages/scheduling/src/service/update.ts
@@ -31,6 +31,7 @@
     releasedWorkers: state.releasedWorkers,
     waiting: state.waiting,
     placement: state.placement,
+    lookedAtSteps: state.lookedAtSteps,
     repeatingJobIds: state.repeatingJobIds,
     wholeJobIds: state.wholeJobIds,
     brokenGangJobIds: state.brokenGangJobIds,
