--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -52,7 +52,7 @@
     endedJobIds: PersistentOrderedSet(),
     unstoredWorkerIds: PersistentSet(),
     ticks: { count: 0, lastAt: now },
-    dirtyJobIds: PersistentSet(),
+    dirtyJobIds: PersistentOrderedSet(),
     forgottenJobIds: PersistentSet(),
     fleetMessage: { epoch: 0, sequence: 0 },
     releaseRecords: [],
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -225,7 +225,8 @@
   readonly unstoredWorkerIds: PersistentSet<string>;
   /** How many ticks there were, and when the last one was. */
   readonly ticks: { readonly count: number; readonly lastAt: Instant };
-  readonly dirtyJobIds: PersistentSet<string>;
+  /** Jobs with changes that are not being stored, the longest waiting first. */
+  readonly dirtyJobIds: PersistentOrderedSet<string>;
   readonly forgottenJobIds: PersistentSet<string>;
   /** The newest message of the fleet's owner that was obeyed. */
   readonly fleetMessage: { readonly epoch: number; readonly sequence: number };
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -184,6 +184,21 @@
   });
 }
 
+/** Runs on workers that have not been seen, by worker. */
+export type OrphansByWorker = ReadonlyMap<string, readonly (readonly [key: TaskKey, run: Run])[]>;
+
+/** The runs on workers that have not been seen since the service was claimed, by worker. */
+export function groupOrphans(state: ServiceState): OrphansByWorker {
+  const byWorker = new Map<string, (readonly [key: TaskKey, run: Run])[]>();
+  for (const orphan of orphanRuns(state, () => true)) {
+    const { workerId } = orphan[1];
+    const known = byWorker.get(workerId);
+    if (known === undefined) byWorker.set(workerId, [orphan]);
+    else known.push(orphan);
+  }
+  return byWorker;
+}
+
 function isOrphan(state: ServiceState, run: Run): boolean {
   return state.workers.get(run.workerId)?.listing.incarnation !== run.incarnation;
 }
@@ -200,12 +215,16 @@
  * Takes up the recorded runs on a worker that is seen for the first time, with their room. Runs that were recorded for
  * a former life under the same id are among them, since orders name the id: the worker's lists tell.
  */
-export function adoptOrphans(state: ServiceState, workerId: string, incarnation: number): ServiceState {
-  const onWorker = orphanRuns(state, (run) => run.workerId === workerId && run.incarnation <= incarnation);
+export function adoptOrphans(
+  state: ServiceState,
+  workerId: string,
+  incarnation: number,
+  orphans: OrphansByWorker,
+): ServiceState {
   let next = state;
-  for (const [key, run] of onWorker) {
+  for (const [key, run] of orphans.get(workerId) ?? []) {
     const job = next.jobs.get(key.jobId);
-    if (job !== undefined) {
+    if (job !== undefined && run.incarnation <= incarnation) {
       next = changeRun(next, key, run, (one) => updateRun(one, { incarnation }));
       next = commitRoom(next, key, workerId, stepRequestOf(job.request, key.step));
     }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -16,7 +16,15 @@
 } from './losses.js';
 import { orderStop } from './runs.js';
 import type { ServiceState, WorkerState } from './state.js';
-import { adoptOrphans, changeRun, findRun, findTask, runsOn } from './tasks.js';
+import {
+  adoptOrphans,
+  changeRun,
+  findRun,
+  findTask,
+  groupOrphans,
+  runsOn,
+  type OrphansByWorker,
+} from './tasks.js';
 import { removeWorker, setWorker } from './worker-index.js';
 import { updateRun, updateService, updateWorker } from './update.js';
 
@@ -101,12 +109,16 @@
   return unansweredAt !== undefined && state.now - unansweredAt < LATE_ORDER_MILLISECONDS;
 }
 
-function* addWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
+function* addWorker(
+  state: ServiceState,
+  listing: WorkerListing,
+  orphans: OrphansByWorker,
+): ServiceStep<ServiceState> {
   const { workerId, hostId, incarnation } = listing;
   yield { kind: 'log', decision: 'workerFound', fields: { workerId, hostId, incarnation } };
   const reborn = mayGetLateStart(state, workerId) ? workerId : state.reborn;
   const added = setWorker(updateService(state, { reborn }), newWorker(state, listing));
-  return yield* renewLease(adoptOrphans(added, workerId, incarnation), workerId, 0);
+  return yield* renewLease(adoptOrphans(added, workerId, incarnation, orphans), workerId, 0);
 }
 
 /**
@@ -137,10 +149,8 @@
   }
   const orphanTaskIds = next.orphanTaskIds.union(kept.map(([key]) => taskIdOf(key)));
   const needlessJobIds = next.needlessJobIds.union(kept.map(([key]) => key.jobId));
-  next = yield* addWorker(
-    removeWorker(updateService(next, { orphanTaskIds, needlessJobIds }), workerId),
-    listing,
-  );
+  const removed = removeWorker(updateService(next, { orphanTaskIds, needlessJobIds }), workerId);
+  next = yield* addWorker(removed, listing, groupOrphans(removed));
   for (const [key, run] of kept) {
     const moved = findRun(findTask(next, key), workerId, incarnation, run.run);
     const isDoubtful = run.mayStartLate || run.phase === 'starting';
@@ -149,9 +159,13 @@
   return next;
 }
 
-function* listWorker(state: ServiceState, listing: WorkerListing): ServiceStep<ServiceState> {
+function* listWorker(
+  state: ServiceState,
+  listing: WorkerListing,
+  orphans: OrphansByWorker,
+): ServiceStep<ServiceState> {
   const known = state.workers.get(listing.workerId);
-  if (known === undefined) return yield* addWorker(state, listing);
+  if (known === undefined) return yield* addWorker(state, listing, orphans);
   if (known.listing.incarnation < listing.incarnation) return yield* replaceWorker(state, known, listing);
   if (known.listing.incarnation > listing.incarnation) return state;
   return setWorker(state, updateWorker(known, { listing, isListed: true }));
@@ -177,7 +191,8 @@
       next = setWorker(next, updateWorker(worker, { isListed: false }));
     }
   }
-  for (const listing of workers) next = yield* listWorker(next, listing);
+  const orphans = groupOrphans(next);
+  for (const listing of workers) next = yield* listWorker(next, listing, orphans);
   return forgetWorkers(next);
 }
 
