--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -143,7 +143,7 @@
 
 /**
  * Claims a service and reads what is recorded of it; null when it is not wanted any more or a newer claim stands. Nearly
- * all is read before the claim: the owner so far goes on meanwhile, and its leases last.
+ * all is read before the claim: an owner so far that has not heard that its place is dealt elsewhere goes on meanwhile.
  */
 export async function claimService(claim: ClaimParts): Promise<ClaimedService | null> {
   const { inbox, journal, clock } = claim;
