Say once how workers become places and how a step is placed

Read-through: the rooms of all workers were worked out by the candidates, thrown away and worked out again, and the choice between a gang and other tasks stood twice.

--- a/packages/scheduling/src/decide/place.ts
+++ b/packages/scheduling/src/decide/place.ts
@@ -175,6 +175,12 @@
   return next;
 }
 
+function* placeStep(state: ServiceState, waiting: WaitingStep, places: Places): ServiceStep<ServiceState> {
+  return waiting.request.isGang
+    ? yield* placeGang(state, waiting, places)
+    : yield* placeTasks(state, waiting, places);
+}
+
 /** What is left of the steps and gangs that one event may try. */
 interface Budget {
   steps: number;
@@ -229,9 +235,7 @@
     if (waiting !== null) {
       budget.steps -= 1;
       budget.gangs -= Number(waiting.request.isGang);
-      next = waiting.request.isGang
-        ? yield* placeGang(next, waiting, places)
-        : yield* placeTasks(next, waiting, places);
+      next = yield* placeStep(next, waiting, places);
     }
   }
   return next;
@@ -244,9 +248,7 @@
   for (const key of fresh) {
     const waiting = findWaitingStep(next, key);
     if (waiting !== null && hasSomePlace(places, roomOf(waiting.request))) {
-      next = waiting.request.isGang
-        ? yield* placeGang(next, waiting, places)
-        : yield* placeTasks(next, waiting, places);
+      next = yield* placeStep(next, waiting, places);
     }
   }
   return next;
--- a/packages/scheduling/src/decide/places.ts
+++ b/packages/scheduling/src/decide/places.ts
@@ -1,7 +1,7 @@
 /** Room on workers while tasks are placed on them one after the other. */
 import { fits, mostResources, NO_RESOURCES, subtractResources, type Resources } from '../model/resources.js';
 import type { ServiceState, WorkerState } from '../service/state.js';
-import { candidatesOf, freeRoomOf, isUsable } from './room.js';
+import { freeRoomOf, isUsable } from './room.js';
 
 /** Workers that tasks may be placed on, with what is free on each. */
 export interface Places {
@@ -21,19 +21,23 @@
   return rooms.get(listing.workerId) ?? NO_RESOURCES;
 }
 
-/** Every worker that may get tasks. */
-export function everyPlace(state: ServiceState): Places {
-  const workers = candidatesOf(state).map(({ worker }) => worker);
+function placesOfUsable(state: ServiceState, known: readonly WorkerState[]): Places {
+  const workers = known.filter((worker) => isUsable(state, worker));
   const rooms = new Map(workers.map((worker) => [worker.listing.workerId, freeRoomOf(worker)]));
   return placesOn(workers, rooms);
 }
 
+/** Every worker that may get tasks. */
+export function everyPlace(state: ServiceState): Places {
+  return placesOfUsable(state, [...state.workers.values()]);
+}
+
 /** Those of some workers that may get tasks. */
 export function placesAmong(state: ServiceState, workerIds: Iterable<string>): Places {
-  const known = [...workerIds].flatMap((workerId) => state.workers.get(workerId) ?? []);
-  const workers = known.filter((worker) => isUsable(state, worker));
-  const rooms = new Map(workers.map((worker) => [worker.listing.workerId, freeRoomOf(worker)]));
-  return placesOn(workers, rooms);
+  return placesOfUsable(
+    state,
+    [...workerIds].flatMap((workerId) => state.workers.get(workerId) ?? []),
+  );
 }
 
 /** Fewer of the same places, which share their room. */
