Count a job as pending until a worker has started one of its tasks

Cause: `hasStarted` was set when a task was placed, before any worker had started it. A rack that goes dark as a burst begins takes the orders to start and answers none; its jobs then count as running although nothing runs, until the leases lapse. A new owner also took every recorded placement for a start. Second cause of the same kind, found by reading: an owner that cannot read its inbox still counted what it knew.

Change: a job has started once a worker confirms a start, lists the run, or reports its end; the progress record keeps this for the next owner. The status `running` follows the same field. No count is given out when the inbox was last read more than 2 s before.

--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -45,6 +45,8 @@
   occurrencesDone: readonly number[],
   occurrencesDoneBelow: number,
   occurrences: readonly (readonly [occurrence: number, steps: readonly (readonly EncodedTask[])[]])[],
+  /** Absent in records of earlier versions. */
+  hasStarted?: boolean,
 ];
 
 function encodeRequest(request: JobRequest): EncodedRequest {
@@ -79,17 +81,17 @@
   const occurrences = progress.occurrences.map(
     ({ occurrence, steps }) => [occurrence, steps.map((tasks) => tasks.map(encodeTask))] as const,
   );
-  const { phase, queue, occurrencesDone, occurrencesDoneBelow } = progress;
-  return [phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences];
+  const { phase, queue, occurrencesDone, occurrencesDoneBelow, hasStarted } = progress;
+  return [phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted];
 }
 
 function decodeProgress(encoded: EncodedProgress): JobProgress {
-  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows] = encoded;
+  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows, hasStarted = rows.length > 0] = encoded;
   const occurrences = rows.map(([occurrence, steps]) => ({
     occurrence,
     steps: steps.map((tasks) => tasks.map(decodeTask)),
   }));
-  return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences };
+  return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted };
 }
 
 /** Encodes a service record as keyed records; a null value deletes the key. */
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -102,7 +102,8 @@
     if (request.kind === 'service-report') return answerServiceReport(owner, request);
     if (request.kind === 'job-cancelled') return recordCancellation(owner, request.jobId);
     if (request.kind === 'pending-count') {
-      return { kind: 'pending-count', pending: selectPendingCount(state, request.queue) };
+      const pending = selectPendingCount(state, request.queue, clock.steadyNow());
+      return pending === null ? NOT_OWNER : { kind: 'pending-count', pending };
     }
     return answerJobStatus(owner, state, request.queue, request.jobId);
   };
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -37,6 +37,8 @@
   readonly occurrencesDone: readonly number[];
   readonly occurrencesDoneBelow: number;
   readonly occurrences: readonly OccurrenceProgress[];
+  /** Whether a worker was known to have started a run of the job. */
+  readonly hasStarted: boolean;
 }
 
 /** Content of a record, by its subject. */
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -43,6 +43,7 @@
         tasks.flatMap((task, index) => (hasProgress(task) ? [taskProgressOf(task, index)] : [])),
       ),
     })),
+    hasStarted: job.hasStarted,
   };
 }
 
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -66,7 +66,11 @@
 ): ServiceStep<ServiceState> {
   let next = state;
   for (const stored of records) next = yield* handleRecord(next, stored);
-  return next.isSuperseded ? next : updateService(next, { provenAt: Math.max(next.provenAt, askedAt) });
+  if (next.isSuperseded) return next;
+  return updateService(next, {
+    provenAt: Math.max(next.provenAt, askedAt),
+    inboxReadAt: Math.max(next.inboxReadAt, askedAt),
+  });
 }
 
 /** Stops runs of ended jobs and of done tasks. An earlier owner may have left some of them running. */
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -7,7 +7,7 @@
 import { recordClockReading } from './lease.js';
 import { retryStop, runLogFields } from './runs.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, findRun, findTask, removeRun, runsOnWorker } from './tasks.js';
+import { changeRun, findRun, findTask, markJobStarted, removeRun, runsOnWorker } from './tasks.js';
 import { setWorker } from './worker-index.js';
 import { handleRestart, renewLease } from './workers.js';
 import { updateRun, updateWorker } from './update.js';
@@ -42,7 +42,8 @@
   const run = findRun(findTask(state, row.task), workerId, incarnation, row.run);
   const isKnown = run?.startedAt !== null && run?.speedPercent === row.percent;
   if (run === null || (isKnown && run.phase !== 'starting')) return state;
-  return changeRun(state, row.task, run, (current) =>
+  const started = markJobStarted(state, row.task.jobId);
+  return changeRun(started, row.task, run, (current) =>
     updateRun(current, {
       phase: current.phase === 'starting' || current.phase === 'recording' ? 'running' : current.phase,
       acknowledgedAt: current.acknowledgedAt ?? state.now,
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -34,6 +34,7 @@
     timeOfDay,
     claimedAt,
     provenAt,
+    inboxReadAt: claimedAt,
     jobs: PersistentMap(),
     activeJobIds: PersistentOrderedSet(),
     arrivals: [],
@@ -138,7 +139,7 @@
     occurrences,
     occurrencesDone: PersistentSet(progress.occurrencesDone),
     occurrencesDoneBelow: progress.occurrencesDoneBelow,
-    hasStarted: progress.occurrences.length > 0 || progress.occurrencesDoneBelow > 0,
+    hasStarted: progress.hasStarted,
     endedInVersion: isActive ? null : 0,
     endedAt: isActive ? null : state.now,
   });
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -4,7 +4,7 @@
 import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
 import { orderStop, runLogFields } from './runs.js';
 import type { JobState, Run, ServiceState, StepState, TaskState } from './state.js';
-import { findTask, removeRun, withStep } from './tasks.js';
+import { findTask, markJobStarted, removeRun, withStep } from './tasks.js';
 import { setJob } from './job-index.js';
 import { setWorker } from './worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
@@ -122,10 +122,11 @@
   checkpoint: string,
 ): ServiceStep<ServiceState> {
   yield { kind: 'log', decision: 'taskEnded', fields: { ...runLogFields(key, run), end } };
-  if (findTask(state, key)?.isDone === true) return yield* handleLateEnd(removeRun(state, key, run), key);
-  if (end === 'done') return yield* handleTaskDone(state, key, run);
-  if (end === 'failed') return yield* handleTaskFailed(state, key, run, checkpoint);
-  return removeRun(state, key, run, (task) => keepCheckpoint(task, checkpoint));
+  const started = markJobStarted(state, key.jobId);
+  if (findTask(started, key)?.isDone === true) return yield* handleLateEnd(removeRun(started, key, run), key);
+  if (end === 'done') return yield* handleTaskDone(started, key, run);
+  if (end === 'failed') return yield* handleTaskFailed(started, key, run, checkpoint);
+  return removeRun(started, key, run, (task) => keepCheckpoint(task, checkpoint));
 }
 
 /** Handles the end of a copy of a task that is already done. It may have been the last run of its occurrence. */
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -7,7 +7,7 @@
 import type { RunAddress, ServiceEventOf, StartOutcome } from './event.js';
 import { extendLease, matchesClock, recordClockReading } from './lease.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, findRun, findTask, removeRun } from './tasks.js';
+import { changeRun, findRun, findTask, markJobStarted, removeRun } from './tasks.js';
 import { setWorker } from './worker-index.js';
 import { updateRun, updateService, updateTask, updateWorker } from './update.js';
 
@@ -210,8 +210,9 @@
   if (run === null || run.phase !== 'starting') return state;
   switch (outcome) {
     case 'started':
+      return markJobStarted(confirmStarted(before, key, run, clockMilliseconds), key.jobId);
     case 'superseded':
-      // A superseded run has ended on the worker or been stopped there. The next report shows which.
+      // The run has ended on the worker or been stopped there. The next report shows which.
       return confirmStarted(before, key, run, clockMilliseconds);
     case 'unanswered':
       return yield* retryStart(recordUnansweredStart(state, workerId), key, run, true);
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -1,7 +1,10 @@
 /** Selects values for callers from a service's state. */
 import type { JobStatus } from '../model/job.js';
 import { statusOf } from './jobs.js';
-import type { ServiceState } from './state.js';
+import type { Instant, ServiceState } from './state.js';
+
+/** Age of the newest read of the inbox above which jobs may have been accepted that are not known yet. */
+const COUNT_VALIDITY_MILLISECONDS = 2_000;
 
 /** Returns the status of a job as callers see it; null if the queue has no such job. */
 export function selectJobStatus(state: ServiceState, queue: string, jobId: string): JobStatus | null {
@@ -9,8 +12,12 @@
   return job === undefined || job.request.queue !== queue ? null : statusOf(job);
 }
 
-/** Counts the active jobs of a queue that have no started task. */
-export function selectPendingCount(state: ServiceState, queue: string): number {
+/**
+ * Counts the active jobs of a queue of which no worker has started a task; null if the inbox was last read too long
+ * before `now` to know.
+ */
+export function selectPendingCount(state: ServiceState, queue: string, now: Instant): number | null {
+  if (now - state.inboxReadAt > COUNT_VALIDITY_MILLISECONDS) return null;
   return state.activeJobIds.count((jobId) => {
     const job = state.jobs.get(jobId);
     return job !== undefined && job.request.queue === queue && job.phase === 'active' && !job.hasStarted;
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -99,6 +99,7 @@
   readonly occurrencesDone: PersistentSet<number>;
   /** All occurrences below this number are finished. */
   readonly occurrencesDoneBelow: number;
+  /** Whether a worker is known to have started a run of the job. */
   readonly hasStarted: boolean;
   readonly hasGang: boolean;
   /** Incremented by each change that must be recorded. */
@@ -196,6 +197,8 @@
   readonly claimedAt: Instant;
   /** When the request that last proved our ownership was sent. */
   readonly provenAt: Instant;
+  /** When the newest request to read the inbox that was answered was sent. */
+  readonly inboxReadAt: Instant;
   readonly jobs: PersistentMap<string, JobState>;
   /** Jobs that have not ended, still have runs or have an unstored end, in order of acceptance. */
   readonly activeJobIds: PersistentOrderedSet<string>;
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -145,6 +145,12 @@
   );
 }
 
+/** Records that a worker has started a run of a job. */
+export function markJobStarted(state: ServiceState, jobId: string): ServiceState {
+  const job = state.jobs.get(jobId);
+  return job === undefined || job.hasStarted ? state : setJob(state, updateJob(job, { hasStarted: true }));
+}
+
 /** Adds a run to a task and reserves its capacity. The run may start once the job's progress is recorded. */
 export function addRun(state: ServiceState, key: TaskKey, run: Omit<Run, 'placedInVersion'>): ServiceState {
   const job = state.jobs.get(key.jobId);
@@ -155,7 +161,7 @@
       lastRun: Math.max(task.lastRun, run.run),
     }),
   );
-  const marked = markJobChanged(state, updateJob(changed, { hasStarted: true }));
+  const marked = markJobChanged(state, changed);
   return reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step));
 }
 
