--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -125,6 +125,7 @@
     level: 'info',
     message: 'load of an owner since its previous load report',
   },
+  warmedUp: { number: 556, level: 'info', message: 'warm-up of the scheduler code is complete' },
   loopLate: { number: 547, level: 'warn', message: 'event loop is late: timers fire behind schedule' },
   loopInTime: { number: 548, level: 'info', message: 'event loop is on schedule again' },
   groupEntered: {
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -4,6 +4,7 @@
 export type { SchedulerSettings } from './node/settings.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
+export { warmUp, type WarmUpParts } from './warm-up/warm-up.js';
 export { measureStore } from './measure/measured-store.js';
 export { NO_MEASURES } from './measure/no-measures.js';
 export { measureWorkers } from './measure/measured-workers.js';
