Read past unreadable records of the fleet, and share one list limit

Found by readers of the code: decodeFleetRecord threw on bytes that are no CBOR, and the claim of the fleet then rejected without a handler. MAX_AVOIDED_WORKERS stood twice; `avoidWorker` serves both places.

--- a/packages/scheduler/src/fleet/fleet-codec.ts
+++ b/packages/scheduler/src/fleet/fleet-codec.ts
@@ -75,9 +75,7 @@
   };
 }
 
-/** Decodes a fleet record; null for a claim, a deleted key or an unknown key. Throws if the content is no valid CBOR. */
-export function decodeFleetRecord({ key, value }: StoredKeyedRecord): FleetRecord | null {
-  if (value === null) return null;
+function decodeValue(key: string, value: Uint8Array): FleetRecord | null {
   if (key.startsWith(HOST_PREFIX)) {
     return decodeHost(key.slice(HOST_PREFIX.length), decoder.decode(value) as EncodedHost);
   }
@@ -88,3 +86,21 @@
   if (!key.startsWith(WAVE_PREFIX)) return null;
   return decodeWave(Number(key.slice(WAVE_PREFIX.length)), decoder.decode(value) as EncodedWave);
 }
+
+/** Result of decoding a stored record of the fleet. */
+export type DecodedFleetRecord =
+  | { readonly kind: 'record'; readonly record: FleetRecord }
+  /** A claim, a deleted key or an unknown key. */
+  | { readonly kind: 'ignored' }
+  | { readonly kind: 'unreadable'; readonly offset: number; readonly key: string };
+
+/** Decodes one stored record. */
+export function decodeFleetRecord({ offset, key, value }: StoredKeyedRecord): DecodedFleetRecord {
+  if (value === null) return { kind: 'ignored' };
+  try {
+    const record = decodeValue(key, value);
+    return record === null ? { kind: 'ignored' } : { kind: 'record', record };
+  } catch {
+    return { kind: 'unreadable', offset, key };
+  }
+}
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -8,6 +8,7 @@
   type FleetEffect,
   type FleetEvent,
   type FleetParameters,
+  type FleetRecord,
   type FleetState,
   type ServiceReport,
   type ServiceHostRequests,
@@ -28,6 +29,7 @@
   OperatorFeed,
   QueueConfiguration,
   Store,
+  StoredKeyedRecord,
   WaveRequest,
 } from '../ports/index.js';
 import { decodeFleetRecord, encodeFleetRecord } from './fleet-codec.js';
@@ -233,6 +235,15 @@
     }
   };
 
+  const decodeAll = (records: readonly StoredKeyedRecord[]): readonly FleetRecord[] =>
+    records.flatMap((stored) => {
+      const decoded = decodeFleetRecord(stored);
+      if (decoded.kind === 'unreadable') {
+        writeEvent('recordUnreadable', { subject: 'fleet', offset: decoded.offset, key: decoded.key });
+      }
+      return decoded.kind === 'record' ? [decoded.record] : [];
+    });
+
   const claimAndStart = async (): Promise<void> => {
     const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: parts.member });
     if (claimRecord === undefined) return;
@@ -258,7 +269,7 @@
       timeOfDay: clock.now(),
       claimedAt: claimed.claimedAt,
       provenAt: claimed.provenAt,
-      records: claimed.records.flatMap((record) => decodeFleetRecord(record) ?? []),
+      records: decodeAll(claimed.records),
     });
     journal = openJournal({
       store,
--- a/packages/scheduler/src/frontend/find-queue.ts
+++ b/packages/scheduler/src/frontend/find-queue.ts
@@ -1,7 +1,7 @@
 /** Selects the queue of a caller's request by host name and longest path prefix. */
 import type { Queue, QueueConfiguration, QueueLookup } from '../ports/index.js';
 
-/** Finds the queue of a request; `rest` is the path after the queue's prefix. */
+/** Finds the queue of a request; `remainingPath` is the path after the queue's prefix. */
 export function findQueue(
   configuration: QueueConfiguration | null,
   hostName: string,
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -4,15 +4,12 @@
 import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
 import { orderStop, runLogFields } from './runs.js';
 import type { JobState, Run, ServiceState, StepState, TaskState } from './state.js';
-import { findTask, markJobStarted, removeRun, withStep } from './tasks.js';
+import { avoidWorker, findTask, markJobStarted, removeRun, withStep } from './tasks.js';
 import { setJob } from './job-index.js';
 import { setWorker } from './worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
 import { updateJob, updateService, updateStep, updateTask, updateWorker } from './update.js';
 
-/** Maximum number of workers in the list of those that a task avoids. */
-const MAX_AVOIDED_WORKERS = 3;
-
 function keepCheckpoint(task: TaskState, checkpoint: string): TaskState {
   return checkpoint === '' ? task : updateTask(task, { checkpoint });
 }
@@ -92,9 +89,8 @@
 ): ServiceStep<ServiceState> {
   const recorded = recordOutcome(state, run.workerId, false);
   const removed = removeRun(recorded, key, run, (task) =>
-    updateTask(keepCheckpoint(task, checkpoint), {
+    updateTask(avoidWorker(keepCheckpoint(task, checkpoint), run.workerId), {
       failedRuns: task.failedRuns + 1,
-      avoidedWorkers: [...task.avoidedWorkers, run.workerId].slice(-MAX_AVOIDED_WORKERS),
     }),
   );
   const job = removed.jobs.get(key.jobId);
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -7,9 +7,9 @@
 import type { RunAddress, ServiceEventOf, StartOutcome } from './event.js';
 import { extendLease, matchesClock, recordClockReading } from './lease.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, findRun, findTask, markJobStarted, removeRun } from './tasks.js';
+import { avoidWorker, changeRun, findRun, findTask, markJobStarted, removeRun } from './tasks.js';
 import { setWorker } from './worker-index.js';
-import { updateRun, updateService, updateTask, updateWorker } from './update.js';
+import { updateRun, updateService, updateWorker } from './update.js';
 
 /** Delay before an order that was not answered, or was answered with an expired lease, is sent again. */
 const RETRY_DELAY_MILLISECONDS = 100;
@@ -20,9 +20,6 @@
 /** Time for which a worker that answered `unhealthy` or `invalid` gets no other task. */
 const UNHEALTHY_COOLDOWN_MILLISECONDS = 1_000;
 
-/** Maximum number of workers in the list of those that a task avoids. */
-const MAX_AVOIDED_WORKERS = 3;
-
 function runAddressOf(key: TaskKey, run: Run): RunAddress {
   return { task: key, run: run.run, workerId: run.workerId, incarnation: run.incarnation };
 }
@@ -146,9 +143,7 @@
 ): ServiceStep<ServiceState> {
   yield { kind: 'log', decision: 'taskStartRefused', fields: { ...runLogFields(key, run), outcome } };
   if (run.hasUnansweredStart) return yield* orderStop(state, key, run, 'an earlier start may be delayed');
-  return removeRun(state, key, run, (task) =>
-    updateTask(task, { avoidedWorkers: [...task.avoidedWorkers, run.workerId].slice(-MAX_AVOIDED_WORKERS) }),
-  );
+  return removeRun(state, key, run, (task) => avoidWorker(task, run.workerId));
 }
 
 function* retryStart(
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -51,6 +51,16 @@
   return copy;
 }
 
+/** Maximum number of workers in the list of those that a task avoids. */
+const MAX_AVOIDED_WORKERS = 3;
+
+/** Returns a task that avoids one more worker, on which a run failed or was refused. */
+export function avoidWorker(task: TaskState, workerId: string): TaskState {
+  return updateTask(task, {
+    avoidedWorkers: [...task.avoidedWorkers, workerId].slice(-MAX_AVOIDED_WORKERS),
+  });
+}
+
 /** Increments the version of a job and marks it as changed, so that its progress is recorded. */
 export function markJobChanged(state: ServiceState, job: JobState): ServiceState {
   const { jobId } = job.request;
