Let the emulator judge counts of pending jobs

Callers of a counting play ask each process in turn how many jobs of a queue wait; the referee compares the answer with what workers have started. Existing plays and their seeds are unchanged, since counting is off in them.

--- a/packages/fleet-emulator/src/__tests__/random-play.test.ts
+++ b/packages/fleet-emulator/src/__tests__/random-play.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
-import { playSchedule, SMALL_PLAY, UNEVEN_PLAY } from '../random-play.js';
+import { COUNTING_PLAY, playSchedule, SMALL_PLAY, UNEVEN_PLAY } from '../random-play.js';
 
 /** A play that broke a rule once. */
 interface KeptPlay {
@@ -24,6 +24,8 @@
 const FIRST_FRESH_SEED = 100_001;
 const FRESH_PLAYS = 12;
 const UNEVEN_PLAYS = 6;
+/** Seeds of plays that broke a rule once, when a placed job counted as started. */
+const COUNTING_SEEDS = [100_014, 100_026, 100_027, 100_029, 100_030];
 
 describe('schedulers, workers and hosts among random troubles', ({ describe: within, it }) => {
   within('that broke a rule once', ({ itSerially: keeps }) => {
@@ -47,6 +49,16 @@
     });
   });
 
+  within('with callers who count pending jobs', ({ itSerially: plays }) => {
+    COUNTING_SEEDS.forEach((seed) => {
+      plays(`break no rule with seed ${seed}`, async (t) => {
+        const { violations, errors } = await playSchedule({ ...COUNTING_PLAY, seed });
+        t.deepEqual(violations, []);
+        t.deepEqual(errors, []);
+      });
+    });
+  });
+
   within('of unequal strength', ({ itSerially: plays }) => {
     Array.from({ length: UNEVEN_PLAYS }, (_, index) => FIRST_FRESH_SEED + index).forEach((seed) => {
       plays(`break no rule with seed ${seed}`, async (t) => {
--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -284,6 +284,23 @@
       t.deepEqual(rulesOf(scene), ['status-is-true']);
     });
 
+    sees('of pending jobs that leaves out one which no worker has started', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.referee.onPendingCounted('service-0', 0, 105_000);
+      t.deepEqual(rulesOf(scene), []);
+      scene.referee.onPendingCounted('service-0', 0, 105_001);
+      t.deepEqual(rulesOf(scene), ['pending-count-is-true']);
+    });
+
+    sees('of pending jobs without one that has started', (t) => {
+      const scene = createScene(planOf({}));
+      scene.referee.onSubmitAnswered('a', 'accepted');
+      scene.start(FIRST, 1);
+      scene.referee.onPendingCounted('service-0', 0, 110_000);
+      t.deepEqual(rulesOf(scene), []);
+    });
+
     sees('of a failure that was none', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -163,6 +163,21 @@
   });
 }
 
+/** Asks each running process in turn how many jobs of a queue wait to start. */
+function countPending(world: World, queue: Queue, intervalMilliseconds: number, until: number): void {
+  const { time, nodes, referee } = world;
+  if (time.now() > until) return;
+  const askedAt = time.now();
+  const running = nodes.filter((node) => node.running() !== null);
+  const node = running[Math.floor(askedAt / intervalMilliseconds) % Math.max(1, running.length)];
+  node?.receive(({ callers }) => {
+    void callers.countPending(queue, PATIENCE_MILLISECONDS).then((answer) => {
+      if (answer.kind === 'counted') referee.onPendingCounted(queue.service, answer.pending, askedAt);
+    });
+  });
+  time.after(intervalMilliseconds, () => countPending(world, queue, intervalMilliseconds, until));
+}
+
 /** How callers behave. */
 export interface CallerHabits {
   /** Jobs a second of a queue at the most. */
@@ -173,6 +188,8 @@
   readonly drawLastingJob: (random: RandomSource, jobId: string) => SubmittedJob;
   /** Milliseconds between two questions on a job. */
   readonly askMilliseconds: number;
+  /** Milliseconds between two requests for the number of pending jobs of a queue; null for no such requests. */
+  readonly countMilliseconds: number | null;
   readonly lastingJobsPerQueue: number;
   readonly cancelShare: number;
   /** Share of the tasks that fail by their own fault, once to three times. */
@@ -204,6 +221,9 @@
   };
 
   operator.configuration.queues.forEach((queue) => {
+    if (habits.countMilliseconds !== null) {
+      countPending(world, queue, habits.countMilliseconds, habits.until);
+    }
     for (let index = 0; index < habits.lastingJobsPerQueue; index += 1) {
       begin(habits.drawLastingJob(random, nextId()), queue);
     }
--- a/packages/fleet-emulator/src/grown-play.ts
+++ b/packages/fleet-emulator/src/grown-play.ts
@@ -132,6 +132,7 @@
     cancelShare: 0,
     failingShare: 0.002,
     askMilliseconds: ASK_MILLISECONDS,
+    countMilliseconds: null,
     until: LEAD_MILLISECONDS + turns * TURN_MILLISECONDS,
   });
   await time.runUntil(LEAD_MILLISECONDS + turns * TURN_MILLISECONDS);
--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -6,11 +6,14 @@
 /** Time after the acceptance of a job from which on it must be known everywhere. */
 const VISIBLE_MILLISECONDS = 3_000;
 
+/** Time after a job is visible from which on it must be in the count of pending jobs until it has started. */
+const COUNTED_MILLISECONDS = 2_000;
+
 /** Time in which work that has ended by itself starts again. */
 const RESTART_MILLISECONDS = 2_000;
 
 /** What the rules hear, and when they are asked. */
-export interface JobRules extends Pick<Referee, 'onStatusShown' | 'checkRest'> {
+export interface JobRules extends Pick<Referee, 'onStatusShown' | 'onPendingCounted' | 'checkRest'> {
   /** Jobs that were shown as completed. */
   readonly countCompleted: () => number;
 }
@@ -51,6 +54,25 @@
     }
   };
 
+  const hasBegun = (jobId: string): boolean => allTasks(jobId).some((key) => runsOf(key).length > 0);
+
+  const onPendingCounted: Referee['onPendingCounted'] = (service, count, askedAt) => {
+    const acceptedBefore = askedAt - VISIBLE_MILLISECONDS - COUNTED_MILLISECONDS;
+    const waiting = [...jobs].filter(
+      ([jobId, job]) =>
+        plans.get(jobId)?.service === service &&
+        plans.get(jobId)?.job.repetition === null &&
+        job.isAccepted &&
+        job.acceptedAt < acceptedBefore &&
+        job.cancelSentAt === null &&
+        !hasBegun(jobId),
+    );
+    if (2 * count < waiting.length) {
+      const ids = waiting.map(([jobId]) => jobId).join(' ');
+      report('pending-count-is-true', `${count} jobs are said to wait, ${waiting.length} do: ${ids}`);
+    }
+  };
+
   /** What should go on and does not, by job. */
   const findIdle = (): ReadonlyMap<string, string> => {
     const idle = new Map<string, string>();
@@ -88,5 +110,5 @@
     });
   };
 
-  return { onStatusShown, checkRest, countCompleted: () => completed };
+  return { onStatusShown, onPendingCounted, checkRest, countCompleted: () => completed };
 }
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -13,6 +13,8 @@
   /** Mean time between two troubles. */
   readonly troubleEveryMilliseconds: number;
   readonly kinds: readonly TroubleKind[];
+  /** Milliseconds between two requests for the number of pending jobs of a queue; null for no such requests. */
+  readonly countMilliseconds: number | null;
 }
 
 /** A small system with every kind of trouble. */
@@ -21,8 +23,12 @@
   busyMilliseconds: 25_000,
   troubleEveryMilliseconds: 2_500,
   kinds: TROUBLE_KINDS,
+  countMilliseconds: null,
 };
 
+/** The same with callers who ask how many jobs wait. */
+export const COUNTING_PLAY: Omit<PlayOptions, 'seed'> = { ...SMALL_PLAY, countMilliseconds: 400 };
+
 const STRONG_COUNT = 3;
 const STRONG_MILLI_CORES = 1_350;
 const WEAK_MILLI_CORES = 324;
@@ -58,6 +64,7 @@
     cancelShare: 0.1,
     failingShare: 0.02,
     askMilliseconds: 1_500,
+    countMilliseconds: options.countMilliseconds,
     until,
   });
   const next = (): void => {
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -16,6 +16,8 @@
   readonly onCancelSent: (jobId: string) => void;
   readonly onCancelAcknowledged: (jobId: string) => void;
   readonly onStatusShown: (jobId: string, status: JobStatus | null) => void;
+  /** A process said at a caller's request, sent at `askedAt`, how many jobs of a service wait to start. */
+  readonly onPendingCounted: (service: string, count: number, askedAt: number) => void;
   /** Checks at the end of a calm stretch that nothing was left undone. */
   readonly checkRest: () => Promise<void>;
   /** Lets time pass without traffic, in which no job stands still for long beside free room. */
@@ -50,6 +52,7 @@
     ...taskRules,
     ...hostRules,
     onStatusShown: jobRules.onStatusShown,
+    onPendingCounted: jobRules.onPendingCounted,
     checkRest: jobRules.checkRest,
     onSubmitAnswered: (jobId, answer) => {
       const job = jobOf(jobId);
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -17,6 +17,7 @@
   | 'wave-within-limit'
   | 'one-holder-a-host'
   | 'status-is-true'
+  | 'pending-count-is-true'
   | 'accepted-is-known'
   | 'work-goes-on'
   | 'nothing-waits-beside-room'
