--- a/packages/observability/src/log-output.test.ts
+++ b/packages/observability/src/log-output.test.ts
@@ -100,6 +100,21 @@
     rmSync(path);
   });
 
+  it('writes a line after others were dropped', async (t) => {
+    const path = join(tmpdir(), `baobabdeck-later-line-${process.pid}`);
+    const file = openSync(path, 'w');
+    let dropped = 0;
+    const output = openLogOutput(file, () => {
+      dropped += 1;
+    });
+    output.write('a\n'.padStart(OVERSIZED_CHARACTERS, 'a'));
+    output.write('later\n');
+    await output.finish();
+    t.is(dropped, 1);
+    t.is(readFileSync(path, 'utf8'), 'later\n');
+    rmSync(path);
+  });
+
   it('drops and counts lines that exceed the buffer, and continues', (t) => {
     const path = join(tmpdir(), `baobabdeck-full-log-${process.pid}`);
     const file = openSync(path, 'w');
