--- a/packages/scheduling/src/service/job-index.ts
+++ b/packages/scheduling/src/service/job-index.ts
@@ -16,7 +16,7 @@
   readonly load: WaitingLoad;
 }
 
-function softDeadlineOf(job: JobState, occurrence: OccurrenceState): number {
+function softDeadlineOfOccurrence(job: JobState, occurrence: OccurrenceState): number {
   return job.request.repetition === null
     ? job.softDeadlineAt
     : occurrence.dueAt + (job.softDeadlineAt - job.arrivedAt);
@@ -34,7 +34,7 @@
   const key: WaitingKey = {
     isLasting: request.isLasting,
     priority: job.request.priority,
-    startBy: softDeadlineOf(job, occurrence) - occurrence.remainingMilliseconds,
+    startBy: softDeadlineOfOccurrence(job, occurrence) - occurrence.remainingMilliseconds,
     jobId: job.request.jobId,
     occurrence: occurrence.occurrence,
     step: index,
