--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -19,6 +19,16 @@
     message: 'no contact with the log or a peer within the timeout; no new work is started',
   },
   processRecovered: { number: 106, level: 'info', message: 'contact with the log or a peer restored' },
+  settingsRead: {
+    number: 107,
+    level: 'info',
+    message: 'settings file read again; changes take effect at the next start',
+  },
+  settingsRejected: {
+    number: 108,
+    level: 'warn',
+    message: 'changed settings file is not valid; the settings in force are kept',
+  },
   logUnreachable: { number: 201, level: 'warn', message: 'log cannot be read' },
   logReachable: { number: 202, level: 'info', message: 'log can be read again' },
   recordGap: {
