Keep repeating jobs of older records started between two occurrences

After an upgrade such a job would have shown as queued and counted as pending. Change: the fallback takes finished occurrences into account again. Result: the test of an earlier record failed before (hasStarted false), both tests of the codec pass now.

--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -86,7 +86,8 @@
 }
 
 function decodeProgress(encoded: EncodedProgress): JobProgress {
-  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows, hasStarted = rows.length > 0] = encoded;
+  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows, recordedStart] = encoded;
+  const hasStarted = recordedStart ?? (rows.length > 0 || occurrencesDoneBelow > 0);
   const occurrences = rows.map(([occurrence, steps]) => ({
     occurrence,
     steps: steps.map((tasks) => tasks.map(decodeTask)),
