--- /dev/null
+++ b/packages/scheduling/src/__tests__/maintenance-waves.test.ts
@@ -0,0 +1,101 @@
+import { describe } from '@baobabdeck/test-tools';
+import type { FleetEffect } from '../fleet/event.js';
+import type { FleetRecord } from '../fleet/state.js';
+import type { HostLoad } from '../service/demand.js';
+import {
+  DAY,
+  createFleetHarness,
+  hostOf,
+  loadOf,
+  ordersOf,
+  reportOf,
+  type FleetHarness,
+} from './fleet-harness.js';
+
+describe('maintenance waves', ({ it }) => {
+  const requestWave = (harness: FleetHarness, hostIds: readonly string[], maximumDown: number) =>
+    harness.dispatch({ kind: 'wave-asked', wave: 1, hostIds, durationMilliseconds: 20_000, maximumDown });
+
+  it('takes down no more hosts at once than the wave allows', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2', 'h3'];
+    harness.list(...hosts.map((hostId) => hostOf(hostId, 'spare')));
+    requestWave(harness, hosts, 2);
+    t.is(ordersOf(harness.advance(250)).length, 2);
+    t.deepEqual(ordersOf(harness.advance(250)), []);
+  });
+
+  it('counts hosts that an earlier owner took down', (t) => {
+    const taken: FleetRecord = {
+      kind: 'host-ordered',
+      hostId: 'h1',
+      what: { kind: 'maintain', wave: 1 },
+      isAccepted: true,
+      recordedAt: new Date(DAY - 60_000),
+    };
+    const harness = createFleetHarness([taken]);
+    harness.list(hostOf('h1', 'spare', { state: 'upkeep' }), hostOf('h2', 'spare'));
+    requestWave(harness, ['h1', 'h2'], 1);
+    t.deepEqual(ordersOf(harness.advance(250)), []);
+  });
+
+  it('ignores the release of an earlier incarnation of the worker of a host', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2', 'h3', 'h4'];
+    harness.list(...hosts.map((hostId) => hostOf(hostId, 'quotes')));
+    harness.dispatch({ kind: 'service-reported', report: reportOf(hosts.map((one) => loadOf(one))) });
+    requestWave(harness, hosts, 4);
+    harness.advance(10);
+    const [requested = ''] = harness
+      .state()
+      .hosts.filter(({ requestedAction }) => requestedAction !== null)
+      .keys();
+    const reportRelease = (load: Partial<HostLoad>) => {
+      const report = reportOf([loadOf(requested, { release: 'released', ...load })]);
+      return ordersOf(harness.dispatch({ kind: 'service-reported', report }));
+    };
+    t.deepEqual(reportRelease({ workerId: 'earlier-incarnation' }), []);
+    t.is(reportRelease({}).length, 1);
+  });
+
+  it('reports a wave as completed only once maintenance of every host has begun', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2'];
+    harness.list(...hosts.map((hostId) => hostOf(hostId, 'spare')));
+    requestWave(harness, hosts, 2);
+    const [first, second] = ordersOf(harness.advance(250));
+    if (first === undefined || second === undefined) {
+      t.fail();
+      return;
+    }
+    const statusesOf = (effects: readonly FleetEffect[]) =>
+      effects.flatMap((effect) => (effect.kind === 'tell-wave-status' ? [effect.status] : []));
+    harness.dispatch({ kind: 'wave-status-told', wave: 1, status: 'running', isStored: true });
+    harness.settle(first, 'accepted');
+    t.deepEqual(statusesOf(harness.advance(250)), []);
+    harness.settle(second, 'accepted');
+    t.deepEqual(statusesOf(harness.advance(250)), ['completed']);
+  });
+
+  it('takes all hosts of a wave at once if an earlier owner received it long before', (t) => {
+    const seen: FleetRecord = {
+      kind: 'wave-progress',
+      wave: 1,
+      seenSince: new Date(DAY - 12_000),
+      begunHostIds: [],
+      isCompleted: false,
+      recordedAt: new Date(DAY - 12_000),
+    };
+    const countRequested = (records: readonly FleetRecord[]): number => {
+      const harness = createFleetHarness(records);
+      const hosts = ['h1', 'h2', 'h3', 'h4'];
+      harness.list(...hosts.map((hostId) => hostOf(hostId, 'quotes')));
+      harness.dispatch({ kind: 'service-reported', report: reportOf(hosts.map((one) => loadOf(one))) });
+      requestWave(harness, hosts, 4);
+      harness.advance(10);
+      return harness.state().hosts.count(({ requestedAction }) => requestedAction?.what.kind === 'maintain');
+    };
+    t.is(countRequested([]), 1);
+    t.is(countRequested([seen]), 4);
+  });
+});
