--- a/packages/scheduling/src/decide/place-tasks.ts
+++ b/packages/scheduling/src/decide/place-tasks.ts
@@ -1,10 +1,10 @@
 /** Selects a worker for each waiting task. */
-import type { StepRequest, TaskKey } from '../model/job.js';
+import type { TaskKey } from '../model/job.js';
 import { reservedResourcesOf } from '../model/step-needs.js';
 import type { ServiceStep } from '../service/effect.js';
 import { mayIssueOrders } from '../service/lease.js';
 import { runLogFields } from '../service/runs.js';
-import type { Run, ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
+import type { Run, ServiceState, StepState, WorkerState } from '../service/state.js';
 import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
 import { NO_PLACEMENT_CHANGES } from '../service/placement-changes.js';
 import type { WaitingKey } from '../service/waiting-queue.js';
@@ -19,14 +19,13 @@
   copyEligibleWorkers,
   allEligibleWorkers,
   freeMilliCoresOn,
-  fitsOn,
   fitsOnAny,
   narrowEligibleWorkers,
   eligibleWorkersAmong,
   reserveCapacity,
   type EligibleWorkers,
 } from './eligible-workers.js';
-import { hasRequiredLabel } from './eligibility.js';
+import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
 import { updateService } from '../service/update.js';
 
 /** Waiting steps that one event may check against the capacity that it frees. */
@@ -39,57 +38,6 @@
 const GANGS_PER_EVENT = 2;
 const GANGS_PER_FULL_SCAN = 64;
 
-function countRunsByWorker({ step, request }: WaitingStep): Map<string, number> {
-  const counts = new Map<string, number>();
-  if (request.maximumPerWorker === null) return counts;
-  for (const { runs } of step.tasks) {
-    for (const { workerId } of runs) counts.set(workerId, (counts.get(workerId) ?? 0) + 1);
-  }
-  return counts;
-}
-
-function isNearData(request: StepRequest, { listing }: WorkerState): boolean {
-  return request.rackOfData === null || listing.rack === request.rackOfData;
-}
-
-/**
- * Orders workers by preference for a task: workers on which it has not failed first, then workers near its data, then
- * workers with the fewest free cores.
- */
-function compareWorkers(
-  request: StepRequest,
-  task: TaskState,
-  eligible: EligibleWorkers,
-): (left: WorkerState, right: WorkerState) => number {
-  const isAvoided = ({ listing }: WorkerState): number =>
-    Number(task.avoidedWorkers.includes(listing.workerId));
-  return (left, right) =>
-    isAvoided(left) - isAvoided(right) ||
-    Number(isNearData(request, right)) - Number(isNearData(request, left)) ||
-    freeMilliCoresOn(eligible, left) - freeMilliCoresOn(eligible, right);
-}
-
-function chooseWorker(
-  waiting: WaitingStep,
-  task: TaskState,
-  eligible: EligibleWorkers,
-  counts: ReadonlyMap<string, number>,
-): WorkerState | null {
-  const { request } = waiting;
-  const limit = request.maximumPerWorker ?? Infinity;
-  const needs = reservedResourcesOf(request);
-  const compare = compareWorkers(request, task, eligible);
-  let best: WorkerState | null = null;
-  for (const worker of eligible.workers) {
-    const isAllowed =
-      fitsOn(eligible, worker, needs) &&
-      hasRequiredLabel(request, worker) &&
-      (counts.get(worker.listing.workerId) ?? 0) < limit;
-    if (isAllowed && (best === null || compare(worker, best) < 0)) best = worker;
-  }
-  return best;
-}
-
 function newRun(state: ServiceState, chosen: WorkerState, runNumber: number): Omit<Run, 'placedInVersion'> {
   const { workerId, incarnation } = chosen.listing;
   return {
@@ -138,20 +86,16 @@
   return placed;
 }
 
-function incrementCount(counts: Map<string, number>, { listing }: WorkerState): void {
-  counts.set(listing.workerId, (counts.get(listing.workerId) ?? 0) + 1);
-}
-
 function* placeTasks(
   state: ServiceState,
   waiting: WaitingStep,
   eligible: EligibleWorkers,
 ): ServiceStep<ServiceState> {
-  const counts = countRunsByWorker(waiting);
+  const counts = countRunsByWorker(waiting.request, waiting.step);
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
     if (isTaskWaiting(task)) {
-      const chosen = chooseWorker(waiting, task, eligible, counts);
+      const chosen = chooseWorker(waiting.request, task, eligible, counts);
       if (chosen === null) return next;
       incrementCount(counts, chosen);
       next = yield* assign(next, taskKeyOf(waiting, index), chosen, task.lastRun + 1, waiting, eligible);
@@ -163,10 +107,10 @@
 /** Selects a worker for each member of a gang; null if any member fits on none. */
 function chooseGangWorkers(waiting: WaitingStep, eligible: EligibleWorkers): readonly WorkerState[] | null {
   const trial = copyEligibleWorkers(eligible);
-  const counts = new Map<string, number>();
+  const counts: RunCounts = new Map();
   const chosenWorkers: WorkerState[] = [];
   for (const task of waiting.step.tasks) {
-    const chosen = chooseWorker(waiting, task, trial, counts);
+    const chosen = chooseWorker(waiting.request, task, trial, counts);
     if (chosen === null) return null;
     incrementCount(counts, chosen);
     reserveCapacity(trial, chosen, reservedResourcesOf(waiting.request));
