Stop no more tasks for a drain than other workers can take

Cause: while hosts are drained for moves or maintenance, each task on them was compared with the same free capacity of the other workers, and nothing was reserved for the tasks that were stopped before it, are being stopped or wait already. So two tasks were stopped for one place; the second then waits, and the capacity that it left belongs to a worker that takes no tasks while it is drained. The class of fault is check and act without a reservation.

Change: a drain pass reserves capacity for each lasting task that waits, for each task whose run is being stopped, and for each task that it stops.

--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -1,8 +1,7 @@
 /** Determines which workers may get tasks, and the free capacity of each. */
 import type { StepRequest } from '../model/job.js';
-import { fits, subtractResources, type Resources } from '../model/resources.js';
+import { subtractResources, type Resources } from '../model/resources.js';
 import type { ServiceState, WorkerState } from '../service/state.js';
-import { reservedResourcesOf } from '../model/step-needs.js';
 
 /** A worker that may get tasks, with its free capacity. */
 export interface Candidate {
@@ -47,8 +46,3 @@
 export function hasRequiredLabel(request: StepRequest, worker: WorkerState): boolean {
   return request.requiredLabel === null || worker.listing.labels.includes(request.requiredLabel);
 }
-
-/** Returns whether a task of a step fits into the free capacity of a worker. */
-export function fitsOnCandidate(request: StepRequest, candidate: Candidate): boolean {
-  return fits(reservedResourcesOf(request), candidate.freeCapacity);
-}
--- /dev/null
+++ b/packages/scheduling/src/decide/relocation.ts
@@ -0,0 +1,84 @@
+/**
+ * Reserves free capacity for tasks that are stopped to drain their workers. Each task that still has to be placed takes
+ * its share first, so that no more tasks are stopped than other workers can take.
+ */
+import type { StepRequest, TaskKey } from '../model/job.js';
+import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
+import type { ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
+import { isTaskWaiting, runsOnWorker } from '../service/tasks.js';
+import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
+import { allEligibleWorkers, reserveCapacity, type EligibleWorkers } from './eligible-workers.js';
+import { findWaitingStep, orderWaitingSteps, taskKeyOf } from './waiting-order.js';
+
+/** Capacity of workers that are not being drained, less what is reserved. */
+export interface Relocation {
+  readonly eligible: EligibleWorkers;
+  /** Runs by worker of each step that has a reservation, by job, occurrence and step. */
+  readonly countsByStep: Map<string, RunCounts>;
+}
+
+/** Returns whether a task that is stopped on one worker should be started on another one at once. */
+export function isRelocatable({ isGang, isLasting, savesCheckpoints }: StepRequest): boolean {
+  return !isGang && (isLasting || savesCheckpoints);
+}
+
+function countsOf(relocation: Relocation, key: TaskKey, request: StepRequest, step: StepState): RunCounts {
+  const stepId = `${key.jobId}/${key.occurrence}/${key.step}`;
+  const known = relocation.countsByStep.get(stepId);
+  if (known !== undefined) return known;
+  const counts = countRunsByWorker(request, step);
+  relocation.countsByStep.set(stepId, counts);
+  return counts;
+}
+
+/** Reserves capacity for a task; returns false if no worker has enough left. */
+export function reserveForTask(
+  relocation: Relocation,
+  key: TaskKey,
+  request: StepRequest,
+  step: StepState,
+  task: TaskState,
+): boolean {
+  const counts = countsOf(relocation, key, request, step);
+  const chosen = chooseWorker(request, task, relocation.eligible, counts);
+  if (chosen === null) return false;
+  incrementCount(counts, chosen);
+  reserveCapacity(relocation.eligible, chosen, reservedResourcesOf(request));
+  return true;
+}
+
+/** Reserves capacity for the lasting tasks that wait. They are placed before all others. */
+function reserveForWaitingTasks(state: ServiceState, relocation: Relocation): void {
+  for (const [waitingKey] of orderWaitingSteps(state)) {
+    if (!waitingKey.isLasting) return;
+    const waiting = findWaitingStep(state, waitingKey);
+    if (waiting !== null && isRelocatable(waiting.request)) {
+      for (const [index, task] of waiting.step.tasks.entries()) {
+        if (isTaskWaiting(task)) {
+          reserveForTask(relocation, taskKeyOf(waiting, index), waiting.request, waiting.step, task);
+        }
+      }
+    }
+  }
+}
+
+/** Reserves capacity for the tasks on a worker whose runs are being stopped. */
+function reserveForStoppingTasks(state: ServiceState, relocation: Relocation, worker: WorkerState): void {
+  for (const [key, run] of runsOnWorker(state, worker)) {
+    const job = run.phase === 'stopping' ? state.jobs.get(key.jobId) : undefined;
+    const step = job?.occurrences.get(key.occurrence)?.steps[key.step];
+    const task = step?.tasks[key.index];
+    if (job?.phase === 'active' && step !== undefined && task !== undefined && !task.isDone) {
+      const request = stepRequestOf(job.request, key.step);
+      if (isRelocatable(request)) reserveForTask(relocation, key, request, step, task);
+    }
+  }
+}
+
+/** Returns the capacity that is left for tasks on the given workers, which are being drained. */
+export function createRelocation(state: ServiceState, drainedWorkers: readonly WorkerState[]): Relocation {
+  const relocation: Relocation = { eligible: allEligibleWorkers(state), countsByStep: new Map() };
+  reserveForWaitingTasks(state, relocation);
+  for (const worker of drainedWorkers) reserveForStoppingTasks(state, relocation, worker);
+  return relocation;
+}
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -1,5 +1,5 @@
 /** Drains workers that shut down or whose hosts the fleet owner requests, without harming their tasks. */
-import { candidatesOf, fitsOnCandidate, hasRequiredLabel, type Candidate } from '../decide/eligibility.js';
+import { createRelocation, isRelocatable, reserveForTask, type Relocation } from '../decide/relocation.js';
 import type { StepRequest, TaskKey } from '../model/job.js';
 import type { ServiceStep } from './effect.js';
 import type { HostReleaseRequest, ServiceEventOf } from './event.js';
@@ -41,26 +41,6 @@
   return countOtherAbsentTasks(state, step, run) < request.maximumAbsent;
 }
 
-/** Returns whether one of the candidates has capacity for a task and may run it. */
-function fitsElsewhere(
-  candidates: readonly Candidate[],
-  key: TaskKey,
-  step: StepState,
-  request: StepRequest,
-): boolean {
-  const limit = request.maximumPerWorker ?? Infinity;
-  const countOtherTasksOn = (workerId: string): number =>
-    step.tasks.filter(
-      (task, index) => index !== key.index && task.runs.some((run) => run.workerId === workerId),
-    ).length;
-  return candidates.some(
-    (candidate) =>
-      fitsOnCandidate(request, candidate) &&
-      hasRequiredLabel(request, candidate.worker) &&
-      (limit === Infinity || countOtherTasksOn(candidate.worker.listing.workerId) < limit),
-  );
-}
-
 function stepOf(job: JobState, key: TaskKey): StepState | null {
   return job.occurrences.get(key.occurrence)?.steps[key.step] ?? null;
 }
@@ -70,34 +50,35 @@
   return state.now - drainState.since > MAINTENANCE_GRACE_MILLISECONDS;
 }
 
+/** Returns whether a run is stopped now so that its worker is drained. Capacity for its task is reserved elsewhere. */
 function shouldStop(
   state: ServiceState,
   worker: WorkerState,
-  candidates: readonly Candidate[],
+  relocation: Relocation,
   key: TaskKey,
   run: Run,
 ): boolean {
   const job = state.jobs.get(key.jobId);
   const step = job === undefined ? null : stepOf(job, key);
-  if (job === undefined || step === null || run.phase !== 'running') return false;
+  const task = step?.tasks[key.index];
+  if (job === undefined || step === null || task === undefined || run.phase !== 'running') return false;
   const request = stepRequestOf(job.request, key.step);
   if (isMaintenanceGraceOver(state, worker) && !request.isLasting) return true;
-  if (request.isGang) return false;
+  if (!isRelocatable(request)) return false;
   // Runs on a worker that shuts down end with it, so waiting for capacity elsewhere would not help.
-  if (worker.listing.isDraining) return request.isLasting || request.savesCheckpoints;
-  if (!request.isLasting && !request.savesCheckpoints) return false;
-  if (!fitsElsewhere(candidates, key, step, request)) return false;
-  return request.isLasting ? mayStopLastingTask(state, step, request, run) : request.savesCheckpoints;
+  if (worker.listing.isDraining) return true;
+  if (request.isLasting && !mayStopLastingTask(state, step, request, run)) return false;
+  return reserveForTask(relocation, key, request, step, task);
 }
 
 function* drainWorker(
   state: ServiceState,
   worker: WorkerState,
-  candidates: readonly Candidate[],
+  relocation: Relocation,
 ): ServiceStep<ServiceState> {
   let next = state;
   for (const [key, run] of [...runsOnWorker(state, worker)]) {
-    if (shouldStop(next, worker, candidates, key, run)) {
+    if (shouldStop(next, worker, relocation, key, run)) {
       next = yield* orderStop(next, key, run, 'its worker is being drained');
     }
   }
@@ -131,11 +112,11 @@
   const leaving = [...state.workers.values()].filter(
     ({ drainState, listing }) => drainState.kind === 'leaving' || listing.isDraining,
   );
-  // An order to stop does not free capacity before the run ends, so the candidates are the same for all workers.
-  const candidates = leaving.length === 0 ? [] : candidatesOf(state);
+  if (leaving.length === 0) return state;
+  const relocation = createRelocation(state, leaving);
   for (const worker of leaving) {
     const isRequested = worker.drainState.kind === 'leaving';
-    state = yield* drainWorker(state, worker, candidates);
+    state = yield* drainWorker(state, worker, relocation);
     const drained = state.workers.get(worker.listing.workerId);
     if (isRequested && drained?.tasks.isEmpty() === true) state = recordRelease(state, drained);
   }
