Let workers take tasks while their drain is stalled

Cause: a host that is wanted for a move or maintenance gets no task from the request on, however long its drain takes. Its lasting tasks leave it only if they fit elsewhere and not too many of their step are absent, so in a full pool the drain never ends, and the capacity is lost to all tasks that wait, the absent ones that hold up the drain among them. The class of fault is a wait in a circle: the drain waits for capacity that only the drained workers have.

Change: a drain without progress for 1.5 s on a worker with lasting tasks is stalled: the worker takes tasks again, after all workers that are not drained, until capacity for its lasting tasks is found elsewhere. No capacity on drained workers counts for that, so nothing moves in a circle. The grace period of maintenance does not stop tasks on a stalled worker.

--- a/packages/scheduling/src/__tests__/drained-workers.test.ts
+++ b/packages/scheduling/src/__tests__/drained-workers.test.ts
@@ -113,4 +113,52 @@
     t.is(countWaiting(harness), 0);
     t.deepEqual(jobIdsOn(harness, 'spare'), ['large']);
   });
+
+  it('starts a waiting lasting task although only a worker whose drain is stalled has free capacity', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1'], { labels: ['old'] });
+    harness.accept(jobOf('tied', [lastingStep(1_000, { requiredLabel: 'old' })]));
+    reportAll(harness);
+    passTime(harness, 300, ['w1']);
+    harness.accept(jobOf('waiting', [lastingStep(2_000)]));
+    passTime(harness, 3_000, ['w1']);
+    t.deepEqual(jobIdsOn(harness, 'w1'), ['tied', 'waiting']);
+  });
+
+  it('starts nothing on a worker that only waits for tasks that end by themselves', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1']);
+    harness.accept(jobOf('short', [{ estimatedMilliseconds: 10_000 }]));
+    reportAll(harness);
+    requestHosts(harness, ['w1']);
+    harness.accept(jobOf('waiting', [lastingStep(2_000)]));
+    passTime(harness, 5_000, ['w1']);
+    t.deepEqual(jobIdsOn(harness, 'w1'), ['short']);
+  });
+
+  it('does not stop other tasks again and again on a worker whose drain is stalled', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1'], { labels: ['old'] });
+    harness.accept(jobOf('tied', [lastingStep(1_000, { requiredLabel: 'old' })]));
+    reportAll(harness);
+    passTime(harness, 3_000, ['w1']);
+    harness.accept(jobOf('short', [{ estimatedMilliseconds: 60_000 }]));
+    passTime(harness, 9_000, ['w1']);
+    t.deepEqual(
+      runsOn(harness, 'w1').map(({ task, run }) => [task.jobId, run.run]),
+      [
+        ['tied', 1],
+        ['short', 1],
+      ],
+    );
+  });
+
+  it('drains a worker again once its lasting tasks fit elsewhere', (t) => {
+    const harness = createCrowdedHarness();
+    passTime(harness, 3_000, ['w1', 'w2']);
+    harness.addWorkers(['w3', 'w4'], { labels: ['old'] });
+    passTime(harness, 3_000, ['w1', 'w2']);
+    t.deepEqual([jobIdsOn(harness, 'w1'), jobIdsOn(harness, 'w2')], [[], []]);
+    t.is(countWaiting(harness), 0);
+  });
 });
--- a/packages/scheduling/src/decide/choose-worker.ts
+++ b/packages/scheduling/src/decide/choose-worker.ts
@@ -28,8 +28,8 @@
 }
 
 /**
- * Orders workers by preference for a task: workers on which it has not failed first, then workers near its data, then
- * workers with the fewest free cores.
+ * Orders workers by preference for a task: workers on which it has not failed first, then workers that are not being
+ * drained, then workers near its data, then workers with the fewest free cores.
  */
 function compareWorkers(
   request: StepRequest,
@@ -38,8 +38,10 @@
 ): (left: WorkerState, right: WorkerState) => number {
   const isAvoided = ({ listing }: WorkerState): number =>
     Number(task.avoidedWorkers.includes(listing.workerId));
+  const isDrained = ({ drainState }: WorkerState): number => Number(drainState.kind === 'leaving');
   return (left, right) =>
     isAvoided(left) - isAvoided(right) ||
+    isDrained(left) - isDrained(right) ||
     Number(isNearData(request, right)) - Number(isNearData(request, left)) ||
     freeMilliCoresOn(eligible, left) - freeMilliCoresOn(eligible, right);
 }
--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -9,10 +9,24 @@
   readonly freeCapacity: Resources;
 }
 
-/** Returns whether a worker shuts down or its host is requested for a move or maintenance: it gets no new tasks. */
-export function isLeaving(state: ServiceState, { listing, drainState }: WorkerState): boolean {
+/** Time without progress after which the drain of a worker with lasting tasks is stalled. */
+const DRAIN_STALL_MILLISECONDS = 1_500;
+
+/**
+ * Returns whether the drain of a requested host makes no progress, since its lasting tasks can neither be stopped nor
+ * run elsewhere now. Its worker takes tasks meanwhile: it stays until capacity for the lasting tasks is found.
+ */
+export function isDrainStalled(state: ServiceState, { drainState, lastingCount }: WorkerState): boolean {
+  if (drainState.kind !== 'leaving' || lastingCount === 0) return false;
+  return state.now - drainState.lastProgressAt >= DRAIN_STALL_MILLISECONDS;
+}
+
+/** Returns whether a worker shuts down or is drained for a move or maintenance of its host: it gets no new tasks. */
+export function isLeaving(state: ServiceState, worker: WorkerState): boolean {
+  const { listing, drainState } = worker;
   const isReleased = state.releasedWorkers.get(listing.workerId) === listing.incarnation;
-  return drainState.kind === 'leaving' || listing.isDraining || isReleased;
+  const isDrained = drainState.kind === 'leaving' && !isDrainStalled(state, worker);
+  return isDrained || listing.isDraining || isReleased;
 }
 
 /** Returns whether a worker may get new tasks now. */
--- a/packages/scheduling/src/decide/eligible-workers.ts
+++ b/packages/scheduling/src/decide/eligible-workers.ts
@@ -49,15 +49,12 @@
   );
 }
 
-/** Returns a subset of eligible workers; both share one record of free capacity. */
+/** Returns the eligible workers that match; both share one record of free capacity. */
 export function narrowEligibleWorkers(
   { workers, freeCapacity }: EligibleWorkers,
-  workerIds: ReadonlySet<string>,
+  matches: (worker: WorkerState) => boolean,
 ): EligibleWorkers {
-  return eligibleWorkersOf(
-    workers.filter(({ listing }) => workerIds.has(listing.workerId)),
-    freeCapacity,
-  );
+  return eligibleWorkersOf(workers.filter(matches), freeCapacity);
 }
 
 /** Copies eligible workers, so that a trial placement leaves the original unchanged. */
--- a/packages/scheduling/src/decide/place-tasks.ts
+++ b/packages/scheduling/src/decide/place-tasks.ts
@@ -166,7 +166,7 @@
   let freedWorkers =
     allWorkers === null
       ? eligibleWorkersAmong(state, freedWorkerIds)
-      : narrowEligibleWorkers(allWorkers, freedWorkerIds);
+      : narrowEligibleWorkers(allWorkers, ({ listing }) => freedWorkerIds.has(listing.workerId));
   const budget: PlacementBudget = { steps: STEPS_PER_EVENT, gangs: GANGS_PER_EVENT };
   let next = state;
   for (const [key, { needs }] of orderWaitingSteps(state)) {
--- a/packages/scheduling/src/decide/relocation.ts
+++ b/packages/scheduling/src/decide/relocation.ts
@@ -7,7 +7,12 @@
 import type { ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
 import { isTaskWaiting, runsOnWorker } from '../service/tasks.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
-import { allEligibleWorkers, reserveCapacity, type EligibleWorkers } from './eligible-workers.js';
+import {
+  allEligibleWorkers,
+  narrowEligibleWorkers,
+  reserveCapacity,
+  type EligibleWorkers,
+} from './eligible-workers.js';
 import { findWaitingStep, orderWaitingSteps, taskKeyOf } from './waiting-order.js';
 
 /** Capacity of workers that are not being drained, less what is reserved. */
@@ -77,7 +82,11 @@
 
 /** Returns the capacity that is left for tasks on the given workers, which are being drained. */
 export function createRelocation(state: ServiceState, drainedWorkers: readonly WorkerState[]): Relocation {
-  const relocation: Relocation = { eligible: allEligibleWorkers(state), countsByStep: new Map() };
+  const eligible = narrowEligibleWorkers(
+    allEligibleWorkers(state),
+    ({ drainState }) => drainState.kind === 'none',
+  );
+  const relocation: Relocation = { eligible, countsByStep: new Map() };
   reserveForWaitingTasks(state, relocation);
   for (const worker of drainedWorkers) reserveForStoppingTasks(state, relocation, worker);
   return relocation;
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -1,4 +1,5 @@
 /** Drains workers that shut down or whose hosts the fleet owner requests, without harming their tasks. */
+import { isDrainStalled } from '../decide/eligibility.js';
 import { createRelocation, isRelocatable, reserveForTask, type Relocation } from '../decide/relocation.js';
 import type { StepRequest, TaskKey } from '../model/job.js';
 import type { ServiceStep } from './effect.js';
@@ -45,8 +46,11 @@
   return job.occurrences.get(key.occurrence)?.steps[key.step] ?? null;
 }
 
-function isMaintenanceGraceOver(state: ServiceState, { drainState }: WorkerState): boolean {
+function isMaintenanceGraceOver(state: ServiceState, worker: WorkerState): boolean {
+  const { drainState } = worker;
   if (drainState.kind !== 'leaving' || drainState.purpose !== 'maintenance') return false;
+  // Stopping tasks would not complete a stalled drain.
+  if (isDrainStalled(state, worker)) return false;
   return state.now - drainState.since > MAINTENANCE_GRACE_MILLISECONDS;
 }
 
@@ -71,6 +75,13 @@
   return reserveForTask(relocation, key, request, step, task);
 }
 
+function recordDrainProgress(state: ServiceState, workerId: string): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker?.drainState.kind !== 'leaving') return state;
+  const drainState = { ...worker.drainState, lastProgressAt: state.now };
+  return setWorker(state, updateWorker(worker, { drainState }));
+}
+
 function* drainWorker(
   state: ServiceState,
   worker: WorkerState,
@@ -80,6 +91,7 @@
   for (const [key, run] of [...runsOnWorker(state, worker)]) {
     if (shouldStop(next, worker, relocation, key, run)) {
       next = yield* orderStop(next, key, run, 'its worker is being drained');
+      next = recordDrainProgress(next, worker.listing.workerId);
     }
   }
   return next;
@@ -144,11 +156,18 @@
     const fields = { hostId, workerId, purpose, tasks: worker.tasks.size };
     yield { kind: 'log', decision: 'releaseBegun', fields };
   }
-  const since = worker.drainState.kind === 'leaving' ? worker.drainState.since : state.now;
-  return setWorker(
-    state,
-    updateWorker(worker, { drainState: { kind: 'leaving', purpose, since, lastRequestedAt: state.now } }),
-  );
+  const { since, lastProgressAt } =
+    worker.drainState.kind === 'leaving'
+      ? worker.drainState
+      : { since: state.now, lastProgressAt: state.now };
+  const drainState = {
+    kind: 'leaving' as const,
+    purpose,
+    since,
+    lastRequestedAt: state.now,
+    lastProgressAt,
+  };
+  return setWorker(state, updateWorker(worker, { drainState }));
 }
 
 function* returnHost(state: ServiceState, hostId: string): ServiceStep<ServiceState> {
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -120,6 +120,8 @@
       readonly since: Instant;
       /** When the request was last repeated. */
       readonly lastRequestedAt: Instant;
+      /** When the drain began or a lasting task on the worker was last stopped for it. */
+      readonly lastProgressAt: Instant;
     };
 
 /** State of one worker. */
