Log lasting tasks that wait, with the workers that may not take them

A line (526, once a second for each step whose lasting tasks have waited for more than 3 s) now counts the workers that could hold one: those that are eligible, being drained, released, cooling down or unreachable.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -98,6 +98,11 @@
     level: 'warn',
     message: 'worker reported a run that is not recorded for it; stopping the run',
   },
+  lastingTaskWaits: {
+    number: 526,
+    level: 'warn',
+    message: 'lasting tasks wait; the counts are workers that have capacity for one of them',
+  },
   workerFound: { number: 531, level: 'info', message: 'worker found in the register; requesting its runs' },
   workerLost: {
     number: 532,
--- a/packages/scheduling/src/__tests__/drained-workers.test.ts
+++ b/packages/scheduling/src/__tests__/drained-workers.test.ts
@@ -161,4 +161,23 @@
     t.deepEqual([jobIdsOn(harness, 'w1'), jobIdsOn(harness, 'w2')], [[], []]);
     t.is(countWaiting(harness), 0);
   });
+
+  it('reports how many workers with capacity for a waiting lasting task are being drained', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1']);
+    harness.accept(jobOf('short', [{ estimatedMilliseconds: 10_000 }]));
+    reportAll(harness);
+    requestHosts(harness, ['w1']);
+    harness.accept(jobOf('waiting', [lastingStep(2_000)]));
+    const reports: unknown[] = [];
+    for (let passed = 0; passed < 4_500; passed += STEP_MILLISECONDS) {
+      requestHosts(harness, ['w1']);
+      const logged = effectsOf(harness.advance(STEP_MILLISECONDS), 'log');
+      reports.push(...logged.filter(({ decision }) => decision === 'lastingTaskWaits'));
+      reportAll(harness);
+    }
+    t.like(reports[0], {
+      fields: { jobId: 'waiting', waitingTasks: 1, leavingWorkers: 1, eligibleWorkers: 0 },
+    });
+  });
 });
--- /dev/null
+++ b/packages/scheduling/src/decide/blocked-tasks.ts
@@ -0,0 +1,70 @@
+/** Reports lasting tasks that have waited for long, with the workers that have capacity for them and may not take them. */
+import { fits, type Resources } from '../model/resources.js';
+import { reservedResourcesOf } from '../model/step-needs.js';
+import type { ServiceStep } from '../service/effect.js';
+import type { ServiceState, WorkerState } from '../service/state.js';
+import { isTaskWaiting } from '../service/tasks.js';
+import { freeCapacityOf, hasRequiredLabel, isEligible } from './eligibility.js';
+import { findWaitingStep, orderWaitingSteps, type WaitingStep } from './waiting-order.js';
+
+/** Time that a lasting task must have waited to be reported. */
+const REPORTED_WAIT_MILLISECONDS = 3_000;
+
+function longestWaitMilliseconds(state: ServiceState, { step }: WaitingStep): number {
+  const since = step.tasks.filter(isTaskWaiting).map((task) => task.waitingSince);
+  return state.now - Math.max(Math.min(...since), step.readySince ?? state.now);
+}
+
+/** Number of workers that could hold a task, by the reason for which they may not take it. */
+interface BlockedCapacity {
+  readonly eligibleWorkers: number;
+  readonly leavingWorkers: number;
+  readonly releasedWorkers: number;
+  readonly coolingDownWorkers: number;
+  readonly unreachableWorkers: number;
+}
+
+function countBlockedCapacity(
+  state: ServiceState,
+  { request }: WaitingStep,
+  needs: Resources,
+): BlockedCapacity {
+  const holders = [...state.workers.values()].filter(
+    (worker) => fits(needs, freeCapacityOf(worker)) && hasRequiredLabel(request, worker),
+  );
+  const count = (matches: (worker: WorkerState) => boolean): number => holders.filter(matches).length;
+  return {
+    eligibleWorkers: count((worker) => isEligible(state, worker)),
+    leavingWorkers: count(({ drainState, listing }) => drainState.kind === 'leaving' || listing.isDraining),
+    releasedWorkers: count(
+      ({ listing }) => state.releasedWorkers.get(listing.workerId) === listing.incarnation,
+    ),
+    coolingDownWorkers: count(({ cooldownUntil }) => cooldownUntil > state.now),
+    unreachableWorkers: count(
+      ({ isTerminated, silentSince, hasAcknowledgedEpoch }) =>
+        isTerminated || silentSince !== null || !hasAcknowledgedEpoch,
+    ),
+  };
+}
+
+/** Logs each step with lasting tasks that have waited for longer than `REPORTED_WAIT_MILLISECONDS`. */
+export function* reportBlockedTasks(state: ServiceState): ServiceStep<void> {
+  for (const [key] of orderWaitingSteps(state)) {
+    if (!key.isLasting) return;
+    const waiting = findWaitingStep(state, key);
+    const waitedMilliseconds = waiting === null ? 0 : longestWaitMilliseconds(state, waiting);
+    if (waiting !== null && waitedMilliseconds > REPORTED_WAIT_MILLISECONDS) {
+      yield {
+        kind: 'log',
+        decision: 'lastingTaskWaits',
+        fields: {
+          jobId: key.jobId,
+          step: key.step,
+          waitingTasks: waiting.step.waitingCount,
+          waitedMilliseconds: Math.round(waitedMilliseconds),
+          ...countBlockedCapacity(state, waiting, reservedResourcesOf(waiting.request)),
+        },
+      };
+    }
+  }
+}
--- a/packages/scheduling/src/service/effect.ts
+++ b/packages/scheduling/src/service/effect.ts
@@ -12,6 +12,7 @@
   | 'taskStartRefused'
   | 'taskStopOrdered'
   | 'strayRunStopped'
+  | 'lastingTaskWaits'
   | 'workerFound'
   | 'workerLost'
   | 'workerSilent'
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -2,6 +2,7 @@
 import type { TaskKey } from '../model/job.js';
 import type { StoredServiceRecord } from '../model/records.js';
 import { stopIncompleteGangs } from '../decide/gang.js';
+import { reportBlockedTasks } from '../decide/blocked-tasks.js';
 import { ejectUnhealthyWorkers } from '../decide/health.js';
 import { placeWaitingTasks } from '../decide/place-tasks.js';
 import type { ServiceStep } from './effect.js';
@@ -95,9 +96,13 @@
 /** Number of ticks between full scans, which match every worker with the waiting steps. */
 const TICKS_PER_FULL_SCAN = 10;
 
+function isFullScanDue({ ticks }: ServiceState): boolean {
+  return ticks.count % TICKS_PER_FULL_SCAN === 0;
+}
+
 /** Marks workers whose cooldown has ended for the next placement, and all workers every `TICKS_PER_FULL_SCAN` ticks. */
 function considerCooledDownWorkers(state: ServiceState, lastTick: Instant): ServiceState {
-  if (state.ticks.count % TICKS_PER_FULL_SCAN === 0) return considerEveryWorker(state);
+  if (isFullScanDue(state)) return considerEveryWorker(state);
   let next = state;
   for (const { cooldownUntil, listing } of state.workers.values()) {
     if (cooldownUntil > lastTick && cooldownUntil <= state.now) next = considerWorker(next, listing.workerId);
@@ -120,6 +125,7 @@
   next = yield* stopObsoleteRuns(next);
   next = yield* ejectUnhealthyWorkers(next);
   next = beginDueJobs(yield* drainLeavingWorkers(next));
+  if (isFullScanDue(next)) yield* reportBlockedTasks(next);
   return considerCooledDownWorkers(yield* forgetJobs(next), before.ticks.lastAt);
 }
 
