Tell owners of a worker whose capacity or labels change

An owner went on placing tasks by the former capacity until something else of the worker's entry changed: a start beyond the capacity breaks LIMIT where workers do not guard it, and is rejected elsewhere.

Cause: the register compared incarnation, pool, address and draining to find out whether an entry has changed. Capacity, rack and labels were left out, so that owners were not told. Class of fault: a comparison that does not follow the record as it grows.

Change: these fields are compared too; the clock, which each entry brings anew, is not. The test fails before the change and passes after it.

--- a/packages/scheduler/src/__tests__/register.test.ts
+++ b/packages/scheduler/src/__tests__/register.test.ts
@@ -66,4 +66,34 @@
     t.is(register.workersOf('quotes'), null);
     register.close();
   });
+
+  it('tells of a worker whose capacity or labels have changed while it runs', async (t) => {
+    const clock = createManualClock();
+    const listings = [
+      WORKER,
+      { ...WORKER, capacity: { ...WORKER.capacity, memoryMegabytes: 500 } },
+      { ...WORKER, labels: ['ssd'] },
+      { ...WORKER, labels: ['ssd'], clockMilliseconds: 1_500 },
+    ];
+    let reads = 0;
+    const answer = (): Promise<RegisterReadOutcome> => {
+      const listing = listings[Math.min(reads, listings.length - 1)] ?? WORKER;
+      reads += 1;
+      return Promise.resolve({ kind: 'read', changes: [{ kind: 'listed', listing }], nextOffset: reads });
+    };
+    const revisions: number[] = [];
+    const register = followRegister(
+      { readNewest: answer, read: answer },
+      clock,
+      () => true,
+      () => undefined,
+    );
+    for (let read = 0; read < listings.length; read += 1) {
+      await clock.advance(READ_INTERVAL_MILLISECONDS);
+      revisions.push(register.revision());
+    }
+    const increases = revisions.slice(1).map((revision, index) => revision - (revisions[index] ?? 0));
+    t.deepEqual(increases, [1, 1, 0]);
+    register.close();
+  });
 });
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -1,5 +1,5 @@
 /** Follows the register of workers while this process owns a service. */
-import type { WorkerListing } from '@baobabdeck/scheduling';
+import type { Resources, WorkerListing } from '@baobabdeck/scheduling';
 import type { RegisterChange, WorkerRegister } from '../ports/index.js';
 import type { SteadyClock } from './steady-clock.js';
 
@@ -21,13 +21,25 @@
   readonly close: () => void;
 }
 
+function isSameCapacity(left: Resources, right: Resources): boolean {
+  return (
+    left.milliCores === right.milliCores &&
+    left.memoryMegabytes === right.memoryMegabytes &&
+    left.accelerators === right.accelerators
+  );
+}
+
 function isSameListing(left: WorkerListing | undefined, right: WorkerListing): boolean {
   return (
     left !== undefined &&
     left.incarnation === right.incarnation &&
     left.pool === right.pool &&
     left.address === right.address &&
-    left.isDraining === right.isDraining
+    left.isDraining === right.isDraining &&
+    left.rack === right.rack &&
+    left.labels.length === right.labels.length &&
+    left.labels.every((label, index) => label === right.labels[index]) &&
+    isSameCapacity(left.capacity, right.capacity)
   );
 }
 
