Play tasks that crash their workers, and limit their starts

Cause: a task may crash each worker that starts it, and the emulator had no such task and no rule on it; so no play showed that the scheduler starts such a task without end. Change: JobPlan says after how many milliseconds a task crashes its worker, a habit of the callers which tasks do. The host is up again 1.5 to 4 s later. Rule crashing-task-starts-limited: the third start after three crashes by the task breaks it. A job may be shown as failed, and is not missed, once a task of it has crashed two workers. PlayResult counts runs lost with their worker and the starts of such tasks.

--- a/packages/fleet-emulator/src/__tests__/forgotten-jobs.test.ts
+++ b/packages/fleet-emulator/src/__tests__/forgotten-jobs.test.ts
@@ -39,6 +39,7 @@
       handedInAt: time.now(),
       objectiveMilliseconds: 1_000,
       taskPlan: () => ({ runMilliseconds: 300, failingRuns: 0 }),
+      crashDelayMilliseconds: () => null,
     });
     const answer = callers.submit(queue, JOB, 1_000);
     await time.runUntil(time.now() + FORGOTTEN_MILLISECONDS);
--- a/packages/fleet-emulator/src/__tests__/late-orders.test.ts
+++ b/packages/fleet-emulator/src/__tests__/late-orders.test.ts
@@ -44,6 +44,7 @@
     handedInAt: world.time.now(),
     objectiveMilliseconds: 1_000,
     taskPlan,
+    crashDelayMilliseconds: () => null,
   });
   const answer = callers.submit(queue, JOB, 1_000);
   await world.time.runUntil(world.time.now() + 100);
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -1,5 +1,5 @@
 /** Callers: they hand jobs in, ask for them and cancel some, as patient as real ones. */
-import { PLAIN_STEP, type StepRequest } from '@baobabdeck/scheduling';
+import { PLAIN_STEP, taskIdOf, type StepRequest, type TaskKey } from '@baobabdeck/scheduling';
 import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
 import type { VirtualNode } from './virtual-node.js';
@@ -12,6 +12,21 @@
 const RETRY_MILLISECONDS = 500;
 const MOST_TRIES = 4;
 
+/** Time from a start until the task has crashed the worker: of most such tasks, and the longest. */
+const CRASH_MILLISECONDS = 10;
+const LATEST_CRASH_MILLISECONDS = 1_000;
+
+/** Which tasks crash the workers that start them. */
+export interface CrashHabits {
+  /** Share of the tasks of a step that do; 0 for none. */
+  readonly shareOf: (job: SubmittedJob, step: StepRequest) => number;
+  /** Share of these that do so at a random time instead of at once; members of gangs all do so at once. */
+  readonly lateShare: number;
+}
+
+/** No task crashes its worker. */
+export const NO_CRASHES: CrashHabits = { shareOf: () => 0, lateShare: 0 };
+
 function drawStep(random: RandomSource, index: number): StepRequest {
   const base: StepRequest = {
     ...PLAIN_STEP,
@@ -57,29 +72,49 @@
   return Math.max(0, ...ends);
 }
 
+/** Draws after how many milliseconds a task of a step crashes its worker. Nothing is drawn where no task does. */
+function drawCrashDelay(
+  random: RandomSource,
+  { shareOf, lateShare }: CrashHabits,
+  job: SubmittedJob,
+  step: StepRequest | undefined,
+): number | null {
+  const share = step === undefined ? 0 : shareOf(job, step);
+  if (share === 0 || !random.chance(share)) return null;
+  const isLate = step?.isGang !== true && random.chance(lateShare);
+  return isLate ? random.uniform() * LATEST_CRASH_MILLISECONDS : CRASH_MILLISECONDS;
+}
+
+/** What is drawn for each task at its first use and stays so. */
+function drawOnce<T>(draw: (key: TaskKey) => T): (key: TaskKey) => T {
+  const drawn = new Map<string, { readonly value: T }>();
+  return (key) => {
+    const known = drawn.get(taskIdOf(key)) ?? { value: draw(key) };
+    drawn.set(taskIdOf(key), known);
+    return known.value;
+  };
+}
+
 /** Registers the truth about a job. */
-function plan(world: World, job: SubmittedJob, queue: Queue, failingShare: number): void {
+function plan(world: World, job: SubmittedJob, queue: Queue, habits: CallerHabits): void {
   const { random } = world;
-  const drawn = new Map<string, { readonly runMilliseconds: number; readonly failingRuns: number }>();
   world.plans.set(job.jobId, {
     job,
     service: queue.service,
     maximumFailedRuns: queue.maximumFailedRuns,
     handedInAt: world.time.now(),
     objectiveMilliseconds: queue.targetMilliseconds + queue.stretch * chainMilliseconds(job.steps),
-    taskPlan: ({ occurrence, step, index }) => {
-      const id = `${occurrence}/${step}/${index}`;
-      const known = drawn.get(id);
-      if (known !== undefined) return known;
+    taskPlan: drawOnce(({ step }) => {
       const estimate = job.steps[step]?.estimatedMilliseconds ?? 0;
       const isStraggler = random.chance(0.03);
-      const truth = {
+      return {
         runMilliseconds: estimate * (0.5 + random.uniform()) * (isStraggler ? 7 : 1),
-        failingRuns: random.chance(failingShare) ? 1 + random.below(3) : 0,
+        failingRuns: random.chance(habits.failingShare) ? 1 + random.below(3) : 0,
       };
-      drawn.set(id, truth);
-      return truth;
-    },
+    }),
+    crashDelayMilliseconds: drawOnce(({ step }) =>
+      drawCrashDelay(random, habits.crashes, job, job.steps[step]),
+    ),
   });
 }
 
@@ -194,6 +229,7 @@
   readonly cancelShare: number;
   /** Share of the tasks that fail by their own fault, once to three times. */
   readonly failingShare: number;
+  readonly crashes: CrashHabits;
   /** Until when jobs are handed in. */
   readonly until: number;
 }
@@ -211,7 +247,7 @@
   };
 
   const begin = (job: SubmittedJob, queue: Queue): void => {
-    plan(world, job, queue, habits.failingShare);
+    plan(world, job, queue, habits);
     handIn(world, job, queue, 0, () => {
       follow(world, job.jobId, queue, habits.askMilliseconds);
       if (random.chance(habits.cancelShare)) {
--- a/packages/fleet-emulator/src/grown-play.ts
+++ b/packages/fleet-emulator/src/grown-play.ts
@@ -2,7 +2,7 @@
 import { PLAIN_STEP, type StepRequest } from '@baobabdeck/scheduling';
 import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
-import { drawLastingJob, startCallers } from './callers.js';
+import { drawLastingJob, NO_CRASHES, startCallers } from './callers.js';
 import type { ProcessorCosts } from './processor.js';
 import { resultOf, type PlayResult } from './play-result.js';
 import { countedWork } from './work-counter.js';
@@ -131,6 +131,7 @@
     lastingJobsPerQueue: 2,
     cancelShare: 0,
     failingShare: 0.002,
+    crashes: NO_CRASHES,
     askMilliseconds: ASK_MILLISECONDS,
     countMilliseconds: null,
     until: LEAD_MILLISECONDS + turns * TURN_MILLISECONDS,
--- a/packages/fleet-emulator/src/index.ts
+++ b/packages/fleet-emulator/src/index.ts
@@ -1,6 +1,15 @@
 /** Whole scheduler processes in virtual time. */
 export { GROWN_SIZE, playTurns, USUAL_COSTS, type GrownPlayOptions } from './grown-play.js';
 export type { PlayResult } from './play-result.js';
-export { COUNTING_PLAY, playSchedule, SMALL_PLAY, UNEVEN_PLAY, type PlayOptions } from './random-play.js';
+export {
+  CALM_CRASHING_PLAY,
+  COUNTING_PLAY,
+  CRASHING_HOSTS_PLAY,
+  CRASHING_PLAY,
+  playSchedule,
+  SMALL_PLAY,
+  UNEVEN_PLAY,
+  type PlayOptions,
+} from './random-play.js';
 export type { RuleName, Violation } from './sightings.js';
 export { TROUBLE_KINDS, type TroubleKind } from './troubles.js';
--- a/packages/fleet-emulator/src/job-plans.ts
+++ b/packages/fleet-emulator/src/job-plans.ts
@@ -18,6 +18,8 @@
   readonly handedInAt: number;
   readonly objectiveMilliseconds: number;
   readonly taskPlan: (key: TaskKey) => TaskPlan;
+  /** Milliseconds from a start of a task until it crashes the worker; null for a task that crashes none. */
+  readonly crashDelayMilliseconds: (key: TaskKey) => number | null;
 }
 
 /** The jobs that callers have handed in, or tried to. */
--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -23,7 +23,8 @@
 
 /** Creates the rules. */
 export function createJobRules({ time, plans }: RefereeParts, sightings: Sightings): JobRules {
-  const { report, jobs, jobOf, runsOf, isOn, hasDone, isStepDone, hasFailedOften, allTasks } = sightings;
+  const { report, jobs, jobOf, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
+  const { hasFailedOften, mayBeGivenUp } = sightings;
   let completed = 0;
 
   const isTrulyDone = (jobId: string): boolean => {
@@ -49,7 +50,7 @@
     if (status === 'completed' && !isTrulyDone(jobId)) {
       report('status-is-true', `${jobId} is shown as completed and is not`);
     }
-    if (status === 'failed' && !hasFailedOften(jobId)) {
+    if (status === 'failed' && !hasFailedOften(jobId) && !mayBeGivenUp(jobId)) {
       report('status-is-true', `${jobId} is shown as failed without cause`);
     }
     if (status === 'cancelled' && job.cancelSentAt === null) {
@@ -81,7 +82,7 @@
     const idle = new Map<string, string>();
     for (const [jobId, job] of jobs) {
       const isOver = job.shown === 'completed' || job.shown === 'failed' || job.shown === 'cancelled';
-      if (!job.isAccepted || isOver || job.cancelSentAt !== null) continue;
+      if (!job.isAccepted || isOver || job.cancelSentAt !== null || mayBeGivenUp(jobId)) continue;
       const tasks = allTasks(jobId);
       const lasting = tasks.filter((key) => stepOfTask(plans, key)?.isLasting === true);
       const lastingOff = lasting.filter((key) => !runsOf(key).some(isOn));
--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -25,6 +25,13 @@
 const MOVE_MILLISECONDS = 1_500;
 const MAINTENANCE_MILLISECONDS = 2_000;
 
+/** Time until a host that a task has crashed is up again. */
+const SHORTEST_CRASH_MILLISECONDS = 1_500;
+const LONGEST_CRASH_MILLISECONDS = 4_000;
+
+/** Share of the crashes by tasks after which the worker has the id that it had before. */
+const KEPT_ID_SHARE = 0.5;
+
 /** Time until the register shows what has changed, and until it drops a silent worker. */
 const REGISTER_LAG_MILLISECONDS = 800;
 const REGISTER_TTL_MILLISECONDS = 4_500;
@@ -129,6 +136,7 @@
       gangs,
       observer,
       chance: random.chance,
+      crashHost: () => crash(host.hostId, drawCrashMilliseconds(), random.chance(KEPT_ID_SHARE)),
     });
     host.worker = worker;
     byAddress.set(host.hostId, worker);
@@ -150,6 +158,18 @@
     return workerId;
   };
 
+  const drawCrashMilliseconds = (): number =>
+    SHORTEST_CRASH_MILLISECONDS +
+    random.uniform() * (LONGEST_CRASH_MILLISECONDS - SHORTEST_CRASH_MILLISECONDS);
+
+  function crash(hostId: string, downMilliseconds: number, keepsId: boolean): void {
+    const host = hosts.get(hostId);
+    if (host?.state !== 'up' || host.worker === null) return;
+    const workerId = endLife(host);
+    host.state = 'down';
+    time.after(downMilliseconds, () => bootWorker(host, keepsId ? workerId : null));
+  }
+
   const take = (
     host: ModelHost,
     state: 'moving' | 'upkeep',
@@ -240,13 +260,7 @@
       hosts.set(added.hostId, host);
       bootWorker(host, null);
     },
-    crash: (hostId, downMilliseconds, keepsId) => {
-      const host = hosts.get(hostId);
-      if (host?.state !== 'up' || host.worker === null) return;
-      const workerId = endLife(host);
-      host.state = 'down';
-      time.after(downMilliseconds, () => bootWorker(host, keepsId ? workerId : null));
-    },
+    crash,
     drain: (hostId) => {
       const worker = hosts.get(hostId)?.worker;
       if (worker == null) return;
--- a/packages/fleet-emulator/src/observer.ts
+++ b/packages/fleet-emulator/src/observer.ts
@@ -30,6 +30,8 @@
   /** A stop is about to be carried out. */
   readonly onStop: (worker: ModelWorker, task: TaskKey, run: number) => void;
   readonly onEnd: (end: ObservedEnd) => void;
+  /** A run is about to crash its worker. */
+  readonly onCrash: (worker: ModelWorker, task: TaskKey, run: number) => void;
   /** The worker may forget an end. */
   readonly onForgotten: (worker: ModelWorker, task: TaskKey, run: number, wasLapsedSince: boolean) => void;
 }
--- a/packages/fleet-emulator/src/play-result.ts
+++ b/packages/fleet-emulator/src/play-result.ts
@@ -1,13 +1,11 @@
 /** What came of a play. */
+import type { PlayCounts } from './referee.js';
 import type { Violation } from './sightings.js';
 import type { World } from './world.js';
 
 /** What came of a play. */
-export interface PlayResult {
+export interface PlayResult extends PlayCounts {
   readonly violations: readonly Violation[];
-  readonly runs: number;
-  readonly accepted: number;
-  readonly completed: number;
   /** Log lines on unexpected errors and on violations of what must hold. */
   readonly errors: readonly string[];
   readonly world: World;
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -1,5 +1,7 @@
 /** Plays a random schedule of traffic and troubles from a seed, and tells which rules broke. */
-import { drawLastingJob, drawMixedJob, startCallers } from './callers.js';
+import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
+import type { RandomSource } from '@baobabdeck/emulator';
+import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
 import { resultOf, type PlayResult } from './play-result.js';
 import { beginTrouble, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
 import { createWorld, type WorldSize } from './world.js';
@@ -12,7 +14,10 @@
   readonly busyMilliseconds: number;
   /** Mean time between two troubles. */
   readonly troubleEveryMilliseconds: number;
+  /** Kinds of trouble; none for a calm play. */
   readonly kinds: readonly TroubleKind[];
+  readonly drawJob: (random: RandomSource, jobId: string, queue: Queue) => SubmittedJob;
+  readonly crashes: CrashHabits;
   /** Milliseconds between two requests for the number of pending jobs of a queue; null for no such requests. */
   readonly countMilliseconds: number | null;
 }
@@ -23,9 +28,34 @@
   busyMilliseconds: 25_000,
   troubleEveryMilliseconds: 2_500,
   kinds: TROUBLE_KINDS,
+  drawJob: drawMixedJob,
+  crashes: NO_CRASHES,
   countMilliseconds: null,
 };
 
+/** Share of the tasks that crash their workers in plays of such tasks, and the share of these that do so late. */
+const CRASHING_SHARE = 0.02;
+const LATE_CRASH_SHARE = 0.25;
+
+/** The same with tasks that crash the workers that start them, in steps that are neither gangs nor last. */
+export const CRASHING_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  crashes: {
+    shareOf: (_job, { isGang, isLasting }) => (isGang || isLasting ? 0 : CRASHING_SHARE),
+    lateShare: LATE_CRASH_SHARE,
+  },
+};
+
+/** Such tasks and no other trouble. */
+export const CALM_CRASHING_PLAY: Omit<PlayOptions, 'seed'> = { ...CRASHING_PLAY, kinds: [] };
+
+/** Sound tasks on hosts that crash often by themselves, some with their whole rack. */
+export const CRASHING_HOSTS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  troubleEveryMilliseconds: 500,
+  kinds: ['crash-worker', 'crash-rack', 'reborn-worker'],
+};
+
 /** The same with callers who ask how many jobs wait. */
 export const COUNTING_PLAY: Omit<PlayOptions, 'seed'> = { ...SMALL_PLAY, countMilliseconds: 400 };
 
@@ -58,11 +88,12 @@
   startCallers(world, {
     jobsPerSecond: () => 1.2,
     isDue: () => true,
-    drawJob: drawMixedJob,
+    drawJob: options.drawJob,
     drawLastingJob,
     lastingJobsPerQueue: 1,
     cancelShare: 0.1,
     failingShare: 0.02,
+    crashes: options.crashes,
     askMilliseconds: 1_500,
     countMilliseconds: options.countMilliseconds,
     until,
@@ -75,7 +106,7 @@
     world.lastTroubleAt = time.now();
     time.after(random.exponential(options.troubleEveryMilliseconds), next);
   };
-  time.after(random.exponential(options.troubleEveryMilliseconds), next);
+  if (options.kinds.length > 0) time.after(random.exponential(options.troubleEveryMilliseconds), next);
   await time.runUntil(until + REST_MILLISECONDS);
   await referee.checkRest();
   return resultOf(world);
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -26,7 +26,20 @@
   readonly servedShare: () => number;
   readonly checkServed: (floor: number) => void;
   readonly violations: readonly Violation[];
-  readonly counts: () => { readonly runs: number; readonly completed: number; readonly accepted: number };
+  readonly counts: () => PlayCounts;
+}
+
+/** What a play came to in numbers. */
+export interface PlayCounts {
+  readonly runs: number;
+  readonly completed: number;
+  readonly accepted: number;
+  /** Jobs that were shown as failed. */
+  readonly failed: number;
+  /** Runs that ended with the life of their worker: by its crash, a move or maintenance. */
+  readonly lostRuns: number;
+  /** How often each task that has crashed a worker was started. */
+  readonly startsOfCrashingTasks: readonly number[];
 }
 
 /** What the referee knows beforehand. */
@@ -73,6 +86,9 @@
       runs: sightings.countRuns(),
       completed: jobRules.countCompleted(),
       accepted: [...jobs.values()].filter((job) => job.isAccepted).length,
+      failed: [...jobs.values()].filter((job) => job.shown === 'failed').length,
+      lostRuns: sightings.countLostRuns(),
+      startsOfCrashingTasks: sightings.countStartsOfCrashingTasks(),
     }),
   };
 }
--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -34,7 +34,8 @@
 
 /** Creates the rules. */
 export function createRestRules({ time, plans, hosts }: RefereeParts, sightings: Sightings): RestRules {
-  const { report, jobs, runsOf, isOn, hasDone, isStepDone, hasFailedOften, allTasks } = sightings;
+  const { report, jobs, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
+  const { hasFailedOften, mayBeGivenUp } = sightings;
 
   const usedBy = (worker: NonNullable<ModelHost['worker']>): Resources => {
     const used = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
@@ -101,7 +102,8 @@
     };
     return [...jobs].flatMap(([jobId, job]) => {
       const plan = plans.get(jobId);
-      const isWanted = job.isAccepted && job.cancelSentAt === null && !hasFailedOften(jobId);
+      const isHopeless = hasFailedOften(jobId) || mayBeGivenUp(jobId);
+      const isWanted = job.isAccepted && job.cancelSentAt === null && !isHopeless;
       if (plan === undefined || !isWanted) return [];
       const room = roomFor(plan.service);
       return stillTasks(jobId).some((key) => hasRoomFor(room, key)) ? [jobId] : [];
@@ -138,7 +140,9 @@
   };
 
   const servedShare: RestRules['servedShare'] = () => {
-    const finite = [...plans].filter(([, { job }]) => !job.steps.some((step) => step.isLasting));
+    const finite = [...plans].filter(
+      ([jobId, { job }]) => !job.steps.some((step) => step.isLasting) && !mayBeGivenUp(jobId),
+    );
     const served = finite.filter(
       ([jobId, { handedInAt, objectiveMilliseconds }]) =>
         doneAt(jobId) <= handedInAt + SERVED_WITHIN_OBJECTIVES * objectiveMilliseconds,
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -9,6 +9,7 @@
   | 'runs-once'
   | 'steps-in-order'
   | 'attempts-within-limit'
+  | 'crashing-task-starts-limited'
   | 'gangs-together'
   | 'only-what-was-asked'
   | 'refused-never-runs'
@@ -39,6 +40,10 @@
   endedAt: number | null;
   isAcknowledged: boolean;
   wasAwayByOrder: boolean;
+  /** The life of its worker ended with it. */
+  isLostWithWorker: boolean;
+  /** It crashed its worker. */
+  hasCrashedWorker: boolean;
 }
 
 /** A job as its callers saw it. */
@@ -62,15 +67,23 @@
   /** Runs of a task, oldest first; a run that is seen is added to them. */
   readonly runsOf: (key: TaskKey) => SeenRun[];
   readonly countRuns: () => number;
+  readonly countLostRuns: () => number;
+  /** Runs of each task that has crashed a worker. */
+  readonly countStartsOfCrashingTasks: () => readonly number[];
   readonly isOn: (run: SeenRun) => boolean;
   readonly hasDone: (key: TaskKey) => boolean;
   readonly tasksOfStep: (key: TaskKey, step: number) => readonly TaskKey[];
   readonly isStepDone: (key: TaskKey, step: number) => boolean;
   /** Whether one of its tasks has failed as often as one may. */
   readonly hasFailedOften: (jobId: string) => boolean;
+  /** Whether one of its tasks has crashed so many workers that it may be given up. */
+  readonly mayBeGivenUp: (jobId: string) => boolean;
   readonly allTasks: (jobId: string) => readonly TaskKey[];
 }
 
+/** Workers that a task must have crashed before it may be given up. */
+const CRASHES_TO_GIVE_UP = 2;
+
 /** Creates sightings of nothing. */
 export function createSightings(time: VirtualTime, plans: JobPlans): Sightings {
   const violations: Violation[] = [];
@@ -138,6 +151,11 @@
     });
   };
 
+  const mayBeGivenUp = (jobId: string): boolean =>
+    allTasks(jobId).some(
+      (key) => runsOf(key).filter((run) => run.hasCrashedWorker).length >= CRASHES_TO_GIVE_UP,
+    );
+
   return {
     violations,
     report: (rule, detail) => {
@@ -147,11 +165,17 @@
     jobOf,
     runsOf,
     countRuns: () => [...runs.values()].reduce((sum, seen) => sum + seen.length, 0),
+    countLostRuns: () => [...runs.values()].flat().filter((run) => run.isLostWithWorker).length,
+    countStartsOfCrashingTasks: () =>
+      [...runs.values()]
+        .filter((seen) => seen.some((run) => run.hasCrashedWorker))
+        .map((seen) => seen.length),
     isOn,
     hasDone,
     tasksOfStep,
     isStepDone,
     hasFailedOften,
+    mayBeGivenUp,
     allTasks,
   };
 }
--- a/packages/fleet-emulator/src/task-rules.ts
+++ b/packages/fleet-emulator/src/task-rules.ts
@@ -12,6 +12,10 @@
 /** Time without trouble after which nothing excuses a gang that waits in vain. */
 const CALM_MILLISECONDS = 10_000;
 
+/** Workers that a task crashes before its further starts are counted, and at how many of these the rule is broken. */
+const CRASHES_BEFORE_LIMIT = 3;
+const STARTS_TOO_MANY = 3;
+
 /** Creates the rules. */
 export function createTaskRules(
   { time, plans, lastTroubleAt }: RefereeParts,
@@ -47,6 +51,20 @@
     }
   };
 
+  /** Reported once for each task. */
+  const checkCrashes = (key: TaskKey): void => {
+    const runs = runsOf(key);
+    const lastCrashAt = runs.filter((run) => run.hasCrashedWorker)[CRASHES_BEFORE_LIMIT - 1]?.endedAt ?? null;
+    if (lastCrashAt === null) return;
+    const starts = runs.filter((run) => run.at > lastCrashAt).length + 1;
+    if (starts === STARTS_TOO_MANY) {
+      report(
+        'crashing-task-starts-limited',
+        `${taskIdOf(key)} starts ${starts} times after it has crashed ${CRASHES_BEFORE_LIMIT} workers`,
+      );
+    }
+  };
+
   const checkAsked = (started: ObservedStart): void => {
     const { task } = started;
     const plan = plans.get(task.jobId);
@@ -87,6 +105,7 @@
     checkOnce(started.task, started);
     checkOrder(started.task);
     checkAttempts(started.task);
+    checkCrashes(started.task);
     checkSpread(started);
     runsOf(started.task).push({
       start: started,
@@ -95,6 +114,8 @@
       endedAt: null,
       isAcknowledged: false,
       wasAwayByOrder: false,
+      isLostWithWorker: false,
+      hasCrashedWorker: false,
     });
   };
 
@@ -125,11 +146,18 @@
     run.wasAwayByOrder = true;
   };
 
+  const findRun = (worker: ModelWorker, task: TaskKey, run: number): SeenRun | undefined =>
+    runsOf(task).find((one) => one.start.worker === worker && one.start.run === run);
+
+  const onCrash = (worker: ModelWorker, task: TaskKey, run: number): void => {
+    const seen = findRun(worker, task, run);
+    if (seen !== undefined) seen.hasCrashedWorker = true;
+  };
+
   const onEnd = (ended: ObservedEnd): void => {
-    const seen = runsOf(ended.task).find(
-      (run) => run.start.worker === ended.worker && run.start.run === ended.run,
-    );
+    const seen = findRun(ended.worker, ended.task, ended.run);
     if (seen === undefined) return;
+    seen.isLostWithWorker = ended.isSilent;
     seen.end = ended.isSilent ? 'lapsed' : ended.end;
     seen.endedAt = time.now();
     const isCalm = time.now() - lastTroubleAt() > CALM_MILLISECONDS;
@@ -139,7 +167,7 @@
   };
 
   const onForgotten = (worker: ModelWorker, task: TaskKey, run: number, wasLapsedSince: boolean): void => {
-    const seen = runsOf(task).find((one) => one.start.worker === worker && one.start.run === run);
+    const seen = findRun(worker, task, run);
     if (seen === undefined || wasLapsedSince) return;
     seen.isAcknowledged = true;
     const index = runsOf(task).indexOf(seen);
@@ -149,5 +177,5 @@
     }
   };
 
-  return { onStart, onStop: checkAbsent, onEnd, onForgotten };
+  return { onStart, onStop: checkAbsent, onCrash, onEnd, onForgotten };
 }
