Play workers whose capacity shrinks and grows, and limit starts to it

Cause: the capacity of a worker may change while it runs, and a service may have workers that start whatever they are told to start. All workers of the emulator had a fixed capacity and guarded it. Change: WorldSize says whether workers guard their capacity, and how large hosts are. Trouble shrinking-worker leaves a worker up to 70% of its capacity for 1 to 7 s; the register shows it with its usual lag. It stands in a list of its own, CAPACITY_TROUBLE_KINDS. Rule capacity-kept: a start must fit, beside all that runs or is being stopped, into the largest capacity of the last 3 s and one report interval of 1.5 s (an order that comes late: of the worker's life). By reading, isSameListing in packages/scheduler/src/node/register.ts leaves the capacity out, so owners aren't told of a change.

--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -1,4 +1,4 @@
-import { PLAIN_STEP, type StepRequest, type TaskKey } from '@baobabdeck/scheduling';
+import { PLAIN_STEP, type Resources, type StepRequest, type TaskKey } from '@baobabdeck/scheduling';
 import { describe } from '@baobabdeck/test-tools';
 import type { JobPlan } from '../job-plans.js';
 import type { ModelHost } from '../model-fleet.js';
@@ -32,7 +32,11 @@
   readonly referee: Referee;
   readonly worker: ModelWorker;
   readonly pass: (milliseconds: number) => void;
-  readonly start: (key: TaskKey, run: number, fields?: { readonly specification?: string }) => void;
+  readonly start: (
+    key: TaskKey,
+    run: number,
+    fields?: { readonly specification?: string; readonly isLate?: boolean },
+  ) => void;
   readonly end: (key: TaskKey, run: number, end: 'done' | 'failed' | 'alone' | 'stopped') => void;
   /** Ends a run with its worker, whose next life is up at once; the run may have crashed it. */
   readonly lose: (key: TaskKey, run: number, cause: 'own-crash' | 'other') => void;
@@ -43,11 +47,19 @@
 const SECOND: TaskKey = { ...FIRST, index: 1 };
 
 /** A worker that runs what the test says it runs, at full speed. */
-function createScene(plan: JobPlan): Scene {
+function createScene(plan: JobPlan, guardsCapacity = true): Scene {
   let now = 100_000;
+  let capacity: Resources = CAPACITY;
   const running: { task: TaskKey; run: number }[] = [];
   const worker = {
     isUp: () => true,
+    listing: () => ({ workerId: 'worker-0' }),
+    guardsCapacity,
+    capacity: () => capacity,
+    setCapacity: (changed: Resources) => {
+      referee.onCapacityChange(worker);
+      capacity = changed;
+    },
     runs: () => running,
     percentOf: () => 100,
     mood: { isDraining: false },
@@ -95,9 +107,9 @@
       referee.onEnd({ worker, task, run, end: 'lapsed', checkpoint: '', isSilent: true });
       now += 10;
     },
-    start: (task, run, { specification = 'work' } = {}) => {
+    start: (task, run, { specification = 'work', isLate = false } = {}) => {
       running.push({ task, run });
-      referee.onStart({ worker, task, run, specification, checkpoint: '', isLate: false });
+      referee.onStart({ worker, task, run, specification, checkpoint: '', isLate });
     },
     end: (task, run, end) => {
       remove(task, run);
@@ -358,6 +370,64 @@
     });
   });
 
+  within('on workers that do not guard their capacity', ({ it: itJudges }) => {
+    /** Two tasks of half a core more than half of the worker's. */
+    const largeTasks = planOf({ needs: { ...STEP.needs, milliCores: 2_500 } });
+    const smallTasks = planOf({ needs: { ...STEP.needs, milliCores: 1_500 } });
+    const HALF: Resources = { ...CAPACITY, milliCores: 2_000 };
+
+    itJudges('reports a start that brings one over its capacity', (t) => {
+      const scene = createScene(largeTasks, false);
+      scene.start(FIRST, 1);
+      t.deepEqual(rulesOf(scene), []);
+      scene.start(SECOND, 1);
+      t.deepEqual(rulesOf(scene), ['capacity-kept']);
+    });
+
+    itJudges('reports nothing of one that guards its capacity', (t) => {
+      const scene = createScene(largeTasks);
+      scene.start(FIRST, 1);
+      scene.start(SECOND, 1);
+      t.deepEqual(rulesOf(scene), []);
+    });
+
+    itJudges('counts a smaller capacity from 4.5 s after the change', (t) => {
+      const startAfter = (milliseconds: number): readonly RuleName[] => {
+        const scene = createScene(smallTasks, false);
+        scene.start(FIRST, 1);
+        scene.worker.setCapacity(HALF);
+        scene.pass(milliseconds);
+        scene.start(SECOND, 1);
+        return rulesOf(scene);
+      };
+      t.deepEqual(startAfter(4_500), []);
+      t.deepEqual(startAfter(4_501), ['capacity-kept']);
+    });
+
+    itJudges('counts a larger capacity at once', (t) => {
+      const scene = createScene(smallTasks, false);
+      scene.worker.setCapacity(HALF);
+      scene.pass(10_000);
+      scene.worker.setCapacity(CAPACITY);
+      scene.start(FIRST, 1);
+      scene.start(SECOND, 1);
+      t.deepEqual(rulesOf(scene), []);
+    });
+
+    itJudges('lets an order that comes late count on a capacity of long ago, and on no larger one', (t) => {
+      const startLate = (plan: JobPlan): readonly RuleName[] => {
+        const scene = createScene(plan, false);
+        scene.start(FIRST, 1);
+        scene.worker.setCapacity(HALF);
+        scene.pass(10_000);
+        scene.start(SECOND, 1, { isLate: true });
+        return rulesOf(scene);
+      };
+      t.deepEqual(startLate(smallTasks), []);
+      t.deepEqual(startLate(largeTasks), ['capacity-kept']);
+    });
+  });
+
   within('counts of pending jobs', ({ it: itCounts }) => {
     itCounts('reports a count without a job that has waited for five seconds', (t) => {
       const scene = createScene(planOf({}));
--- a/packages/fleet-emulator/src/index.ts
+++ b/packages/fleet-emulator/src/index.ts
@@ -7,9 +7,11 @@
   CRASHING_HOSTS_PLAY,
   CRASHING_PLAY,
   playSchedule,
+  SHRINKING_PLAY,
   SMALL_PLAY,
+  TROUBLED_SHRINKING_PLAY,
   UNEVEN_PLAY,
   type PlayOptions,
 } from './random-play.js';
 export type { RuleName, Violation } from './sightings.js';
-export { TROUBLE_KINDS, type TroubleKind } from './troubles.js';
+export { CAPACITY_TROUBLE_KINDS, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
--- a/packages/fleet-emulator/src/job-plans.ts
+++ b/packages/fleet-emulator/src/job-plans.ts
@@ -1,5 +1,5 @@
 /** What the tasks of the emulated jobs really do, which their callers only estimate. */
-import type { JobRequest, StepRequest, TaskKey } from '@baobabdeck/scheduling';
+import type { JobRequest, Resources, StepRequest, TaskKey } from '@baobabdeck/scheduling';
 import type { SubmittedJob } from '@baobabdeck/scheduler';
 
 /** The truth about one task. */
@@ -30,6 +30,19 @@
   return plans.get(key.jobId)?.job.steps[key.step] ?? null;
 }
 
+/** What tasks that run on one worker take of its capacity together. */
+export function sumOfNeeds(plans: JobPlans, keys: readonly TaskKey[]): Resources {
+  const sum = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
+  keys.forEach((key) => {
+    const step = stepOfTask(plans, key);
+    if (step === null) return;
+    sum.milliCores += step.usesSpareCapacity ? 0 : step.needs.milliCores;
+    sum.memoryMegabytes += step.needs.memoryMegabytes;
+    sum.accelerators += step.needs.accelerators;
+  });
+  return sum;
+}
+
 /** How often the steps of a job run. */
 export function occurrencesOf({ repetition }: Pick<JobRequest, 'repetition'>): number {
   return repetition?.times ?? 1;
--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -68,6 +68,8 @@
   /** Ends the life on a host; another begins later, under the same id if `keepsId`. */
   readonly crash: (hostId: string, downMilliseconds: number, keepsId: boolean) => void;
   readonly drain: (hostId: string) => void;
+  /** Leaves the worker of a host a share of the host's capacity for a time. */
+  readonly shrink: (hostId: string, share: number, milliseconds: number) => void;
   readonly workers: () => readonly ModelWorker[];
   readonly ordersFor: (endpoint: Endpoint) => WorkerOrders;
   readonly registerFor: (endpoint: Endpoint) => WorkerRegister;
@@ -81,11 +83,21 @@
   readonly random: RandomSource;
   readonly plans: JobPlans;
   readonly isStandby: (pool: string) => boolean;
+  /** Workers refuse starts that do not fit into their capacity. */
+  readonly guardsCapacity: boolean;
   readonly observer: WorkerObserver & HostObserver;
   /** The store is away: the register does not change. */
   readonly isStoreDown: () => boolean;
 }
 
+function shareOf({ milliCores, memoryMegabytes, accelerators }: Resources, share: number): Resources {
+  return {
+    milliCores: Math.floor(milliCores * share),
+    memoryMegabytes: Math.floor(memoryMegabytes * share),
+    accelerators: Math.floor(accelerators * share),
+  };
+}
+
 /** Creates a fleet without hosts. */
 export function createModelFleet(parts: ModelFleetParts): ModelFleet {
   const { time, network, random, observer } = parts;
@@ -113,6 +125,11 @@
       if (worker.isUp()) change({ kind: 'listed', listing: worker.listing() });
     });
 
+  const changeCapacity = (worker: ModelWorker, capacity: Resources): void => {
+    worker.setCapacity(capacity);
+    listWorker(worker);
+  };
+
   const bootWorker = (host: ModelHost, keptId: string | null): void => {
     host.lives += 1;
     host.state = 'up';
@@ -136,6 +153,7 @@
       gangs,
       observer,
       chance: random.chance,
+      guardsCapacity: parts.guardsCapacity,
       crashHost: () => crash(host.hostId, drawCrashMilliseconds(), random.chance(KEPT_ID_SHARE)),
     });
     host.worker = worker;
@@ -267,6 +285,15 @@
       worker.mood.isDraining = true;
       listWorker(worker);
     },
+    shrink: (hostId, share, milliseconds) => {
+      const host = hosts.get(hostId);
+      if (host?.worker == null) return;
+      const { worker, capacity } = host;
+      changeCapacity(worker, shareOf(capacity, share));
+      time.after(milliseconds, () => {
+        if (worker.isUp()) changeCapacity(worker, capacity);
+      });
+    },
     workers: () => [...byAddress.values()],
     ordersFor: (endpoint) => ({
       renewLease: (given) =>
--- a/packages/fleet-emulator/src/model-worker.ts
+++ b/packages/fleet-emulator/src/model-worker.ts
@@ -1,5 +1,6 @@
 /** One life of a worker as a model: leases on its own clock, fencing, runs, and lists of ends. */
 import {
+  fits,
   taskIdOf,
   type EndedReport,
   type Resources,
@@ -11,7 +12,7 @@
 } from '@baobabdeck/scheduling';
 import type { RenewLeaseOrder, RenewLeaseOutcome, StartRunOrder, StopRunOrder } from '@baobabdeck/scheduler';
 import type { GangHall, GangMember } from './gang-hall.js';
-import { stepOfTask, type JobPlans } from './job-plans.js';
+import { stepOfTask, sumOfNeeds, type JobPlans } from './job-plans.js';
 import type { WorkerObserver } from './observer.js';
 import type { VirtualTime } from './virtual-time.js';
 
@@ -58,11 +59,17 @@
   readonly chance: (probability: number) => boolean;
   /** Crashes the host of the worker, which ends this life. */
   readonly crashHost: () => void;
+  /** It refuses starts that do not fit into its capacity. */
+  readonly guardsCapacity: boolean;
 }
 
 /** One life of a worker. */
 export interface ModelWorker {
   readonly listing: () => WorkerListing;
+  readonly guardsCapacity: boolean;
+  readonly capacity: () => Resources;
+  /** Changes its capacity; what runs on it runs on. */
+  readonly setCapacity: (capacity: Resources) => void;
   readonly mood: WorkerMood;
   readonly isUp: () => boolean;
   readonly runs: () => readonly ModelRun[];
@@ -105,21 +112,10 @@
   let endNumber = 0;
   let fence = 0;
   let leaseUntil = 0;
+  let { capacity } = parts.listing;
   let isUp = true;
 
   const clock = (): number => Math.round((time.now() - bornAt) * parts.clockRate);
-  const sumOf = (keys: readonly TaskKey[]): Resources => {
-    const sum = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
-    keys.forEach((key) => {
-      const step = stepOfTask(plans, key);
-      if (step === null) return;
-      sum.milliCores += step.usesSpareCapacity ? 0 : step.needs.milliCores;
-      sum.memoryMegabytes += step.needs.memoryMegabytes;
-      sum.accelerators += step.needs.accelerators;
-    });
-    return sum;
-  };
-
   const workedOf = (run: ModelRun): number =>
     run.workingSince === null
       ? run.resumedMilliseconds
@@ -222,13 +218,8 @@
   };
 
   const hasRoom = (task: TaskKey): boolean => {
-    const used = sumOf([...[...running.values()].map(({ run }) => run.task), task]);
-    const { capacity } = parts.listing;
-    return (
-      used.milliCores <= capacity.milliCores &&
-      used.memoryMegabytes <= capacity.memoryMegabytes &&
-      used.accelerators <= capacity.accelerators
-    );
+    const tasks = [...running.values()].map(({ run }) => run.task);
+    return fits(sumOfNeeds(plans, [...tasks, task]), capacity);
   };
 
   const start = (order: StartRunOrder, isLate: boolean): StartAnswer => {
@@ -243,7 +234,7 @@
     const id = taskIdOf(order.task);
     if (running.get(id)?.run.run === order.run) return answer('started');
     if (running.has(id) || order.run <= (highestOver.get(id) ?? 0)) return answer('superseded');
-    if (!hasRoom(order.task)) return answer('no-room');
+    if (parts.guardsCapacity && !hasRoom(order.task)) return answer('no-room');
     begin(order, isLate);
     return answer('started');
   };
@@ -313,7 +304,18 @@
   };
 
   const worker: ModelWorker = {
-    listing: () => ({ ...parts.listing, isDraining: mood.isDraining, clockMilliseconds: clock() }),
+    listing: () => ({
+      ...parts.listing,
+      capacity,
+      isDraining: mood.isDraining,
+      clockMilliseconds: clock(),
+    }),
+    guardsCapacity: parts.guardsCapacity,
+    capacity: () => capacity,
+    setCapacity: (changed) => {
+      observer.onCapacityChange(worker);
+      capacity = changed;
+    },
     mood,
     isUp: () => isUp,
     runs: () => [...running.values()].map(({ run }) => run),
--- a/packages/fleet-emulator/src/observer.ts
+++ b/packages/fleet-emulator/src/observer.ts
@@ -32,6 +32,8 @@
   readonly onEnd: (end: ObservedEnd) => void;
   /** A run is about to crash its worker. */
   readonly onCrash: (worker: ModelWorker, task: TaskKey, run: number) => void;
+  /** The capacity of a worker is about to change. */
+  readonly onCapacityChange: (worker: ModelWorker) => void;
   /** The worker may forget an end. */
   readonly onForgotten: (worker: ModelWorker, task: TaskKey, run: number, wasLapsedSince: boolean) => void;
 }
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -3,7 +3,7 @@
 import type { RandomSource } from '@baobabdeck/emulator';
 import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
 import { resultOf, type PlayResult } from './play-result.js';
-import { beginTrouble, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
+import { beginTrouble, CAPACITY_TROUBLE_KINDS, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
 import { createWorld, type WorldSize } from './world.js';
 
 /** What to play. */
@@ -56,6 +56,28 @@
   kinds: ['crash-worker', 'crash-rack', 'reborn-worker'],
 };
 
+/** Small hosts, which the traffic fills, with workers that start whatever they are told to start. */
+const UNGUARDED_SIZE: WorldSize = {
+  ...SMALL_PLAY.size,
+  hostCapacity: { milliCores: 6_000, memoryMegabytes: 24_576, accelerators: 0 },
+  workersGuardCapacity: false,
+};
+
+/** Workers that do not guard their capacity, which shrinks and grows while they run. */
+export const SHRINKING_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: UNGUARDED_SIZE,
+  troubleEveryMilliseconds: 400,
+  kinds: CAPACITY_TROUBLE_KINDS,
+};
+
+/** The same among all other troubles; every second trouble changes the capacity of a worker. */
+export const TROUBLED_SHRINKING_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SHRINKING_PLAY,
+  troubleEveryMilliseconds: 1_250,
+  kinds: TROUBLE_KINDS.flatMap((kind) => [kind, ...CAPACITY_TROUBLE_KINDS]),
+};
+
 /** The same with callers who ask how many jobs wait. */
 export const COUNTING_PLAY: Omit<PlayOptions, 'seed'> = { ...SMALL_PLAY, countMilliseconds: 400 };
 
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -1,5 +1,6 @@
 /** Checks the rules after every event, by what callers, workers and hosts saw and by nothing else. */
 import type { JobStatus } from '@baobabdeck/scheduling';
+import { createCapacityRules } from './capacity-rules.js';
 import { createHostRules, type HostRules } from './host-rules.js';
 import type { JobPlans } from './job-plans.js';
 import { createJobRules } from './job-rules.js';
@@ -57,6 +58,7 @@
   const sightings = createSightings(time, plans);
   const { jobs, jobOf } = sightings;
   const taskRules = createTaskRules(parts, sightings);
+  const capacityRules = createCapacityRules(parts, sightings);
   const hostRules = createHostRules(parts, sightings, taskRules.onStop);
   const jobRules = createJobRules(parts, sightings);
   const restRules = createRestRules(parts, sightings);
@@ -64,6 +66,11 @@
     ...restRules,
     ...taskRules,
     ...hostRules,
+    onStart: (started) => {
+      taskRules.onStart(started);
+      capacityRules.onStart(started);
+    },
+    onCapacityChange: capacityRules.onCapacityChange,
     onStatusShown: jobRules.onStatusShown,
     onPendingCounted: jobRules.onPendingCounted,
     checkRest: jobRules.checkRest,
--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -1,7 +1,6 @@
 /** Rules on what becomes of the work that was handed in: none stands still beside free room, and enough is served. */
 import { countFitting, subtractResources, type Resources, type TaskKey } from '@baobabdeck/scheduling';
-import { stepOfTask } from './job-plans.js';
-import type { ModelHost } from './model-fleet.js';
+import { stepOfTask, sumOfNeeds } from './job-plans.js';
 import type { Referee, RefereeParts } from './referee.js';
 import type { Sightings } from './sightings.js';
 
@@ -37,25 +36,17 @@
   const { report, jobs, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
   const { hasFailedOften, mayBeGivenUp } = sightings;
 
-  const usedBy = (worker: NonNullable<ModelHost['worker']>): Resources => {
-    const used = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
-    worker.runs().forEach((run) => {
-      const step = stepOfTask(plans, run.task);
-      if (step === null) return;
-      used.milliCores += step.usesSpareCapacity ? 0 : step.needs.milliCores;
-      used.memoryMegabytes += step.needs.memoryMegabytes;
-      used.accelerators += step.needs.accelerators;
-    });
-    return used;
-  };
-
   const roomOf = (service: string): Room => {
     let capacity = 0;
     let used = 0;
     const free: Resources[] = [];
-    for (const { pool, worker, capacity: whole } of hosts().values()) {
+    for (const { pool, worker } of hosts().values()) {
       if (pool === service && worker !== null && !worker.mood.isDraining) {
-        const taken = usedBy(worker);
+        const whole = worker.capacity();
+        const taken = sumOfNeeds(
+          plans,
+          worker.runs().map((run) => run.task),
+        );
         capacity += whole.milliCores;
         used += taken.milliCores;
         free.push(subtractResources(whole, taken));
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -14,6 +14,7 @@
   | 'only-what-was-asked'
   | 'refused-never-runs'
   | 'spread-kept'
+  | 'capacity-kept'
   | 'absent-within-limit'
   | 'wave-within-limit'
   | 'one-holder-a-host'
--- a/packages/fleet-emulator/src/task-rules.ts
+++ b/packages/fleet-emulator/src/task-rules.ts
@@ -20,7 +20,7 @@
 export function createTaskRules(
   { time, plans, lastTroubleAt }: RefereeParts,
   sightings: Sightings,
-): WorkerObserver {
+): Omit<WorkerObserver, 'onCapacityChange'> {
   const { report, jobOf, runsOf, isOn, tasksOfStep, isStepDone } = sightings;
 
   const checkOnce = (key: TaskKey, started: ObservedStart): void => {
--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -27,9 +27,10 @@
   | 'orders-late'
   | 'answers-lost'
   | 'host-orders-late'
-  | 'wave';
+  | 'wave'
+  | 'shrinking-worker';
 
-/** Every kind. */
+/** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
   'kill-node',
   'kill-all-nodes',
@@ -56,6 +57,12 @@
   'wave',
 ];
 
+/** Kinds that change the capacity of workers. */
+export const CAPACITY_TROUBLE_KINDS: readonly TroubleKind[] = ['shrinking-worker'];
+
+/** What a worker that shrinks has left of its capacity at the most. */
+const LARGEST_SHRUNK_SHARE = 0.7;
+
 const LONGEST_MILLISECONDS = 6_000;
 const DOWN_MILLISECONDS = 1_500;
 
@@ -171,6 +178,9 @@
       fleet.drain(host);
       time.after(3_000 + lasting, () => fleet.crash(host, DOWN_MILLISECONDS, false));
       break;
+    case 'shrinking-worker':
+      fleet.shrink(host, random.uniform() * LARGEST_SHRUNK_SHARE, lasting);
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -24,6 +24,10 @@
   readonly costs?: ProcessorCosts;
   /** Thousandths of a core that each process may use; alike where left out. */
   readonly milliCoresOf?: (node: number) => number;
+  /** Capacity of each host; that of large hosts where left out. */
+  readonly hostCapacity?: HostListing['capacity'];
+  /** Whether workers refuse starts that do not fit into their capacity; they do where left out. */
+  readonly workersGuardCapacity?: boolean;
 }
 
 /** A whole system in virtual time. */
@@ -91,7 +95,7 @@
   return `service-${index}`;
 }
 
-function configurationOf(services: number): QueueConfiguration {
+function configurationOf(services: number, refusesOverload: boolean): QueueConfiguration {
   const names = Array.from({ length: services }, (_, index) => serviceName(index));
   return {
     version: 1,
@@ -108,8 +112,8 @@
       advice: null,
     })),
     services: [
-      ...names.map((name) => ({ name, isStandby: false, refusesOverload: true })),
-      { name: STANDBY_POOL, isStandby: true, refusesOverload: true },
+      ...names.map((name) => ({ name, isStandby: false, refusesOverload })),
+      { name: STANDBY_POOL, isStandby: true, refusesOverload },
     ],
     limits: {
       headerBytes: 16_384,
@@ -120,13 +124,19 @@
   };
 }
 
-function addHosts(fleet: ModelFleet, pool: string, count: number, first: number): void {
+function addHosts(
+  fleet: ModelFleet,
+  capacity: HostListing['capacity'],
+  pool: string,
+  count: number,
+  first: number,
+): void {
   Array.from({ length: count }, (_, index) => first + index).forEach((number) =>
     fleet.addHost({
       hostId: `host-${number}`,
       rack: `rack-${Math.floor(number / HOSTS_PER_RACK)}`,
       dataCentre: 'west',
-      capacity: HOST_CAPACITY,
+      capacity,
       pool,
     }),
   );
@@ -149,27 +159,30 @@
     hosts: () => fleet?.hosts ?? new Map(),
     lastTroubleAt: () => world?.lastTroubleAt ?? 0,
   });
+  const guardsCapacity = size.workersGuardCapacity ?? true;
   const models = createModelFleet({
     time,
     network,
     random,
     plans,
     isStandby: (pool) => pool === STANDBY_POOL,
+    guardsCapacity,
     observer: referee,
     isStoreDown: () => store.isDown,
   });
   fleet = models;
   const operator: OperatorDesk = {
-    configuration: configurationOf(size.services),
+    configuration: configurationOf(size.services, guardsCapacity),
     waves: [],
     onWaveStatus: (wave, status) => {
       if (status === 'completed') referee.onWaveCompleted(wave);
     },
   };
+  const capacity = size.hostCapacity ?? HOST_CAPACITY;
   for (let service = 0; service < size.services; service += 1) {
-    addHosts(models, serviceName(service), size.hostsPerService, service * size.hostsPerService);
+    addHosts(models, capacity, serviceName(service), size.hostsPerService, service * size.hostsPerService);
   }
-  addHosts(models, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
+  addHosts(models, capacity, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
   const milliCoresOf = size.milliCoresOf ?? (() => ALIKE_MILLI_CORES);
   const processors = Array.from({ length: size.nodes }, (_, index) =>
