--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -25,6 +25,13 @@
 const MOVE_MILLISECONDS = 1_500;
 const MAINTENANCE_MILLISECONDS = 2_000;
 
+/** Time until a host that a task has crashed is up again. */
+const SHORTEST_CRASH_MILLISECONDS = 1_500;
+const LONGEST_CRASH_MILLISECONDS = 4_000;
+
+/** Share of the crashes by tasks after which the worker has the id that it had before. */
+const KEPT_ID_SHARE = 0.5;
+
 /** Time until the register shows what has changed, and until it drops a silent worker. */
 const REGISTER_LAG_MILLISECONDS = 800;
 const REGISTER_TTL_MILLISECONDS = 4_500;
@@ -61,6 +68,8 @@
   /** Ends the life on a host; another begins later, under the same id if `keepsId`. */
   readonly crash: (hostId: string, downMilliseconds: number, keepsId: boolean) => void;
   readonly drain: (hostId: string) => void;
+  /** Leaves the worker of a host a share of the host's capacity for a time. */
+  readonly shrink: (hostId: string, share: number, milliseconds: number) => void;
   readonly workers: () => readonly ModelWorker[];
   readonly ordersFor: (endpoint: Endpoint) => WorkerOrders;
   readonly registerFor: (endpoint: Endpoint) => WorkerRegister;
@@ -74,11 +83,21 @@
   readonly random: RandomSource;
   readonly plans: JobPlans;
   readonly isStandby: (pool: string) => boolean;
+  /** Workers refuse starts that do not fit into their capacity. */
+  readonly guardsCapacity: boolean;
   readonly observer: WorkerObserver & HostObserver;
   /** The store is away: the register does not change. */
   readonly isStoreDown: () => boolean;
 }
 
+function shareOf({ milliCores, memoryMegabytes, accelerators }: Resources, share: number): Resources {
+  return {
+    milliCores: Math.floor(milliCores * share),
+    memoryMegabytes: Math.floor(memoryMegabytes * share),
+    accelerators: Math.floor(accelerators * share),
+  };
+}
+
 /** Creates a fleet without hosts. */
 export function createModelFleet(parts: ModelFleetParts): ModelFleet {
   const { time, network, random, observer } = parts;
@@ -106,6 +125,11 @@
       if (worker.isUp()) change({ kind: 'listed', listing: worker.listing() });
     });
 
+  const changeCapacity = (worker: ModelWorker, capacity: Resources): void => {
+    worker.setCapacity(capacity);
+    listWorker(worker);
+  };
+
   const bootWorker = (host: ModelHost, keptId: string | null): void => {
     host.lives += 1;
     host.state = 'up';
@@ -129,6 +153,8 @@
       gangs,
       observer,
       chance: random.chance,
+      guardsCapacity: parts.guardsCapacity,
+      crashHost: () => crash(host.hostId, drawCrashMilliseconds(), random.chance(KEPT_ID_SHARE)),
     });
     host.worker = worker;
     byAddress.set(host.hostId, worker);
@@ -150,6 +176,18 @@
     return workerId;
   };
 
+  const drawCrashMilliseconds = (): number =>
+    SHORTEST_CRASH_MILLISECONDS +
+    random.uniform() * (LONGEST_CRASH_MILLISECONDS - SHORTEST_CRASH_MILLISECONDS);
+
+  function crash(hostId: string, downMilliseconds: number, keepsId: boolean): void {
+    const host = hosts.get(hostId);
+    if (host?.state !== 'up' || host.worker === null) return;
+    const workerId = endLife(host);
+    host.state = 'down';
+    time.after(downMilliseconds, () => bootWorker(host, keepsId ? workerId : null));
+  }
+
   const take = (
     host: ModelHost,
     state: 'moving' | 'upkeep',
@@ -240,19 +278,22 @@
       hosts.set(added.hostId, host);
       bootWorker(host, null);
     },
-    crash: (hostId, downMilliseconds, keepsId) => {
-      const host = hosts.get(hostId);
-      if (host?.state !== 'up' || host.worker === null) return;
-      const workerId = endLife(host);
-      host.state = 'down';
-      time.after(downMilliseconds, () => bootWorker(host, keepsId ? workerId : null));
-    },
+    crash,
     drain: (hostId) => {
       const worker = hosts.get(hostId)?.worker;
       if (worker == null) return;
       worker.mood.isDraining = true;
       listWorker(worker);
     },
+    shrink: (hostId, share, milliseconds) => {
+      const host = hosts.get(hostId);
+      if (host?.worker == null) return;
+      const { worker, capacity } = host;
+      changeCapacity(worker, shareOf(capacity, share));
+      time.after(milliseconds, () => {
+        if (worker.isUp()) changeCapacity(worker, capacity);
+      });
+    },
     workers: () => [...byAddress.values()],
     ordersFor: (endpoint) => ({
       renewLease: (given) =>
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -1,5 +1,6 @@
 /** Checks the rules after every event, by what callers, workers and hosts saw and by nothing else. */
 import type { JobStatus } from '@baobabdeck/scheduling';
+import { createCapacityRules } from './capacity-rules.js';
 import { createHostRules, type HostRules } from './host-rules.js';
 import type { JobPlans } from './job-plans.js';
 import { createJobRules } from './job-rules.js';
@@ -26,7 +27,20 @@
   readonly servedShare: () => number;
   readonly checkServed: (floor: number) => void;
   readonly violations: readonly Violation[];
-  readonly counts: () => { readonly runs: number; readonly completed: number; readonly accepted: number };
+  readonly counts: () => PlayCounts;
+}
+
+/** What a play came to in numbers. */
+export interface PlayCounts {
+  readonly runs: number;
+  readonly completed: number;
+  readonly accepted: number;
+  /** Jobs that were shown as failed. */
+  readonly failed: number;
+  /** Runs that ended with the life of their worker: by its crash, a move or maintenance. */
+  readonly lostRuns: number;
+  /** How often each task that has crashed a worker was started. */
+  readonly startsOfCrashingTasks: readonly number[];
 }
 
 /** What the referee knows beforehand. */
@@ -44,6 +58,7 @@
   const sightings = createSightings(time, plans);
   const { jobs, jobOf } = sightings;
   const taskRules = createTaskRules(parts, sightings);
+  const capacityRules = createCapacityRules(parts, sightings);
   const hostRules = createHostRules(parts, sightings, taskRules.onStop);
   const jobRules = createJobRules(parts, sightings);
   const restRules = createRestRules(parts, sightings);
@@ -51,6 +66,11 @@
     ...restRules,
     ...taskRules,
     ...hostRules,
+    onStart: (started) => {
+      taskRules.onStart(started);
+      capacityRules.onStart(started);
+    },
+    onCapacityChange: capacityRules.onCapacityChange,
     onStatusShown: jobRules.onStatusShown,
     onPendingCounted: jobRules.onPendingCounted,
     checkRest: jobRules.checkRest,
@@ -73,6 +93,9 @@
       runs: sightings.countRuns(),
       completed: jobRules.countCompleted(),
       accepted: [...jobs.values()].filter((job) => job.isAccepted).length,
+      failed: [...jobs.values()].filter((job) => job.shown === 'failed').length,
+      lostRuns: sightings.countLostRuns(),
+      startsOfCrashingTasks: sightings.countStartsOfCrashingTasks(),
     }),
   };
 }
--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -1,7 +1,6 @@
 /** Rules on what becomes of the work that was handed in: none stands still beside free room, and enough is served. */
 import { countFitting, subtractResources, type Resources, type TaskKey } from '@baobabdeck/scheduling';
-import { stepOfTask } from './job-plans.js';
-import type { ModelHost } from './model-fleet.js';
+import { stepOfTask, sumOfNeeds } from './job-plans.js';
 import type { Referee, RefereeParts } from './referee.js';
 import type { Sightings } from './sightings.js';
 
@@ -34,27 +33,20 @@
 
 /** Creates the rules. */
 export function createRestRules({ time, plans, hosts }: RefereeParts, sightings: Sightings): RestRules {
-  const { report, jobs, runsOf, isOn, hasDone, isStepDone, hasFailedOften, allTasks } = sightings;
-
-  const usedBy = (worker: NonNullable<ModelHost['worker']>): Resources => {
-    const used = { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
-    worker.runs().forEach((run) => {
-      const step = stepOfTask(plans, run.task);
-      if (step === null) return;
-      used.milliCores += step.usesSpareCapacity ? 0 : step.needs.milliCores;
-      used.memoryMegabytes += step.needs.memoryMegabytes;
-      used.accelerators += step.needs.accelerators;
-    });
-    return used;
-  };
+  const { report, jobs, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
+  const { hasFailedOften, mayBeGivenUp } = sightings;
 
   const roomOf = (service: string): Room => {
     let capacity = 0;
     let used = 0;
     const free: Resources[] = [];
-    for (const { pool, worker, capacity: whole } of hosts().values()) {
+    for (const { pool, worker } of hosts().values()) {
       if (pool === service && worker !== null && !worker.mood.isDraining) {
-        const taken = usedBy(worker);
+        const whole = worker.capacity();
+        const taken = sumOfNeeds(
+          plans,
+          worker.runs().map((run) => run.task),
+        );
         capacity += whole.milliCores;
         used += taken.milliCores;
         free.push(subtractResources(whole, taken));
@@ -101,7 +93,8 @@
     };
     return [...jobs].flatMap(([jobId, job]) => {
       const plan = plans.get(jobId);
-      const isWanted = job.isAccepted && job.cancelSentAt === null && !hasFailedOften(jobId);
+      const isHopeless = hasFailedOften(jobId) || mayBeGivenUp(jobId);
+      const isWanted = job.isAccepted && job.cancelSentAt === null && !isHopeless;
       if (plan === undefined || !isWanted) return [];
       const room = roomFor(plan.service);
       return stillTasks(jobId).some((key) => hasRoomFor(room, key)) ? [jobId] : [];
@@ -138,7 +131,9 @@
   };
 
   const servedShare: RestRules['servedShare'] = () => {
-    const finite = [...plans].filter(([, { job }]) => !job.steps.some((step) => step.isLasting));
+    const finite = [...plans].filter(
+      ([jobId, { job }]) => !job.steps.some((step) => step.isLasting) && !mayBeGivenUp(jobId),
+    );
     const served = finite.filter(
       ([jobId, { handedInAt, objectiveMilliseconds }]) =>
         doneAt(jobId) <= handedInAt + SERVED_WITHIN_OBJECTIVES * objectiveMilliseconds,
