Show by tests where capacity is still withheld from lasting tasks

A drain pass reserves capacity only while it runs, and capacity of a worker that is being drained is still withheld where the drain makes slow progress or waits for other tasks.

Change: tests only.

--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -244,6 +244,15 @@
       t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
     });
 
+    sees('whose lasting task does not run beside free room in a busy service', async (t) => {
+      const lasting = { isLasting: true, needs: { ...STEP.needs, milliCores: 500 } };
+      const scene = accepted(planOf(lasting, { needs: { ...STEP.needs, milliCores: 2_000 } }));
+      scene.start(FIRST, 1);
+      scene.start({ ...FIRST, step: 1 }, 1);
+      await scene.referee.watchRest(4_000);
+      t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
+    });
+
     sees('and nothing in one of which something runs', async (t) => {
       const scene = accepted(planOf({}));
       scene.start(FIRST, 1);
--- a/packages/scheduling/src/__tests__/maintenance-waves.test.ts
+++ b/packages/scheduling/src/__tests__/maintenance-waves.test.ts
@@ -98,4 +98,27 @@
     t.is(countRequested([]), 1);
     t.is(countRequested([seen]), 4);
   });
+
+  it('requests other hosts of a wave while a requested host cannot be drained', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6', 'h7', 'h8'];
+    harness.list(...hosts.map((hostId) => hostOf(hostId, 'quotes')));
+    requestWave(harness, hosts, 1);
+    const requested = (): readonly string[] =>
+      [...harness.state().hosts.values()]
+        .filter(({ requestedAction }) => requestedAction !== null)
+        .map(({ listing }) => listing.hostId);
+    const requestedOnce = new Set<string>();
+    for (let passed = 0; passed < 15_000; passed += 125) {
+      const drained = requested();
+      const report = reportOf(
+        hosts.map((hostId) => loadOf(hostId, { release: drained.includes(hostId) ? 'draining' : null })),
+        { lastingMilliCores: 1_000 },
+      );
+      harness.dispatch({ kind: 'service-reported', report });
+      harness.advance(125);
+      requested().forEach((hostId) => requestedOnce.add(hostId));
+    }
+    t.true(requestedOnce.size > 1, `requested ${[...requestedOnce].join(', ')}`);
+  });
 });
