Keep capacity reserved until a task stopped for a drain is placed

In the same pass a task of a worker that shuts down reserved nothing, a stop that took longer than 1.5 s made its worker count as stalled, and ordinary tasks that a stalled worker had taken were stopped at once when one of its lasting tasks moved, since their grace period had run from the first request.

Change: the reservation is kept in the state from the order to stop until the run is removed, and lowers the free capacity that others see; the task is then placed in the same event, before ordinary ones. A worker with a reservation for one of its tasks is not stalled. The grace period starts anew when a stalled drain goes on.

--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -12,35 +12,62 @@
 /** Time without progress after which the drain of a worker with lasting tasks is stalled. */
 const DRAIN_STALL_MILLISECONDS = 1_500;
 
+function isBeingRelocated({ reservations }: ServiceState, taskIds: Iterable<string>): boolean {
+  for (const taskId of taskIds) {
+    if (reservations.has(taskId)) return true;
+  }
+  return false;
+}
+
 /**
  * Returns whether the drain of a requested host makes no progress, since its lasting tasks can neither be stopped nor
  * run elsewhere now. Its worker takes tasks meanwhile: it stays until capacity for the lasting tasks is found.
  */
-export function isDrainStalled(state: ServiceState, { drainState, lastingCount }: WorkerState): boolean {
+export function isDrainStalled(
+  state: ServiceState,
+  { drainState, lastingCount, tasks }: WorkerState,
+): boolean {
   if (drainState.kind !== 'leaving' || lastingCount === 0) return false;
-  return state.now - drainState.lastProgressAt >= DRAIN_STALL_MILLISECONDS;
+  const isOverdue = state.now - drainState.lastProgressAt >= DRAIN_STALL_MILLISECONDS;
+  return isOverdue && (state.reservations.isEmpty() || !isBeingRelocated(state, tasks.keys()));
 }
 
 /** Returns whether a worker shuts down or is drained for a move or maintenance of its host: it gets no new tasks. */
 export function isLeaving(state: ServiceState, worker: WorkerState): boolean {
-  const { listing, drainState } = worker;
-  const isReleased = state.releasedWorkers.get(listing.workerId) === listing.incarnation;
-  const isDrained = drainState.kind === 'leaving' && !isDrainStalled(state, worker);
-  return isDrained || listing.isDraining || isReleased;
+  const isDrained = worker.drainState.kind === 'leaving' && !isDrainStalled(state, worker);
+  return isDrained || isGoing(state, worker);
 }
 
-/** Returns whether a worker may get new tasks now. */
-export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+/** Returns whether a worker shuts down or its host was released: nothing may start on it any more. */
+function isGoing(state: ServiceState, { listing }: WorkerState): boolean {
+  return listing.isDraining || state.releasedWorkers.get(listing.workerId) === listing.incarnation;
+}
+
+/** Returns whether a task must not start on a worker. A lasting task may start while its host is being drained. */
+export function refusesTask(state: ServiceState, worker: WorkerState, { isLasting }: StepRequest): boolean {
+  return isLasting ? isGoing(state, worker) : isLeaving(state, worker);
+}
+
+function isReachable(state: ServiceState, worker: WorkerState): boolean {
   return (
     worker.isListed &&
     worker.hasAcknowledgedEpoch &&
     !worker.isTerminated &&
     worker.silentSince === null &&
-    worker.cooldownUntil <= state.now &&
-    !isLeaving(state, worker)
+    worker.cooldownUntil <= state.now
   );
 }
 
+/** Returns whether a worker may get a lasting task that found no other worker for long. */
+export function isEligibleForOverdueTask(state: ServiceState, worker: WorkerState): boolean {
+  return isReachable(state, worker) && !isGoing(state, worker);
+}
+
+/** Returns whether a worker may get new tasks now. */
+export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+  return isReachable(state, worker) && !isLeaving(state, worker);
+}
+
 /** Returns the free capacity of a worker. */
 export function freeCapacityOf(worker: WorkerState): Resources {
   return subtractResources(worker.listing.capacity, worker.committed);
--- a/packages/scheduling/src/decide/eligible-workers.ts
+++ b/packages/scheduling/src/decide/eligible-workers.ts
@@ -7,7 +7,7 @@
   type Resources,
 } from '../model/resources.js';
 import type { ServiceState, WorkerState } from '../service/state.js';
-import { freeCapacityOf, isEligible } from './eligibility.js';
+import { freeCapacityOf, isEligible, isEligibleForOverdueTask } from './eligibility.js';
 
 /** Workers that may get tasks, with the free capacity of each. */
 export interface EligibleWorkers {
@@ -30,12 +30,30 @@
   return freeCapacity.get(listing.workerId) ?? NO_RESOURCES;
 }
 
-function filterEligible(state: ServiceState, known: readonly WorkerState[]): EligibleWorkers {
-  const workers = known.filter((worker) => isEligible(state, worker));
+/** Lowers the free capacity of workers by what is reserved on them for tasks that are being relocated. */
+function subtractReservations({ reservations }: ServiceState, freeCapacity: Map<string, Resources>): void {
+  for (const { workerId, needs } of reservations.values()) {
+    const free = freeCapacity.get(workerId);
+    if (free !== undefined) freeCapacity.set(workerId, subtractResources(free, needs));
+  }
+}
+
+function filterEligible(
+  state: ServiceState,
+  known: readonly WorkerState[],
+  mayTakeTask: (state: ServiceState, worker: WorkerState) => boolean = isEligible,
+): EligibleWorkers {
+  const workers = known.filter((worker) => mayTakeTask(state, worker));
   const freeCapacity = new Map(workers.map((worker) => [worker.listing.workerId, freeCapacityOf(worker)]));
+  subtractReservations(state, freeCapacity);
   return eligibleWorkersOf(workers, freeCapacity);
 }
 
+/** Returns every worker that may get a lasting task that found no other worker for long. */
+export function allWorkersForOverdueTask(state: ServiceState): EligibleWorkers {
+  return filterEligible(state, [...state.workers.values()], isEligibleForOverdueTask);
+}
+
 /** Returns every worker of the service that may get tasks. */
 export function allEligibleWorkers(state: ServiceState): EligibleWorkers {
   return filterEligible(state, [...state.workers.values()]);
--- a/packages/scheduling/src/decide/relocation.ts
+++ b/packages/scheduling/src/decide/relocation.ts
@@ -2,7 +2,7 @@
  * Reserves free capacity for tasks that are stopped to drain their workers. Each task that still has to be placed takes
  * its share first, so that no more tasks are stopped than other workers can take.
  */
-import type { StepRequest, TaskKey } from '../model/job.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
 import type { ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
 import { isTaskWaiting, runsOnWorker } from '../service/tasks.js';
@@ -36,20 +36,20 @@
   return counts;
 }
 
-/** Reserves capacity for a task; returns false if no worker has enough left. */
+/** Reserves capacity for a task and returns its worker; null if no worker has enough left. */
 export function reserveForTask(
   relocation: Relocation,
   key: TaskKey,
   request: StepRequest,
   step: StepState,
   task: TaskState,
-): boolean {
+): WorkerState | null {
   const counts = countsOf(relocation, key, request, step);
   const chosen = chooseWorker(request, task, relocation.eligible, counts);
-  if (chosen === null) return false;
+  if (chosen === null) return null;
   incrementCount(counts, chosen);
   reserveCapacity(relocation.eligible, chosen, reservedResourcesOf(request));
-  return true;
+  return chosen;
 }
 
 /** Reserves capacity for the lasting tasks that wait. They are placed before all others. */
@@ -75,7 +75,8 @@
     const task = step?.tasks[key.index];
     if (job?.phase === 'active' && step !== undefined && task !== undefined && !task.isDone) {
       const request = stepRequestOf(job.request, key.step);
-      if (isRelocatable(request)) reserveForTask(relocation, key, request, step, task);
+      const isReserved = state.reservations.has(taskIdOf(key));
+      if (isRelocatable(request) && !isReserved) reserveForTask(relocation, key, request, step, task);
     }
   }
 }
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -6,10 +6,10 @@
 import type { HostReleaseRequest, ServiceEventOf } from './event.js';
 import { mayIssueOrders } from './lease.js';
 import { orderStop } from './runs.js';
-import type { JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
-import { runsOnWorker } from './tasks.js';
+import type { CapacityReservation, JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
+import { reserveForRelocation, runsOnWorker } from './tasks.js';
 import { considerWorker, setWorker } from './worker-index.js';
-import { stepRequestOf } from '../model/step-needs.js';
+import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
 import { updateService, updateWorker } from './update.js';
 
 /** Time for which tasks without checkpoints may delay the maintenance of their host. */
@@ -51,34 +51,47 @@
   if (drainState.kind !== 'leaving' || drainState.purpose !== 'maintenance') return false;
   // Stopping tasks would not complete a stalled drain.
   if (isDrainStalled(state, worker)) return false;
-  return state.now - drainState.since > MAINTENANCE_GRACE_MILLISECONDS;
+  return state.now - drainState.graceSince > MAINTENANCE_GRACE_MILLISECONDS;
 }
 
-/** Returns whether a run is stopped now so that its worker is drained. Capacity for its task is reserved elsewhere. */
-function shouldStop(
+/** Decision on one run of a worker that is drained. */
+type DrainDecision =
+  | { readonly kind: 'keep' }
+  /** `reservation` is the capacity to keep for the task meanwhile; null for none. */
+  | { readonly kind: 'stop'; readonly reservation: CapacityReservation | null };
+
+const KEEP: DrainDecision = { kind: 'keep' };
+
+/** Decides whether a run is stopped now so that its worker is drained, and reserves capacity for its task. */
+function decideOnRun(
   state: ServiceState,
   worker: WorkerState,
   relocation: Relocation,
   key: TaskKey,
   run: Run,
-): boolean {
+): DrainDecision {
   const job = state.jobs.get(key.jobId);
   const step = job === undefined ? null : stepOf(job, key);
   const task = step?.tasks[key.index];
-  if (job === undefined || step === null || task === undefined || run.phase !== 'running') return false;
+  if (job === undefined || step === null || task === undefined || run.phase !== 'running') return KEEP;
   const request = stepRequestOf(job.request, key.step);
-  if (isMaintenanceGraceOver(state, worker) && !request.isLasting) return true;
-  if (!isRelocatable(request)) return false;
+  if (isMaintenanceGraceOver(state, worker) && !request.isLasting) return { kind: 'stop', reservation: null };
+  const { isDraining } = worker.listing;
+  const mayStop = isDraining || !request.isLasting || mayStopLastingTask(state, step, request, run);
+  if (!isRelocatable(request) || !mayStop) return KEEP;
+  const target = reserveForTask(relocation, key, request, step, task);
   // Runs on a worker that shuts down end with it, so waiting for capacity elsewhere would not help.
-  if (worker.listing.isDraining) return true;
-  if (request.isLasting && !mayStopLastingTask(state, step, request, run)) return false;
-  return reserveForTask(relocation, key, request, step, task);
+  if (target === null) return isDraining ? { kind: 'stop', reservation: null } : KEEP;
+  const reservation = { workerId: target.listing.workerId, needs: reservedResourcesOf(request) };
+  return { kind: 'stop', reservation: request.isLasting ? reservation : null };
 }
 
-function recordDrainProgress(state: ServiceState, workerId: string): ServiceState {
-  const worker = state.workers.get(workerId);
+/** Records that a lasting task was stopped. A stalled drain that goes on gives other tasks their grace period anew. */
+function recordDrainProgress(state: ServiceState, before: WorkerState): ServiceState {
+  const worker = state.workers.get(before.listing.workerId);
   if (worker?.drainState.kind !== 'leaving') return state;
-  const drainState = { ...worker.drainState, lastProgressAt: state.now };
+  const graceSince = isDrainStalled(state, before) ? state.now : worker.drainState.graceSince;
+  const drainState = { ...worker.drainState, lastProgressAt: state.now, graceSince };
   return setWorker(state, updateWorker(worker, { drainState }));
 }
 
@@ -89,9 +102,15 @@
 ): ServiceStep<ServiceState> {
   let next = state;
   for (const [key, run] of [...runsOnWorker(state, worker)]) {
-    if (shouldStop(next, worker, relocation, key, run)) {
+    const current = next.workers.get(worker.listing.workerId) ?? worker;
+    const decision = decideOnRun(next, current, relocation, key, run);
+    if (decision.kind === 'stop') {
       next = yield* orderStop(next, key, run, 'its worker is being drained');
-      next = recordDrainProgress(next, worker.listing.workerId);
+      const { reservation } = decision;
+      if (reservation !== null) {
+        next = recordDrainProgress(next, current);
+        next = reserveForRelocation(next, key, reservation);
+      }
     }
   }
   return next;
@@ -156,17 +175,14 @@
     const fields = { hostId, workerId, purpose, tasks: worker.tasks.size };
     yield { kind: 'log', decision: 'releaseBegun', fields };
   }
-  const { since, lastProgressAt } =
-    worker.drainState.kind === 'leaving'
-      ? worker.drainState
-      : { since: state.now, lastProgressAt: state.now };
-  const drainState = {
+  const begun = {
     kind: 'leaving' as const,
-    purpose,
-    since,
-    lastRequestedAt: state.now,
-    lastProgressAt,
+    since: state.now,
+    lastProgressAt: state.now,
+    graceSince: state.now,
   };
+  const known = worker.drainState.kind === 'leaving' ? worker.drainState : begun;
+  const drainState = { ...known, purpose, lastRequestedAt: state.now };
   return setWorker(state, updateWorker(worker, { drainState }));
 }
 
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -43,6 +43,7 @@
     orphanTaskIds: PersistentSet(),
     releasedWorkers: PersistentMap(),
     waiting: EMPTY_WAITING_QUEUE,
+    reservations: PersistentMap(),
     placementChanges: NO_PLACEMENT_CHANGES,
     scannedSteps: 0,
     repeatingJobIds: PersistentSet(),
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -122,8 +122,16 @@
       readonly lastRequestedAt: Instant;
       /** When the drain began or a lasting task on the worker was last stopped for it. */
       readonly lastProgressAt: Instant;
+      /** From when on tasks that end by themselves may delay the drain only for the grace period. */
+      readonly graceSince: Instant;
     };
 
+/** Capacity that is kept for a lasting task while its run is stopped to drain its worker. */
+export interface CapacityReservation {
+  readonly workerId: string;
+  readonly needs: Resources;
+}
+
 /** State of one worker. */
 export interface WorkerState {
   readonly listing: WorkerListing;
@@ -214,6 +222,8 @@
   /** Incarnation of each worker that is recorded as released, by worker id. */
   readonly releasedWorkers: PersistentMap<string, number>;
   readonly waiting: WaitingQueue;
+  /** Reservations by task id, from the order to stop a run until the run is removed and its task placed. */
+  readonly reservations: PersistentMap<string, CapacityReservation>;
   readonly placementChanges: PlacementChanges;
   /** Number of waiting steps that the last full scan tried before its budget ran out; 0 if it reached the end. */
   readonly scannedSteps: number;
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -5,6 +5,7 @@
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
 import { setJob } from './job-index.js';
 import type {
+  CapacityReservation,
   JobState,
   OccurrenceState,
   Run,
@@ -13,7 +14,7 @@
   TaskState,
   WorkerState,
 } from './state.js';
-import { setWorker } from './worker-index.js';
+import { considerWorker, setWorker } from './worker-index.js';
 import {
   updateJob,
   updateOccurrence,
@@ -175,6 +176,23 @@
   return reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step));
 }
 
+/** Keeps capacity of a worker for a task whose run is being stopped. */
+export function reserveForRelocation(
+  state: ServiceState,
+  key: TaskKey,
+  reservation: CapacityReservation,
+): ServiceState {
+  return updateService(state, { reservations: state.reservations.set(taskIdOf(key), reservation) });
+}
+
+/** Gives up the reservation of a task, which waits now and is placed before ordinary tasks. */
+function clearReservation(state: ServiceState, key: TaskKey): ServiceState {
+  const reservation = state.reservations.get(taskIdOf(key));
+  if (reservation === undefined) return state;
+  const cleared = updateService(state, { reservations: state.reservations.remove(taskIdOf(key)) });
+  return considerWorker(cleared, reservation.workerId);
+}
+
 /** Removes a run from its task and releases its capacity. A task that is not done and has no other run waits again. */
 export function removeRun(
   state: ServiceState,
@@ -198,7 +216,7 @@
     run,
     stepRequestOf(job.request, key.step),
   );
-  const cleared = clearOrphan(freed, key);
+  const cleared = clearOrphan(clearReservation(freed, key), key);
   if (!job.hasGang) return cleared;
   return updateService(cleared, { brokenGangJobIds: cleared.brokenGangJobIds.add(key.jobId) });
 }
--- a/packages/scheduling/src/service/update.ts
+++ b/packages/scheduling/src/service/update.ts
@@ -31,6 +31,7 @@
     orphanTaskIds: state.orphanTaskIds,
     releasedWorkers: state.releasedWorkers,
     waiting: state.waiting,
+    reservations: state.reservations,
     placementChanges: state.placementChanges,
     scannedSteps: state.scannedSteps,
     repeatingJobIds: state.repeatingJobIds,
