Let lasting tasks that wait for long start on drained workers

Change: a lasting task that has waited for 5.5 s may start on any worker that is reachable and neither shuts down nor is released; workers that are not being drained come first. Later drain passes move the task on once it fits elsewhere.

--- a/packages/scheduling/src/decide/blocked-tasks.ts
+++ b/packages/scheduling/src/decide/blocked-tasks.ts
@@ -3,18 +3,17 @@
 import { reservedResourcesOf } from '../model/step-needs.js';
 import type { ServiceStep } from '../service/effect.js';
 import type { ServiceState, WorkerState } from '../service/state.js';
-import { isTaskWaiting } from '../service/tasks.js';
 import { freeCapacityOf, hasRequiredLabel, isEligible } from './eligibility.js';
-import { findWaitingStep, orderWaitingSteps, type WaitingStep } from './waiting-order.js';
+import {
+  findWaitingStep,
+  longestWaitMilliseconds,
+  orderWaitingSteps,
+  type WaitingStep,
+} from './waiting-order.js';
 
 /** Time that a lasting task must have waited to be reported. */
 const REPORTED_WAIT_MILLISECONDS = 3_000;
 
-function longestWaitMilliseconds(state: ServiceState, { step }: WaitingStep): number {
-  const since = step.tasks.filter(isTaskWaiting).map((task) => task.waitingSince);
-  return state.now - Math.max(Math.min(...since), step.readySince ?? state.now);
-}
-
 /** Number of workers that could hold a task, by the reason for which they may not take it. */
 interface BlockedCapacity {
   readonly eligibleWorkers: number;
--- a/packages/scheduling/src/decide/place-tasks.ts
+++ b/packages/scheduling/src/decide/place-tasks.ts
@@ -10,6 +10,7 @@
 import type { WaitingKey } from '../service/waiting-queue.js';
 import {
   findWaitingStep,
+  longestWaitMilliseconds,
   taskKeyOf,
   orderNewlyWaitingSteps,
   orderWaitingSteps,
@@ -18,6 +19,7 @@
 import {
   copyEligibleWorkers,
   allEligibleWorkers,
+  allWorkersForOverdueTask,
   freeMilliCoresOn,
   fitsOnAny,
   narrowEligibleWorkers,
@@ -209,6 +211,25 @@
   return next;
 }
 
+/** Time that a lasting task waits before it may start on a worker whose host is being drained. */
+const LASTING_TASK_PATIENCE_MILLISECONDS = 5_500;
+
+/**
+ * Places lasting tasks that have waited for long on any worker that neither shuts down nor is released. Their hosts are
+ * drained again once the tasks fit elsewhere.
+ */
+function* placeOverdueLastingTasks(state: ServiceState): ServiceStep<ServiceState> {
+  let next = state;
+  for (const [key] of orderWaitingSteps(state)) {
+    if (!key.isLasting) return next;
+    const waiting = findWaitingStep(next, key);
+    const isOverdue =
+      waiting !== null && longestWaitMilliseconds(next, waiting) >= LASTING_TASK_PATIENCE_MILLISECONDS;
+    if (isOverdue) next = yield* placeStep(next, waiting, allWorkersForOverdueTask(next));
+  }
+  return next;
+}
+
 /** Tries newly waiting steps on every worker. */
 function* placeNewlyWaiting(
   state: ServiceState,
@@ -234,7 +255,9 @@
   if ((freedWorkerIds.isEmpty() && newlyWaitingSteps.isEmpty()) || !mayIssueOrders(state)) return state;
   const begun: ServiceState = updateService(state, { placementChanges: NO_PLACEMENT_CHANGES });
   if (state.waiting.steps.isEmpty) return begun;
-  if (freedWorkerIds.size >= state.workers.size) return yield* scanAllWorkers(begun);
+  if (freedWorkerIds.size >= state.workers.size) {
+    return yield* placeOverdueLastingTasks(yield* scanAllWorkers(begun));
+  }
   const newlyWaiting = orderNewlyWaitingSteps(state);
   if (freedWorkerIds.isEmpty()) return yield* placeNewlyWaiting(begun, newlyWaiting);
   const filled = yield* placeInOrder(begun, new Set(freedWorkerIds), new Set(newlyWaiting));
--- a/packages/scheduling/src/decide/waiting-order.ts
+++ b/packages/scheduling/src/decide/waiting-order.ts
@@ -2,6 +2,7 @@
 import type { StepRequest, TaskKey } from '../model/job.js';
 import type { JobState, OccurrenceState, ServiceState, StepState } from '../service/state.js';
 import { stepRequestOf } from '../model/step-needs.js';
+import { isTaskWaiting } from '../service/tasks.js';
 import {
   compareWaiting,
   waitingInOrder,
@@ -39,6 +40,12 @@
   };
 }
 
+/** Returns for how long the longest waiting task of a step has waited. */
+export function longestWaitMilliseconds(state: ServiceState, { step }: WaitingStep): number {
+  const since = step.tasks.filter(isTaskWaiting).map((task) => task.waitingSince);
+  return state.now - Math.max(Math.min(...since), step.readySince ?? state.now);
+}
+
 /** Yields the waiting steps: lasting steps first, then by priority and least slack, late steps last. */
 export function orderWaitingSteps(state: ServiceState): Generator<WaitingEntry, void, void> {
   return waitingInOrder(state.waiting, state.now);
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -1,5 +1,5 @@
 /** Sends orders to start and stop runs, and applies the answers of workers. */
-import { isLeaving } from '../decide/eligibility.js';
+import { refusesTask } from '../decide/eligibility.js';
 import { findStartViolations } from '../invariants/check-start.js';
 import type { TaskKey } from '../model/job.js';
 import { taskIdOf } from '../model/job.js';
@@ -83,14 +83,16 @@
 }
 
 /** Returns whether the worker that a run was placed on may still receive it. */
-function mayStart(state: ServiceState, run: Run): boolean {
+function mayStart(state: ServiceState, { jobId, step }: TaskKey, run: Run): boolean {
   const worker = workerOfRun(state, run);
-  return worker !== null && !worker.isTerminated && !isLeaving(state, worker);
+  const request = state.jobs.get(jobId)?.request.steps[step];
+  if (worker === null || worker.isTerminated || request === undefined) return false;
+  return !refusesTask(state, worker, request);
 }
 
 /** Starts a run whose record is stored. If its worker is draining by now, the run is removed and its task waits. */
 export function* orderStart(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
-  if (!mayStart(state, run)) return removeRun(state, key, run);
+  if (!mayStart(state, key, run)) return removeRun(state, key, run);
   const faults = [...findStartViolations(state, key, run)];
   for (const { invariant, detail } of faults) {
     yield {
