Ask for hosts for lasting tasks that keep requested hosts from being drained

Found by the review: missingHosts counted tasks that wait, but not the lasting tasks on requested hosts that fit on no other worker. So nobody asked for the capacity that a drain waits for, and hosts stood in standby meanwhile; required hosts are computed from cores, while such tasks are bound by memory.

Change: lasting tasks on workers that are being drained count as unplaced unless capacity is reserved for them.

--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -1,5 +1,5 @@
 /** Builds the report of a service to the fleet owner: its load, its demand and the progress of requested hosts. */
-import type { JobRequest, StepRequest } from '../model/job.js';
+import { taskIdOf, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
 import { candidatesOf, type Candidate } from '../decide/eligibility.js';
 import { countFitting, type Resources } from '../model/resources.js';
 import { selectReleaseProgress, type ReleaseProgress } from './release.js';
@@ -120,20 +120,32 @@
   return Math.max(0, ...steps.map(minimumHostsOfStep));
 }
 
+/** Counts the lasting tasks that keep a requested host from being drained: nothing is reserved for them elsewhere. */
+function countUnplacedOnDrainedWorkers(state: ServiceState, key: TaskKey, { tasks }: StepState): number {
+  return tasks.filter(
+    ({ runs }, index) =>
+      runs.some(({ workerId }) => state.workers.get(workerId)?.drainState.kind === 'leaving') &&
+      !state.reservations.has(taskIdOf({ ...key, index })),
+  ).length;
+}
+
 /** Returns how many hosts a gang or lasting step lacks; 0 for other steps, whose tasks can run one after another. */
 function missingHostsOfStep(
   state: ServiceState,
+  key: TaskKey,
   request: StepRequest,
   step: StepState,
   candidates: readonly Candidate[],
 ): number {
   const mustBePlaced = (request.isGang || request.isLasting) && step.readySince !== null;
-  if (!mustBePlaced || step.waitingCount === 0) return 0;
+  const drainedCount = request.isLasting ? countUnplacedOnDrainedWorkers(state, key, step) : 0;
+  const unplacedCount = step.waitingCount + drainedCount;
+  if (!mustBePlaced || unplacedCount === 0) return 0;
   const limit = request.maximumPerWorker ?? Infinity;
   const slotsOn = (free: Resources): number =>
     Math.min(limit, countFitting(reservedResourcesOf(request), free));
   const slots = candidates.reduce((sum, candidate) => sum + slotsOn(candidate.freeCapacity), 0);
-  const missingSlots = step.waitingCount - slots;
+  const missingSlots = unplacedCount - slots;
   const [first] = state.workers.values();
   const perHost = first === undefined ? 1 : Math.max(1, slotsOn(first.listing.capacity));
   return missingSlots <= 0 ? 0 : Math.ceil(missingSlots / perHost);
@@ -145,12 +157,11 @@
   const candidates = candidatesOf(state);
   let maximum = 0;
   for (const { request, occurrences } of jobs) {
-    for (const { steps } of occurrences.values()) {
+    for (const { occurrence, steps } of occurrences.values()) {
       for (const [index, step] of steps.entries()) {
-        maximum = Math.max(
-          maximum,
-          missingHostsOfStep(state, stepRequestOf(request, index), step, candidates),
-        );
+        const key = { jobId: request.jobId, occurrence, step: index, index: 0 };
+        const missing = missingHostsOfStep(state, key, stepRequestOf(request, index), step, candidates);
+        maximum = Math.max(maximum, missing);
       }
     }
   }
