--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -55,9 +55,11 @@
     return { isBusy: used >= BUSY_SHARE * capacity, free };
   };
 
+  /** Lasting tasks must run however full their service is, all others only while it is not busy. */
   const hasRoomFor = ({ isBusy, free }: Room, key: TaskKey): boolean => {
-    const needs = stepOfTask(plans, key)?.needs;
-    if (isBusy || needs === undefined) return false;
+    const step = stepOfTask(plans, key);
+    if (step === null || (isBusy && !step.isLasting)) return false;
+    const { needs } = step;
     return free.reduce((sum, room) => sum + countFitting(needs, room), 0) >= ROOM_FOR_TASKS;
   };
 
