--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -98,6 +98,11 @@
     level: 'warn',
     message: 'worker reported a run that is not recorded for it; stopping the run',
   },
+  taskQuarantined: {
+    number: 526,
+    level: 'warn',
+    message: 'worker crashed under a task; the task runs alone until it has shown to be sound',
+  },
   workerFound: { number: 531, level: 'info', message: 'worker found in the register; requesting its runs' },
   workerLost: {
     number: 532,
--- a/packages/scheduler/src/__tests__/record-codec.test.ts
+++ b/packages/scheduler/src/__tests__/record-codec.test.ts
@@ -19,6 +19,47 @@
     t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
   });
 
+  it('keeps the crashes and the quarantine of a task', (t) => {
+    const task = {
+      index: 2,
+      isDone: false,
+      lastRun: 3,
+      failedRuns: 1,
+      workerCrashes: 2,
+      isQuarantined: true,
+      checkpoint: 'c',
+      runs: [{ run: 3, workerId: 'w1', incarnation: 4 }],
+    };
+    const sound = { ...task, index: 3, workerCrashes: 0, isQuarantined: false };
+    const progress = { ...PROGRESS, occurrences: [{ occurrence: 1, steps: [[task, sound]] }] };
+    const record = { kind: 'job-progress' as const, jobId: 'a', progress };
+    const [keyed] = encodeRecord(record);
+    if (keyed === undefined) throw new Error('Expected a keyed record');
+    t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
+  });
+
+  it('takes a task of an earlier record for one under which no worker has crashed', (t) => {
+    const rows = [[1, [[[0, false, 2, 1, '', [[2, 'w1', 5]]]]]]];
+    const value = new Encoder({ useRecords: false }).encode(['active', 'quotes', [], 0, rows, true]);
+    const decoded = decodeRecord({ key: 'progress/a', value, offset: 3 });
+    if (decoded.kind !== 'record' || decoded.record.record.kind !== 'job-progress') {
+      t.fail('Expected a record of progress');
+      return;
+    }
+    t.deepEqual(decoded.record.record.progress.occurrences[0]?.steps[0], [
+      {
+        index: 0,
+        isDone: false,
+        lastRun: 2,
+        failedRuns: 1,
+        workerCrashes: 0,
+        isQuarantined: false,
+        checkpoint: '',
+        runs: [{ run: 2, workerId: 'w1', incarnation: 5 }],
+      },
+    ]);
+  });
+
   it('takes a job of an earlier record for started once an occurrence of it is done', (t) => {
     const value = new Encoder({ useRecords: false }).encode(['active', 'quotes', [], 1, []]);
     const decoded = decodeRecord({ key: 'progress/a', value, offset: 3 });
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -38,6 +38,9 @@
   failedRuns: number,
   checkpoint: string,
   runs: readonly (readonly [run: number, workerId: string, incarnation: number])[],
+  /** Absent in records of earlier versions and for tasks under which no worker crashed. */
+  workerCrashes?: number,
+  isQuarantined?: boolean,
 ];
 
 type EncodedProgress = readonly [
@@ -68,14 +71,18 @@
   };
 }
 
-function encodeTask({ index, isDone, lastRun, failedRuns, checkpoint, runs }: TaskProgress): EncodedTask {
-  const rows = runs.map(({ run, workerId, incarnation }) => [run, workerId, incarnation] as const);
-  return [index, isDone, lastRun, failedRuns, checkpoint, rows];
+function encodeTask(task: TaskProgress): EncodedTask {
+  const { index, isDone, lastRun, failedRuns, checkpoint, workerCrashes, isQuarantined } = task;
+  const rows = task.runs.map(({ run, workerId, incarnation }) => [run, workerId, incarnation] as const);
+  const fields = [index, isDone, lastRun, failedRuns, checkpoint, rows] as const;
+  return workerCrashes > 0 || isQuarantined ? [...fields, workerCrashes, isQuarantined] : fields;
 }
 
-function decodeTask([index, isDone, lastRun, failedRuns, checkpoint, rows]: EncodedTask): TaskProgress {
+function decodeTask(encoded: EncodedTask): TaskProgress {
+  const [index, isDone, lastRun, failedRuns, checkpoint, rows] = encoded;
+  const [, , , , , , workerCrashes = 0, isQuarantined = false] = encoded;
   const runs = rows.map(([run, workerId, incarnation]) => ({ run, workerId, incarnation }));
-  return { index, isDone, lastRun, failedRuns, checkpoint, runs };
+  return { index, isDone, lastRun, failedRuns, workerCrashes, isQuarantined, checkpoint, runs };
 }
 
 function encodeProgress(progress: JobProgress): EncodedProgress {
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -1,7 +1,7 @@
 /** Test harness that dispatches events to the scheduler of one service and answers its calls of the store. */
 import { runSteps } from '@baobabdeck/types';
 import { PLAIN_STEP, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
-import type { ServiceRecord } from '../model/records.js';
+import type { ServiceRecord, StoredServiceRecord } from '../model/records.js';
 import type { WorkerListing, WorkerReport } from '../model/worker.js';
 import type { ServiceEffect } from '../service/effect.js';
 import type { ServiceEvent } from '../service/event.js';
@@ -82,6 +82,12 @@
   readonly cancel: (jobId: string) => readonly ServiceEffect[];
   /** Dispatches a report of a worker as of now; lists that are left out are empty. */
   readonly report: (workerId: string, lists: Partial<WorkerReport>) => readonly ServiceEffect[];
+  /** Returns the start orders that are not yet settled, and leaves their settlement to the caller. */
+  readonly takeStarts: () => readonly EffectOf<'start-run'>[];
+  /** Returns the stop orders since the last call. */
+  readonly takeStops: () => readonly EffectOf<'stop-run'>[];
+  /** Returns every record that was read or stored, oldest first, as a next owner reads them. */
+  readonly records: () => readonly StoredServiceRecord[];
   /** Lets workers confirm every start order that is not yet settled. */
   readonly confirmStarts: () => void;
 }
@@ -100,11 +106,14 @@
 
 const CLAIMED_AT = 1_000_000;
 
-export function createServiceHarness(): ServiceHarness {
+/** Creates a harness of a new owner that restores the given records. */
+export function createServiceHarness(restored: readonly StoredServiceRecord[] = []): ServiceHarness {
   let now = CLAIMED_AT;
-  let offset = 0;
+  let offset = restored.length;
+  let stored = restored;
   let listed: readonly WorkerListing[] = [];
   let started: readonly EffectOf<'start-run'>[] = [];
+  let stopped: readonly EffectOf<'stop-run'>[] = [];
   let { state } = restoreService({
     service: 'quotes',
     parameters: {
@@ -122,7 +131,7 @@
     timeOfDay: new Date(DAY),
     claimedAt: now,
     provenAt: now,
-    records: [],
+    records: restored,
   });
 
   const step = (body: Body): readonly ServiceEffect[] => {
@@ -132,25 +141,35 @@
     return result.effects;
   };
 
+  const keepRecords = (records: readonly ServiceRecord[]): readonly StoredServiceRecord[] => {
+    const added = records.map((record, index) => ({ offset: offset + index + 1, record }));
+    offset += added.length;
+    stored = [...stored, ...added];
+    return added;
+  };
+
   const dispatch = (body: Body): readonly ServiceEffect[] => {
     const effects = [...step(body)];
     // A stored batch may cause further appends; each is answered in turn.
     for (let index = 0; index < effects.length; index += 1) {
       const effect = effects[index];
       if (effect?.kind === 'store-records') {
+        keepRecords(effect.records);
         effects.push(...step({ kind: 'records-stored', appendId: effect.appendId, askedAt: now }));
       }
     }
     started = [...started, ...effectsOf(effects, 'start-run')];
+    stopped = [...stopped, ...effectsOf(effects, 'stop-run')];
     return effects;
   };
 
-  const readRecords = (records: readonly ServiceRecord[]): readonly ServiceEffect[] => {
-    const stored = records.map((record) => {
-      offset += 1;
-      return { offset, record };
-    });
-    return dispatch({ kind: 'records-read', records: stored, askedAt: now });
+  const readRecords = (records: readonly ServiceRecord[]): readonly ServiceEffect[] =>
+    dispatch({ kind: 'records-read', records: keepRecords(records), askedAt: now });
+
+  const takeStarts = (): readonly EffectOf<'start-run'>[] => {
+    const taken = started;
+    started = [];
+    return taken;
   };
 
   const report: ServiceHarness['report'] = (workerId, lists) =>
@@ -184,10 +203,15 @@
       readRecords(requests.map((request) => ({ kind: 'job-accepted' as const, request }))),
     cancel: (jobId) => readRecords([{ kind: 'job-cancelled', jobId }]),
     report,
+    takeStarts,
+    takeStops: () => {
+      const taken = stopped;
+      stopped = [];
+      return taken;
+    },
+    records: () => stored,
     confirmStarts: () => {
-      const confirmed = started;
-      started = [];
-      confirmed.forEach(({ address }) =>
+      takeStarts().forEach(({ address }) =>
         dispatch({
           kind: 'start-settled',
           address,
--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -16,8 +16,8 @@
   return drainState.kind === 'leaving' || listing.isDraining || isReleased;
 }
 
-/** Returns whether a worker may get new tasks now. */
-export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+/** Returns whether a worker may get new tasks now, were it not isolated. */
+export function mayTakeTasks(state: ServiceState, worker: WorkerState): boolean {
   return (
     worker.isListed &&
     worker.hasAcknowledgedEpoch &&
@@ -28,6 +28,11 @@
   );
 }
 
+/** Returns whether a worker may get new tasks now. Isolated workers get only the quarantined tasks that isolate them. */
+export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+  return !state.quarantine.workers.has(worker.listing.workerId) && mayTakeTasks(state, worker);
+}
+
 /** Returns the free capacity of a worker. */
 export function freeCapacityOf(worker: WorkerState): Resources {
   return subtractResources(worker.listing.capacity, worker.committed);
--- a/packages/scheduling/src/decide/place-tasks.ts
+++ b/packages/scheduling/src/decide/place-tasks.ts
@@ -4,7 +4,7 @@
 import type { ServiceStep } from '../service/effect.js';
 import { mayIssueOrders } from '../service/lease.js';
 import { runLogFields } from '../service/runs.js';
-import type { Run, ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
+import type { ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
 import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
 import { NO_PLACEMENT_CHANGES } from '../service/placement-changes.js';
 import type { WaitingKey } from '../service/waiting-queue.js';
@@ -27,6 +27,7 @@
   type EligibleWorkers,
 } from './eligible-workers.js';
 import { hasRequiredLabel } from './eligibility.js';
+import { newRun } from './new-run.js';
 import { updateService } from '../service/update.js';
 
 /** Waiting steps that one event may check against the capacity that it frees. */
@@ -90,22 +91,6 @@
   return best;
 }
 
-function newRun(state: ServiceState, chosen: WorkerState, runNumber: number): Omit<Run, 'placedInVersion'> {
-  const { workerId, incarnation } = chosen.listing;
-  return {
-    run: runNumber,
-    workerId,
-    incarnation,
-    phase: 'recording',
-    placedAt: state.now,
-    acknowledgedAt: null,
-    hasUnansweredStart: false,
-    sentAt: null,
-    startedAt: null,
-    speedPercent: 0,
-  };
-}
-
 /** Returns how long a task has waited since its step became ready or since its last run ended, whichever is later. */
 function waitedMilliseconds(state: ServiceState, key: TaskKey, step: StepState): number {
   const since = findTask(state, key)?.waitingSince ?? state.now;
@@ -122,7 +107,7 @@
 ): ServiceStep<ServiceState> {
   const freeMilliCores = freeMilliCoresOn(eligible, chosen);
   reserveCapacity(eligible, chosen, reservedResourcesOf(waiting.request));
-  const placed = addRun(state, key, newRun(state, chosen, runNumber));
+  const placed = addRun(state, key, newRun(state.now, chosen, runNumber));
   const run = findTask(placed, key)?.runs.at(-1);
   if (run === undefined) return state;
   yield {
@@ -150,7 +135,7 @@
   const counts = countRunsByWorker(waiting);
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
-    if (isTaskWaiting(task)) {
+    if (isTaskWaiting(task) && !task.isQuarantined) {
       const chosen = chooseWorker(waiting, task, eligible, counts);
       if (chosen === null) return next;
       incrementCount(counts, chosen);
@@ -182,7 +167,7 @@
   eligible: EligibleWorkers,
 ): ServiceStep<ServiceState> {
   const { tasks } = waiting.step;
-  if (tasks.some((task) => task.runs.length > 0)) return state;
+  if (tasks.some((task) => task.runs.length > 0 || task.isQuarantined)) return state;
   const chosenWorkers = chooseGangWorkers(waiting, eligible) ?? [];
   const runNumber = Math.max(...tasks.map((task) => task.lastRun)) + 1;
   let next = state;
--- /dev/null
+++ b/packages/scheduling/src/decide/quarantine.ts
@@ -0,0 +1,151 @@
+/** Runs quarantined tasks alone: on workers that are kept free of all other tasks for them. */
+import { Map as PersistentMap } from 'immutable';
+import type { ServiceStep } from '../service/effect.js';
+import { mayIssueOrders } from '../service/lease.js';
+import { updateQuarantine } from '../service/quarantine-state.js';
+import { runLogFields } from '../service/runs.js';
+import type { ServiceState } from '../service/state.js';
+import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
+import { updateService } from '../service/update.js';
+import { considerWorker } from '../service/worker-index.js';
+import { isolationCandidates, planIsolation, type IsolationCandidate } from './isolation-plan.js';
+import { newRun } from './new-run.js';
+import {
+  findSuspects,
+  keepSuspectedTasks,
+  orderWaitingSuspects,
+  type Suspect,
+  type WaitingSuspect,
+} from './quarantined-tasks.js';
+
+/** Largest share of the workers that quarantined tasks may keep from other waiting tasks. */
+const MAXIMUM_ISOLATED_SHARE = 1 / 4;
+
+/** Marks the quarantine to be looked at again, unless there is none. */
+export function markQuarantineStale(state: ServiceState): ServiceState {
+  const { quarantine } = state;
+  if (quarantine.isStale || (quarantine.tasks.isEmpty() && quarantine.workers.isEmpty())) return state;
+  return updateService(state, { quarantine: updateQuarantine(quarantine, { isStale: true }) });
+}
+
+/** Isolated workers while suspects are placed, with the limit on their number. */
+interface Isolation {
+  readonly candidates: readonly IsolationCandidate[];
+  /** Isolation id by worker id. */
+  readonly isolated: Map<string, string>;
+  readonly limit: number;
+  /** Whether other tasks wait for the workers, too. */
+  readonly isContended: boolean;
+}
+
+function occupiedWorkers(state: ServiceState, suspects: Iterable<Suspect>): Map<string, string> {
+  const occupied = new Map<string, string>();
+  for (const { isolationId, runs } of suspects) {
+    for (const { workerId, incarnation } of runs) {
+      const worker = state.workers.get(workerId);
+      const isOnWorker = worker?.listing.incarnation === incarnation && !worker.isTerminated;
+      if (isOnWorker) occupied.set(workerId, isolationId);
+    }
+  }
+  return occupied;
+}
+
+function countWaitingMembers(suspects: Iterable<Suspect>): number {
+  let count = 0;
+  for (const { step, members } of suspects) {
+    if (step.readySince !== null) count += members.filter(({ task }) => isTaskWaiting(task)).length;
+  }
+  return count;
+}
+
+function beginIsolation(
+  state: ServiceState,
+  suspects: ReadonlyMap<string, Suspect>,
+  waiting: readonly WaitingSuspect[],
+): Isolation {
+  const candidates = waiting.length === 0 ? [] : isolationCandidates(state);
+  return {
+    candidates,
+    isolated: occupiedWorkers(state, suspects.values()),
+    limit: Math.max(1, Math.floor(candidates.length * MAXIMUM_ISOLATED_SHARE)),
+    isContended: state.waiting.total.tasks > countWaitingMembers(suspects.values()),
+  };
+}
+
+function isFull({ candidates, isolated, limit, isContended }: Isolation): boolean {
+  return isolated.size >= (isContended ? limit : candidates.length);
+}
+
+/** Returns whether a suspect may isolate the chosen workers. Idle workers are free to take if nothing else waits. */
+function mayIsolate(
+  { isolated, limit, isContended }: Isolation,
+  chosen: readonly IsolationCandidate[],
+): boolean {
+  const added = new Set(chosen.map(({ worker }) => worker.listing.workerId)).size;
+  const isHarmless = !isContended && chosen.every(({ isAlone }) => isAlone);
+  return isHarmless || isolated.size === 0 || isolated.size + added <= limit;
+}
+
+function* startAlone(
+  state: ServiceState,
+  { members }: WaitingSuspect,
+  chosen: readonly IsolationCandidate[],
+): ServiceStep<ServiceState> {
+  const runNumber = Math.max(...members.map(({ task }) => task.lastRun)) + 1;
+  let next = state;
+  for (const [index, { key }] of members.entries()) {
+    const worker = chosen[index]?.worker;
+    if (worker !== undefined) {
+      next = addRun(next, key, newRun(state.now, worker, runNumber));
+      const run = findTask(next, key)?.runs.at(-1);
+      const fields = run === undefined ? {} : runLogFields(key, run);
+      yield { kind: 'log', decision: 'taskPlaced', fields: { ...fields, isQuarantined: true } };
+    }
+  }
+  return next;
+}
+
+/** Places a suspect if its workers run nothing else, or reserves them. A gang that has to wait holds up the others. */
+function* placeSuspects(
+  state: ServiceState,
+  waiting: readonly WaitingSuspect[],
+  isolation: Isolation,
+): ServiceStep<ServiceState> {
+  const { candidates, isolated } = isolation;
+  let next = state;
+  for (const suspect of waiting) {
+    if (isFull(isolation)) return next;
+    const free = candidates.filter(({ worker }) => !isolated.has(worker.listing.workerId));
+    const chosen = planIsolation(suspect, free);
+    const isAllowed = chosen !== null && mayIsolate(isolation, chosen);
+    if (isAllowed) {
+      for (const { worker } of chosen) isolated.set(worker.listing.workerId, suspect.isolationId);
+      if (chosen.every(({ isAlone }) => isAlone)) next = yield* startAlone(next, suspect, chosen);
+    }
+    if (chosen !== null && !isAllowed && suspect.request.isGang) return next;
+  }
+  return next;
+}
+
+function setIsolatedWorkers(state: ServiceState, isolated: ReadonlyMap<string, string>): ServiceState {
+  const released = [...state.quarantine.workers.keys()].filter((workerId) => !isolated.has(workerId));
+  const quarantine = updateQuarantine(state.quarantine, {
+    workers: PersistentMap(isolated),
+    tasks: keepSuspectedTasks(state),
+    isStale: false,
+  });
+  return released.reduce(considerWorker, updateService(state, { quarantine }));
+}
+
+/**
+ * Places quarantined tasks on workers that run nothing else, and reserves workers for those that find none. Reserved and
+ * occupied workers get no other task.
+ */
+export function* placeQuarantinedTasks(state: ServiceState): ServiceStep<ServiceState> {
+  if (!state.quarantine.isStale || !mayIssueOrders(state)) return state;
+  const suspects = findSuspects(state);
+  const waiting = orderWaitingSuspects(state, suspects);
+  const isolation = beginIsolation(state, suspects, waiting);
+  const placed = yield* placeSuspects(state, waiting, isolation);
+  return setIsolatedWorkers(placed, isolation.isolated);
+}
--- /dev/null
+++ b/packages/scheduling/src/decide/quarantined-tasks.ts
@@ -0,0 +1,86 @@
+/** Finds the quarantined tasks that run and those that wait for a worker of their own. */
+import type { StepRequest, TaskKey } from '../model/job.js';
+import { stepRequestOf } from '../model/step-needs.js';
+import { isolationIdOf } from '../service/quarantine-state.js';
+import type { Instant, JobState, Run, ServiceState, StepState, TaskState } from '../service/state.js';
+import { isTaskWaiting } from '../service/tasks.js';
+
+interface Member {
+  readonly key: TaskKey;
+  readonly task: TaskState;
+}
+
+/** Tasks that are isolated together: one quarantined task, or a gang of which at least one member is quarantined. */
+export interface Suspect {
+  readonly isolationId: string;
+  readonly request: StepRequest;
+  readonly step: StepState;
+  readonly members: readonly Member[];
+  readonly runs: readonly Run[];
+}
+
+/** Tasks that wait for workers of their own. */
+export interface WaitingSuspect extends Suspect {
+  readonly waitingSince: Instant;
+}
+
+/** Returns whether a task is still to be isolated. */
+function isSuspected(job: JobState | undefined, task: TaskState | undefined): boolean {
+  return job?.phase === 'active' && task !== undefined && !task.isDone && task.isQuarantined;
+}
+
+function suspectOf(state: ServiceState, key: TaskKey): Suspect | null {
+  const job = state.jobs.get(key.jobId);
+  const step = job?.occurrences.get(key.occurrence)?.steps[key.step];
+  const task = step?.tasks[key.index];
+  if (job === undefined || step === undefined || task === undefined || !isSuspected(job, task)) return null;
+  const request = stepRequestOf(job.request, key.step);
+  const members = request.isGang
+    ? step.tasks.map((member, index) => ({ key: { ...key, index }, task: member }))
+    : [{ key, task }];
+  return {
+    isolationId: isolationIdOf(key, request.isGang),
+    request,
+    step,
+    members,
+    runs: members.flatMap((member) => member.task.runs),
+  };
+}
+
+/** Returns the tasks that are still to be isolated, by isolation id. */
+export function findSuspects(state: ServiceState): ReadonlyMap<string, Suspect> {
+  const suspects = [...state.quarantine.tasks.values()].flatMap((key) => suspectOf(state, key) ?? []);
+  return new Map(suspects.map((suspect) => [suspect.isolationId, suspect]));
+}
+
+function hasPendingVerdict({ quarantine }: ServiceState, { members }: Suspect): boolean {
+  const memberIds = new Set(members.map(({ key }) => isolationIdOf(key, false)));
+  return [...quarantine.verdicts.keys()].some((taskId) => memberIds.has(taskId));
+}
+
+/** Returns the suspects that may start once they have workers: lasting tasks first, then the longest waiting. */
+export function orderWaitingSuspects(
+  state: ServiceState,
+  suspects: ReadonlyMap<string, Suspect>,
+): readonly WaitingSuspect[] {
+  const mayWait = (suspect: Suspect): boolean =>
+    suspect.step.readySince !== null &&
+    suspect.members.every(({ task }) => isTaskWaiting(task)) &&
+    !hasPendingVerdict(state, suspect);
+  return [...suspects.values()]
+    .filter(mayWait)
+    .map((suspect) => ({
+      ...suspect,
+      waitingSince: Math.min(...suspect.members.map(({ task }) => task.waitingSince)),
+    }))
+    .sort(
+      (left, right) =>
+        Number(right.request.isLasting) - Number(left.request.isLasting) ||
+        left.waitingSince - right.waitingSince,
+    );
+}
+
+/** Returns the keys of the quarantined tasks that are still to be isolated, by task id. */
+export function keepSuspectedTasks(state: ServiceState): ServiceState['quarantine']['tasks'] {
+  return state.quarantine.tasks.filter((key) => suspectOf(state, key) !== null);
+}
--- a/packages/scheduling/src/invariants/check-start.ts
+++ b/packages/scheduling/src/invariants/check-start.ts
@@ -1,7 +1,9 @@
 /** Checks the invariants that hold whenever a task is started; docs/INVARIANTS.md gives the reason for each. */
 import { isLeaving } from '../decide/eligibility.js';
-import type { StepRequest, TaskKey } from '../model/job.js';
-import type { JobState, Run, ServiceState, StepState } from '../service/state.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
+import { isolationIdOfTask, runsBeside } from '../service/crash-evidence.js';
+import type { JobState, Run, ServiceState, StepState, WorkerState } from '../service/state.js';
+import { findTask } from '../service/tasks.js';
 import { stepRequestOf } from '../model/step-needs.js';
 
 /** Names of the invariants on starts. */
@@ -10,6 +12,8 @@
   | 'starts-once'
   | 'starts-after-earlier-steps'
   | 'starts-within-attempts'
+  | 'starts-within-worker-crashes'
+  | 'quarantined-task-runs-alone'
   | 'leaving-worker-gets-no-task';
 
 /** A violation of an invariant by a start. */
@@ -18,6 +22,9 @@
   readonly detail: string;
 }
 
+/** Number of counted crashes after which a task is not started any more. */
+const MAXIMUM_WORKER_CRASHES = 4;
+
 function isStepDone(steps: readonly StepState[], step: number): boolean {
   const earlier = steps[step];
   return earlier !== undefined && earlier.tasks.every((task) => task.isDone);
@@ -45,6 +52,25 @@
   if (!request.isLasting && task.failedRuns >= job.request.maximumFailedRuns) {
     yield { invariant: 'starts-within-attempts', detail: `${task.failedRuns} runs have failed` };
   }
+  if (task.workerCrashes > MAXIMUM_WORKER_CRASHES) {
+    const detail = `${task.workerCrashes} workers have crashed under the task`;
+    yield { invariant: 'starts-within-worker-crashes', detail };
+  }
+}
+
+/** Yields a violation if a quarantined task would run beside another task. */
+function* findIsolationViolations(
+  state: ServiceState,
+  key: TaskKey,
+  worker: WorkerState,
+): Generator<StartViolation, void, void> {
+  if (state.quarantine.tasks.isEmpty()) return;
+  const isQuarantined = findTask(state, key)?.isQuarantined === true;
+  for (const [other] of runsBeside(state, worker, isolationIdOfTask(state, key))) {
+    if (isQuarantined || findTask(state, other)?.isQuarantined === true) {
+      yield { invariant: 'quarantined-task-runs-alone', detail: `beside ${taskIdOf(other)}` };
+    }
+  }
 }
 
 /** Yields every invariant that the start of a run violates; empty if the run may start. */
@@ -61,7 +87,9 @@
   }
   yield* findTaskViolations(job, stepRequestOf(job.request, key.step), steps, key, run);
   const worker = state.workers.get(run.workerId);
-  if (worker !== undefined && isLeaving(state, worker)) {
+  if (worker === undefined) return;
+  if (isLeaving(state, worker)) {
     yield { invariant: 'leaving-worker-gets-no-task', detail: `worker ${run.workerId} is leaving` };
   }
+  yield* findIsolationViolations(state, key, worker);
 }
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -14,6 +14,10 @@
   readonly isDone: boolean;
   readonly lastRun: number;
   readonly failedRuns: number;
+  /** Number of workers that crashed under the task and may have been crashed by it. */
+  readonly workerCrashes: number;
+  /** Whether the task runs alone on a worker, since it may crash its workers. */
+  readonly isQuarantined: boolean;
   /** The newest checkpoint; empty for none. */
   readonly checkpoint: string;
   readonly runs: readonly RecordedRun[];
--- /dev/null
+++ b/packages/scheduling/src/service/crash-evidence.ts
@@ -0,0 +1,116 @@
+/** Records crashes of workers as evidence against the tasks that ran on them. */
+import { isLeaving } from '../decide/eligibility.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
+import {
+  CRASH_RETENTION_MILLISECONDS,
+  SURVIVAL_MILLISECONDS,
+  isolationIdOf,
+  updateQuarantine,
+  type CrashEvidence,
+  type WorkerCrash,
+} from './quarantine-state.js';
+import type { Run, ServiceState, WorkerState } from './state.js';
+import { changeRun, runsOnWorker } from './tasks.js';
+import { updateRun, updateService } from './update.js';
+
+type RunOfTask = readonly [key: TaskKey, run: Run];
+
+/** Returns whether a run was at work for `SURVIVAL_MILLISECONDS` by the last report of its worker. */
+export function hasSurvived({ lastReportAt }: WorkerState, { startedAt }: Run): boolean {
+  return startedAt !== null && lastReportAt !== null && lastReportAt - startedAt >= SURVIVAL_MILLISECONDS;
+}
+
+function requestOf(state: ServiceState, key: TaskKey): StepRequest | null {
+  return state.jobs.get(key.jobId)?.request.steps[key.step] ?? null;
+}
+
+/** Returns the id under which a task shares isolated workers. */
+export function isolationIdOfTask(state: ServiceState, key: TaskKey): string {
+  return isolationIdOf(key, requestOf(state, key)?.isGang ?? false);
+}
+
+/** Returns whether a run belongs to a lasting task and has been at work for too long to be suspected of a crash. */
+export function isProvenLastingRun(state: ServiceState, worker: WorkerState, [key, run]: RunOfTask): boolean {
+  return requestOf(state, key)?.isLasting === true && hasSurvived(worker, run);
+}
+
+/** Returns the runs that neither share an isolation id nor belong to proven lasting tasks. */
+export function runsBeside(
+  state: ServiceState,
+  worker: WorkerState,
+  isolationId: string,
+): readonly RunOfTask[] {
+  if (worker.tasks.isEmpty()) return [];
+  return [...runsOnWorker(state, worker)].filter(
+    (entry) =>
+      isolationIdOfTask(state, entry[0]) !== isolationId && !isProvenLastingRun(state, worker, entry),
+  );
+}
+
+function evidenceAgainst(
+  state: ServiceState,
+  worker: WorkerState,
+  [key, run]: RunOfTask,
+  crashId: string,
+  earlierOnHost: readonly WorkerCrash[],
+): CrashEvidence {
+  const beside = runsBeside(state, worker, isolationIdOfTask(state, key));
+  return {
+    crashId,
+    isConfirmed: run.startedAt !== null,
+    isYoung: !hasSurvived(worker, run),
+    wasAlone: beside.every(([, other]) => other.phase === 'recording'),
+    isHostClean: earlierOnHost.every((crash) => crash.taskIds.has(taskIdOf(key))),
+  };
+}
+
+/** Forgets crashes older than `CRASH_RETENTION_MILLISECONDS`. */
+export function forgetOldCrashes(state: ServiceState): ServiceState {
+  const { quarantine } = state;
+  if (quarantine.crashes.isEmpty()) return state;
+  const from = state.now - CRASH_RETENTION_MILLISECONDS;
+  const crashes = quarantine.crashes.filter(({ at }) => at > from);
+  if (crashes.size === quarantine.crashes.size) return state;
+  return updateService(state, { quarantine: updateQuarantine(quarantine, { crashes }) });
+}
+
+function crashOfWorker(
+  state: ServiceState,
+  { listing }: WorkerState,
+  ordered: readonly RunOfTask[],
+): WorkerCrash {
+  const { workerId, incarnation, hostId, rack, dataCentre } = listing;
+  return {
+    crashId: `${workerId}/${incarnation}`,
+    at: state.now,
+    workerId,
+    hostId,
+    rack,
+    dataCentre,
+    taskIds: new Set(ordered.map(([key]) => taskIdOf(key))),
+    counted: [],
+    isExcused: false,
+  };
+}
+
+/**
+ * Records that an incarnation of a worker has ended by itself, as evidence against each task that it was told to start.
+ * The end of a worker that shuts down or is being released is planned, and no evidence.
+ */
+export function recordWorkerCrash(state: ServiceState, worker: WorkerState): ServiceState {
+  if (worker.isTerminated || isLeaving(state, worker)) return state;
+  const ordered = [...runsOnWorker(state, worker)].filter(([, run]) => run.phase !== 'recording');
+  const crash = crashOfWorker(state, worker, ordered);
+  const earlierOnHost = [...state.quarantine.crashes.values()].filter(
+    ({ hostId }) => hostId === crash.hostId,
+  );
+  let next = state;
+  for (const entry of ordered) {
+    const evidence = evidenceAgainst(state, worker, entry, crash.crashId, earlierOnHost);
+    next = changeRun(next, ...entry, (run) => updateRun(run, { crash: evidence }));
+  }
+  const crashes = next.quarantine.crashes.set(crash.crashId, crash);
+  return updateService(next, {
+    quarantine: updateQuarantine(next.quarantine, { crashes, hasNewCrash: true }),
+  });
+}
--- /dev/null
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -0,0 +1,111 @@
+/** Gives up jobs with a task that crashes each worker that starts it, and clears tasks that have shown to be sound. */
+import { taskIdOf, type TaskKey } from '../model/job.js';
+import { forgetOldCrashes, hasSurvived } from './crash-evidence.js';
+import type { ServiceStep } from './effect.js';
+import { endJob } from './jobs.js';
+import { excuseMassEnds, MASS_END_MILLISECONDS } from './mass-ends.js';
+import { QUARANTINE_CRASHES, updateQuarantine, type PendingVerdict } from './quarantine-state.js';
+import type { ServiceState } from './state.js';
+import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
+import { updateService, updateTask } from './update.js';
+
+/** Crashes after which a task that ran alone is given up, by how far the last crash can have another cause. */
+const LIMIT_WITHOUT_OTHER_CAUSE = 2;
+const LIMIT_WITH_OTHER_CAUSE = 3;
+/** Limit if the run had been at work for long, or the crash had no witness. */
+const LIMIT_OF_WEAK_EVIDENCE = 4;
+
+function hasCrashNearby(state: ServiceState, { key, evidence, crashedAt }: PendingVerdict): boolean {
+  const { crashes } = state.quarantine;
+  const rack = evidence.crashId === null ? null : crashes.get(evidence.crashId)?.rack;
+  return [...crashes.values()].some(
+    (crash) =>
+      crash.rack === rack &&
+      Math.abs(crash.at - crashedAt) <= MASS_END_MILLISECONDS &&
+      !crash.taskIds.has(taskIdOf(key)),
+  );
+}
+
+function limitOf(state: ServiceState, verdict: PendingVerdict): number {
+  const { evidence } = verdict;
+  if (evidence.crashId === null || !evidence.isYoung) return LIMIT_OF_WEAK_EVIDENCE;
+  const hasOtherCause = !evidence.isConfirmed || !evidence.isHostClean || hasCrashNearby(state, verdict);
+  return hasOtherCause ? LIMIT_WITH_OTHER_CAUSE : LIMIT_WITHOUT_OTHER_CAUSE;
+}
+
+function isExcused(state: ServiceState, { evidence }: PendingVerdict): boolean {
+  if (evidence.crashId === null) return false;
+  return state.quarantine.crashes.get(evidence.crashId)?.isExcused ?? false;
+}
+
+function* decide(state: ServiceState, taskId: string, verdict: PendingVerdict): ServiceStep<ServiceState> {
+  const { key } = verdict;
+  const decided = updateService(state, {
+    quarantine: updateQuarantine(state.quarantine, {
+      verdicts: state.quarantine.verdicts.remove(taskId),
+      isStale: true,
+    }),
+  });
+  const crashes = findTask(state, key)?.workerCrashes ?? 0;
+  if (isExcused(state, verdict) || crashes < limitOf(state, verdict)) return decided;
+  return yield* endJob(decided, key.jobId, 'failed', `${crashes} workers crashed under a task`);
+}
+
+function* decideDueVerdicts(state: ServiceState): ServiceStep<ServiceState> {
+  if (state.quarantine.verdicts.isEmpty()) return state;
+  let next = state;
+  for (const [taskId, verdict] of state.quarantine.verdicts) {
+    const isDue = state.now - verdict.crashedAt >= MASS_END_MILLISECONDS;
+    if (isDue) next = yield* decide(next, taskId, verdict);
+  }
+  return next;
+}
+
+function* logQuarantinedTasks(state: ServiceState): ServiceStep<ServiceState> {
+  const { unloggedTaskIds, tasks } = state.quarantine;
+  if (unloggedTaskIds.isEmpty()) return state;
+  for (const taskId of unloggedTaskIds) {
+    const key = tasks.get(taskId);
+    const task = key === undefined ? null : findTask(state, key);
+    if (key !== undefined && task !== null) {
+      const { workerCrashes, lastRun } = task;
+      const fields = { jobId: key.jobId, task: taskId, run: lastRun, workerCrashes };
+      yield { kind: 'log', decision: 'taskQuarantined', fields };
+    }
+  }
+  return updateService(state, {
+    quarantine: updateQuarantine(state.quarantine, { unloggedTaskIds: unloggedTaskIds.clear() }),
+  });
+}
+
+/** Applies the crashes of an event: excuses mass ends, logs quarantined tasks and gives up jobs. */
+export function* settleWorkerCrashes(state: ServiceState): ServiceStep<ServiceState> {
+  const excused = excuseMassEnds(forgetOldCrashes(state));
+  return yield* decideDueVerdicts(yield* logQuarantinedTasks(excused));
+}
+
+/** Ends the quarantine of a task that has been at work. A lasting task also loses its count: it runs for hours. */
+function clearTask(state: ServiceState, key: TaskKey, isLasting: boolean): ServiceState {
+  const changed = changeTask(state, key, (task) =>
+    updateTask(task, { isQuarantined: false, workerCrashes: isLasting ? 0 : task.workerCrashes }),
+  );
+  const job = changed.jobs.get(key.jobId);
+  const marked = job === undefined ? changed : markJobChanged(changed, job);
+  return updateService(marked, { quarantine: updateQuarantine(marked.quarantine, { isStale: true }) });
+}
+
+/** Ends the quarantine of the tasks on a worker that have been at work for long enough by its newest report. */
+export function clearSurvivors(state: ServiceState, workerId: string): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined || !state.quarantine.workers.has(workerId)) return state;
+  let next = state;
+  for (const [key, run] of runsOnWorker(state, worker)) {
+    const task = findTask(next, key);
+    const isLasting = next.jobs.get(key.jobId)?.request.steps[key.step]?.isLasting ?? false;
+    const isCleared = isLasting || (task?.workerCrashes ?? 0) < QUARANTINE_CRASHES;
+    if (task?.isQuarantined === true && isCleared && run.phase === 'running' && hasSurvived(worker, run)) {
+      next = clearTask(next, key, isLasting);
+    }
+  }
+  return next;
+}
--- a/packages/scheduling/src/service/effect.ts
+++ b/packages/scheduling/src/service/effect.ts
@@ -10,6 +10,7 @@
   | 'taskPlaced'
   | 'taskEnded'
   | 'taskStartRefused'
+  | 'taskQuarantined'
   | 'taskStopOrdered'
   | 'strayRunStopped'
   | 'workerFound'
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -22,6 +22,8 @@
     checkpoint: '',
     waitingSince: now,
     avoidedWorkers: [],
+    workerCrashes: 0,
+    isQuarantined: false,
   };
 }
 
--- a/packages/scheduling/src/service/lost-runs.ts
+++ b/packages/scheduling/src/service/lost-runs.ts
@@ -1,13 +1,15 @@
 /** Drops runs on workers whose incarnation has ended or whose leases have certainly expired. */
 import type { TaskKey } from '../model/job.js';
 import type { HostListing } from '../model/worker.js';
+import { recordWorkerCrash } from './crash-evidence.js';
 import type { ServiceStep } from './effect.js';
 import { haveAllLeasesExpired } from './lease.js';
+import { UNWITNESSED_CRASH } from './quarantine-state.js';
 import { runLogFields } from './runs.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
 import { orphanRuns, removeRun, runsOnWorker } from './tasks.js';
 import { setWorker } from './worker-index.js';
-import { updateWorker } from './update.js';
+import { updateRun, updateWorker } from './update.js';
 
 /** Time within which an unanswered order may still be executed. */
 export const DELAYED_ORDER_MILLISECONDS = 13_000;
@@ -60,13 +62,15 @@
   state: ServiceState,
   workerId: string,
   reason: string,
+  isPlanned: boolean,
 ): ServiceStep<ServiceState> {
   const worker = state.workers.get(workerId);
   if (worker === undefined) return state;
   const { hostId, incarnation } = worker.listing;
   yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
-  const terminated = setWorker(state, updateWorker(worker, { isTerminated: true }));
-  const ended = [...runsOnWorker(state, worker)].filter(([, run]) => !mayStillStart(run));
+  const recorded = isPlanned ? state : recordWorkerCrash(state, worker);
+  const terminated = setWorker(recorded, updateWorker(worker, { isTerminated: true }));
+  const ended = [...runsOnWorker(terminated, worker)].filter(([, run]) => !mayStillStart(run));
   return yield* dropRuns(terminated, ended, reason);
 }
 
@@ -103,18 +107,34 @@
   return next;
 }
 
-/** Drops the orphan runs on the workers for which `isExpired` returns true. */
-export function* dropOrphanRuns(
+function findOrphans(
   state: ServiceState,
   isExpired: (workerId: string) => boolean,
-  reason: string,
-): ServiceStep<ServiceState> {
-  const expired = orphanRuns(
+): readonly (readonly [key: TaskKey, run: Run])[] {
+  return orphanRuns(
     state,
     ({ workerId, incarnation }) =>
       state.workers.get(workerId)?.listing.incarnation !== incarnation && isExpired(workerId),
   );
-  return yield* dropRuns(state, expired, reason);
+}
+
+/** Drops the orphan runs on the workers that no host runs any more. They ended while nobody knew their workers. */
+export function* dropOrphansOfEndedWorkers(
+  state: ServiceState,
+  isAlive: (workerId: string) => boolean,
+): ServiceStep<ServiceState> {
+  const ended = findOrphans(state, (workerId) => !isAlive(workerId));
+  const witnessed = ended.map(([key, run]) => [key, updateRun(run, { crash: UNWITNESSED_CRASH })] as const);
+  return yield* dropRuns(state, witnessed, 'its host no longer runs it');
+}
+
+/** Drops the orphan runs on the workers for which `isExpired` returns true. */
+function* dropOrphanRuns(
+  state: ServiceState,
+  isExpired: (workerId: string) => boolean,
+  reason: string,
+): ServiceStep<ServiceState> {
+  return yield* dropRuns(state, findOrphans(state, isExpired), reason);
 }
 
 /** Drops runs on workers that do not answer and whose leases have certainly expired. */
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -25,6 +25,8 @@
     isDone: task.isDone,
     lastRun: task.lastRun,
     failedRuns: task.failedRuns,
+    workerCrashes: task.workerCrashes,
+    isQuarantined: task.isQuarantined && !task.isDone,
     checkpoint: task.isDone ? '' : task.checkpoint,
     runs: task.runs.map(({ run, workerId, incarnation }) => ({ run, workerId, incarnation })),
   };
--- /dev/null
+++ b/packages/scheduling/src/service/quarantine-state.ts
@@ -0,0 +1,120 @@
+/** State of the search for tasks that crash their workers: recent crashes, suspected tasks and isolated workers. */
+import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
+import type { TaskKey } from '../model/job.js';
+import type { Instant } from './state.js';
+
+/** Time at work, by the reports of its worker, after which a run has shown that its start crashes no worker. */
+export const SURVIVAL_MILLISECONDS = 2_000;
+
+/** Number of crashes from which on a task is quarantined however long its runs were at work. */
+export const QUARANTINE_CRASHES = 2;
+
+/** Time for which a crash is remembered. */
+export const CRASH_RETENTION_MILLISECONDS = 30_000;
+
+/** What the crash of a worker says of one run on it. */
+export interface CrashEvidence {
+  /** The crash; null if the worker ended while the service had no owner that knew it. */
+  readonly crashId: string | null;
+  /** Whether the worker was known to have started the run. */
+  readonly isConfirmed: boolean;
+  /** Whether the run was not known to have been at work for `SURVIVAL_MILLISECONDS`. */
+  readonly isYoung: boolean;
+  /** Whether no other task can have crashed the worker. */
+  readonly wasAlone: boolean;
+  /** Whether no other worker of the host has crashed recently under other tasks. */
+  readonly isHostClean: boolean;
+}
+
+/** Evidence against a run whose worker ended while the service had no owner that knew the worker. */
+export const UNWITNESSED_CRASH: CrashEvidence = {
+  crashId: null,
+  isConfirmed: true,
+  isYoung: false,
+  wasAlone: false,
+  isHostClean: false,
+};
+
+/** Effect of a crash on one task, so that it can be undone. */
+export interface CountedTask {
+  readonly key: TaskKey;
+  readonly count: number;
+  readonly causedQuarantine: boolean;
+}
+
+/** Crash of one incarnation of a worker. */
+export interface WorkerCrash {
+  readonly crashId: string;
+  readonly at: Instant;
+  readonly workerId: string;
+  readonly hostId: string;
+  readonly rack: string;
+  readonly dataCentre: string;
+  /** Ids of the tasks that the worker ran; empty if it was idle. */
+  readonly taskIds: ReadonlySet<string>;
+  readonly counted: readonly CountedTask[];
+  /** Whether the crash is part of a mass end, which is evidence against no task. */
+  readonly isExcused: boolean;
+}
+
+/** A task that may be given up once it is known whether the crash is part of a mass end. */
+export interface PendingVerdict {
+  readonly key: TaskKey;
+  readonly evidence: CrashEvidence;
+  readonly crashedAt: Instant;
+}
+
+/** State of the search for tasks that crash their workers. */
+export interface QuarantineState {
+  /** Crashes within `CRASH_RETENTION_MILLISECONDS`, by crash id. */
+  readonly crashes: PersistentMap<string, WorkerCrash>;
+  /** Whether a crash was recorded since mass ends were last searched for. */
+  readonly hasNewCrash: boolean;
+  /** When the newest mass end was detected; null for none. */
+  readonly massEndAt: Instant | null;
+  /** Quarantined tasks, by task id. */
+  readonly tasks: PersistentMap<string, TaskKey>;
+  /** Quarantined tasks whose quarantine is not logged yet. */
+  readonly unloggedTaskIds: PersistentSet<string>;
+  /** Workers that quarantined tasks occupy or that are reserved for some: the id of these tasks by worker id. */
+  readonly workers: PersistentMap<string, string>;
+  /** Whether a change since the last placement may let a quarantined task start or release a worker. */
+  readonly isStale: boolean;
+  readonly verdicts: PersistentMap<string, PendingVerdict>;
+}
+
+/** State without any crash. */
+export const EMPTY_QUARANTINE: QuarantineState = {
+  crashes: PersistentMap(),
+  hasNewCrash: false,
+  massEndAt: null,
+  tasks: PersistentMap(),
+  unloggedTaskIds: PersistentSet(),
+  workers: PersistentMap(),
+  isStale: false,
+  verdicts: PersistentMap(),
+};
+
+/** Returns a copy of the state with some fields changed. */
+export function updateQuarantine(
+  quarantine: QuarantineState,
+  changes: Partial<QuarantineState>,
+): QuarantineState {
+  return {
+    crashes: quarantine.crashes,
+    hasNewCrash: quarantine.hasNewCrash,
+    massEndAt: quarantine.massEndAt,
+    tasks: quarantine.tasks,
+    unloggedTaskIds: quarantine.unloggedTaskIds,
+    workers: quarantine.workers,
+    isStale: quarantine.isStale,
+    verdicts: quarantine.verdicts,
+    ...changes,
+  };
+}
+
+/** Returns the id under which tasks share isolated workers: members of a gang share them, other tasks do not. */
+export function isolationIdOf({ jobId, occurrence, step, index }: TaskKey, isGang: boolean): string {
+  const stepId = `${jobId}/${occurrence}/${step}`;
+  return isGang ? stepId : `${stepId}/${index}`;
+}
--- a/packages/scheduling/src/service/queue-statistics.ts
+++ b/packages/scheduling/src/service/queue-statistics.ts
@@ -11,6 +11,8 @@
   readonly recordingTasks: number;
   /** Jobs with changes that are in no append yet. */
   readonly jobsToRecord: number;
+  /** Tasks that run alone since they may crash their workers. */
+  readonly quarantinedTasks: number;
   readonly workers: number;
   readonly silentWorkers: number;
   /** Workers with a renewal in flight or delayed. */
@@ -41,6 +43,7 @@
     waitingTasks: state.waiting.total.tasks,
     recordingTasks: countRecordingTasks(state),
     jobsToRecord: state.dirtyJobIds.size,
+    quarantinedTasks: state.quarantine.tasks.size,
     workers: state.workers.size,
     silentWorkers: state.workers.count(({ silentSince }) => silentSince !== null),
     renewalsUnderWay: state.workers.count(({ reportPending }) => reportPending),
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -4,9 +4,11 @@
 import { stopIncompleteGangs } from '../decide/gang.js';
 import { ejectUnhealthyWorkers } from '../decide/health.js';
 import { placeWaitingTasks } from '../decide/place-tasks.js';
+import { markQuarantineStale, placeQuarantinedTasks } from '../decide/quarantine.js';
 import type { ServiceStep } from './effect.js';
 import type { ServiceEvent } from './event.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
+import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
 import { considerEveryWorker } from './placement-changes.js';
@@ -120,7 +122,8 @@
   next = yield* stopObsoleteRuns(next);
   next = yield* ejectUnhealthyWorkers(next);
   next = beginDueJobs(yield* drainLeavingWorkers(next));
-  return considerCooledDownWorkers(yield* forgetJobs(next), before.ticks.lastAt);
+  const remembered = markQuarantineStale(yield* forgetJobs(next));
+  return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
 
 function* handle(state: ServiceState, event: ServiceEvent): ServiceStep<ServiceState> {
@@ -167,7 +170,7 @@
   const handled = yield* handle(updateService(before, { now, timeOfDay: event.timeOfDay }), event);
   if (handled.restartedWorkerId !== null) return yield* renewClaim(handled);
   if (handled.isSuperseded) return handled;
-  const withoutBrokenGangs = yield* stopIncompleteGangs(handled);
-  const placed = yield* placeWaitingTasks(withoutBrokenGangs);
+  const settled = yield* settleWorkerCrashes(yield* stopIncompleteGangs(handled));
+  const placed = yield* placeWaitingTasks(yield* placeQuarantinedTasks(settled));
   return yield* flushOutbox(placed);
 }
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -1,6 +1,7 @@
 /** Applies the reports of workers: running runs, ended runs and missing answers. */
 import { taskIdOf } from '../model/job.js';
 import type { EndedReport, RunningReport, WorkerReport } from '../model/worker.js';
+import { clearSurvivors } from './crash-verdicts.js';
 import type { ServiceStep } from './effect.js';
 import { handleRunEnd } from './run-ends.js';
 import type { ServiceEventOf } from './event.js';
@@ -142,10 +143,11 @@
   );
   const ended = yield* processEnds(withClock, workerId, report.incarnation, report.ended);
   const running = yield* processRunning(ended, workerId, report, askedAt);
-  const reported = running.workers.get(workerId);
+  const cleared = clearSurvivors(running, workerId);
+  const reported = cleared.workers.get(workerId);
   // A worker answers at once while it holds run ends that it may not discard. Renewal resumes once they are stored.
   const hasUnstoredEnds = reported !== undefined && reported.processedEnd > reported.storedEnd;
-  return hasUnstoredEnds ? running : yield* renewLease(running, workerId, 0);
+  return hasUnstoredEnds ? cleared : yield* renewLease(cleared, workerId, 0);
 }
 
 /** Handles a report of another incarnation than the known one, which is newer or which the register has replaced. */
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -6,6 +6,7 @@
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
 import { NO_PLACEMENT_CHANGES } from './placement-changes.js';
+import { EMPTY_QUARANTINE, updateQuarantine, type QuarantineState } from './quarantine-state.js';
 import { allTasks, isTaskWaiting } from './tasks.js';
 import { EMPTY_WAITING_QUEUE } from './waiting-queue.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
@@ -63,6 +64,7 @@
     unansweredStarts: PersistentMap(),
     restartedWorkerId: null,
     isStopping: false,
+    quarantine: EMPTY_QUARANTINE,
   };
 }
 
@@ -77,6 +79,7 @@
     sentAt: null,
     startedAt: null,
     speedPercent: 0,
+    crash: null,
   };
 }
 
@@ -85,6 +88,8 @@
     isDone: progress.isDone,
     lastRun: progress.lastRun,
     failedRuns: progress.failedRuns,
+    workerCrashes: progress.workerCrashes,
+    isQuarantined: progress.isQuarantined,
     checkpoint: progress.checkpoint,
     runs: progress.runs.map((run) => restoreRun(run, now)),
   });
@@ -169,6 +174,14 @@
   return { requests, progress, cancelled, released };
 }
 
+function restoreQuarantine(state: ServiceState): QuarantineState {
+  const quarantined = [...allTasks(state)].filter(([, task]) => task.isQuarantined && !task.isDone);
+  return updateQuarantine(EMPTY_QUARANTINE, {
+    tasks: PersistentMap(quarantined.map(([key]) => [taskIdOf(key), key])),
+    isStale: quarantined.length > 0,
+  });
+}
+
 /** Builds the state of a new owner. The caller still has to apply the returned cancellations. */
 export function restoreService(input: RestoreInput): {
   readonly state: ServiceState;
@@ -190,6 +203,7 @@
       obsoleteRunJobIds: PersistentSet(keysWithRuns.map(({ jobId }) => jobId)),
       brokenGangJobIds: PersistentSet(jobIdsOf(restored.filter((job) => job.hasGang))),
       endedJobIds: PersistentOrderedSet(jobIdsOf(restored.filter((job) => job.endedAt !== null))),
+      quarantine: restoreQuarantine(state),
     },
     cancelledJobIds: [...cancelled],
   };
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -8,7 +8,7 @@
 import { setJob } from './job-index.js';
 import { setWorker } from './worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
-import { updateJob, updateService, updateStep, updateTask, updateWorker } from './update.js';
+import { updateJob, updateRun, updateService, updateStep, updateTask, updateWorker } from './update.js';
 
 function keepCheckpoint(task: TaskState, checkpoint: string): TaskState {
   return checkpoint === '' ? task : updateTask(task, { checkpoint });
@@ -109,14 +109,20 @@
   return tasks.reduce((sum, task) => sum + task.failedRuns, 0);
 }
 
+/** Returns the run without evidence of a crash if its end shows that the worker did not crash under it. */
+function withoutDisprovedCrash(run: Run, end: RunEnd): Run {
+  return run.crash !== null && (end === 'done' || end === 'failed') ? updateRun(run, { crash: null }) : run;
+}
+
 /** Applies the end of a run. */
 export function* handleRunEnd(
   state: ServiceState,
   key: TaskKey,
-  run: Run,
+  ended: Run,
   end: RunEnd,
   checkpoint: string,
 ): ServiceStep<ServiceState> {
+  const run = withoutDisprovedCrash(ended, end);
   yield { kind: 'log', decision: 'taskEnded', fields: { ...runLogFields(key, run), end } };
   const started = markJobStarted(state, key.jobId);
   if (findTask(started, key)?.isDone === true) return yield* handleLateEnd(removeRun(started, key, run), key);
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/service/state.ts
@@ -10,6 +10,7 @@
 import type { WorkerListing } from '../model/worker.js';
 import type { Arrival } from './demand.js';
 import type { SchedulingParameters } from './parameters.js';
+import type { CrashEvidence, QuarantineState } from './quarantine-state.js';
 import type { WaitingKey, WaitingQueue } from './waiting-queue.js';
 
 /** Milliseconds on the monotonic clock of the process. */
@@ -44,6 +45,8 @@
   readonly startedAt: Instant | null;
   /** Speed that the worker last reported, in percent of full speed. */
   readonly speedPercent: number;
+  /** Crash of a worker that may have run it; it counts unless the run ends by itself on the next incarnation. */
+  readonly crash: CrashEvidence | null;
 }
 
 /** State of one task of a step. */
@@ -61,6 +64,10 @@
   readonly waitingSince: Instant;
   /** Workers on which a run failed or was refused, newest last. */
   readonly avoidedWorkers: readonly string[];
+  /** Number of workers that crashed under the task and may have been crashed by it. */
+  readonly workerCrashes: number;
+  /** Whether the task runs alone on a worker, since it may crash its workers. */
+  readonly isQuarantined: boolean;
 }
 
 /** State of one step of an occurrence. */
@@ -249,4 +256,5 @@
   /** A worker that restarted under its id while orders to its former incarnation may still be executed. */
   readonly restartedWorkerId: string | null;
   readonly isStopping: boolean;
+  readonly quarantine: QuarantineState;
 }
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -3,7 +3,9 @@
 import { taskIdOf } from '../model/job.js';
 import { addResources, subtractResources } from '../model/resources.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
+import { trackRemovedRun, withCrashCounted } from './crash-counts.js';
 import { setJob } from './job-index.js';
+import { UNWITNESSED_CRASH } from './quarantine-state.js';
 import type {
   JobState,
   OccurrenceState,
@@ -184,21 +186,19 @@
 ): ServiceState {
   const job = state.jobs.get(key.jobId);
   if (job === undefined) return state;
+  const request = stepRequestOf(job.request, key.step);
+  const before = findTask(state, key);
   const changed = withTask(job, key, (task) =>
     change(
-      updateTask(task, {
+      updateTask(withCrashCounted(state, task, run, request), {
         runs: task.runs.filter((other) => !isSameRun(other, run)),
         waitingSince: state.now,
       }),
     ),
   );
-  const freed = releaseCapacity(
-    markJobChanged(state, changed),
-    key,
-    run,
-    stepRequestOf(job.request, key.step),
-  );
-  const cleared = clearOrphan(freed, key);
+  const freed = releaseCapacity(markJobChanged(state, changed), key, run, request);
+  const tracked = trackRemovedRun(freed, key, run, before, findTask(freed, key));
+  const cleared = clearOrphan(tracked, key);
   if (!job.hasGang) return cleared;
   return updateService(cleared, { brokenGangJobIds: cleared.brokenGangJobIds.add(key.jobId) });
 }
@@ -256,7 +256,8 @@
   for (const [key, run] of orphans.get(workerId) ?? []) {
     const job = next.jobs.get(key.jobId);
     if (job !== undefined && run.incarnation <= incarnation) {
-      next = changeRun(next, key, run, (current) => updateRun(current, { incarnation }));
+      const crash = run.incarnation < incarnation ? (run.crash ?? UNWITNESSED_CRASH) : run.crash;
+      next = changeRun(next, key, run, (current) => updateRun(current, { incarnation, crash }));
       next = reserveCapacity(next, key, workerId, stepRequestOf(job.request, key.step));
     }
     next = clearOrphan(next, key);
--- a/packages/scheduling/src/service/update.ts
+++ b/packages/scheduling/src/service/update.ts
@@ -51,6 +51,7 @@
     unansweredStarts: state.unansweredStarts,
     restartedWorkerId: state.restartedWorkerId,
     isStopping: state.isStopping,
+    quarantine: state.quarantine,
     ...changes,
   };
 }
@@ -112,6 +113,8 @@
     checkpoint: task.checkpoint,
     waitingSince: task.waitingSince,
     avoidedWorkers: task.avoidedWorkers,
+    workerCrashes: task.workerCrashes,
+    isQuarantined: task.isQuarantined,
     ...changes,
   };
 }
@@ -130,6 +133,7 @@
     sentAt: run.sentAt,
     startedAt: run.startedAt,
     speedPercent: run.speedPercent,
+    crash: run.crash,
     ...changes,
   };
 }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -2,13 +2,14 @@
 import { Map as PersistentMap } from 'immutable';
 import { taskIdOf } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
-import type { WorkerListing } from '../model/worker.js';
+import type { HostListing, WorkerListing } from '../model/worker.js';
+import { recordWorkerCrash } from './crash-evidence.js';
 import type { ServiceStep } from './effect.js';
 import type { ServiceEventOf } from './event.js';
 import { extendLease } from './lease.js';
 import {
   DELAYED_ORDER_MILLISECONDS,
-  dropOrphanRuns,
+  dropOrphansOfEndedWorkers,
   dropRuns,
   dropRunsOfReplacedWorkers,
   handleWorkerTermination,
@@ -130,7 +131,7 @@
  * runs whose start was not answered are stopped on it before they are started elsewhere.
  */
 export function* handleRestart(
-  state: ServiceState,
+  before: ServiceState,
   former: WorkerState,
   listing: WorkerListing,
 ): ServiceStep<ServiceState> {
@@ -140,6 +141,7 @@
     decision: 'workerLost',
     fields: { workerId, hostId, reason: 'it restarted', incarnation: former.listing.incarnation },
   };
+  const state = recordWorkerCrash(before, former);
   const runs = [...runsOnWorker(state, former)];
   const carriedOver = runs.filter(([, run]) => mayRunOnNextIncarnation(state, run));
   let next = yield* dropRuns(
@@ -203,19 +205,27 @@
   return removeObsoleteWorkers(next);
 }
 
+/** Returns the hosts that the list shows to be down on purpose. */
+function hostsInPlannedWork(hosts: readonly HostListing[]): ReadonlySet<string> {
+  const isPlanned = ({ state }: HostListing): boolean => state === 'moving' || state === 'upkeep';
+  return new Set(hosts.filter(isPlanned).map(({ hostId }) => hostId));
+}
+
 /** Applies the platform's list of hosts, which shows the worker incarnations that have ended. */
 export function* handleHostsListed(
   state: ServiceState,
   { hosts, askedAt }: ServiceEventOf<'hosts-listed'>,
 ): ServiceStep<ServiceState> {
   const alive = new Set(hosts.map((host) => host.workerId));
+  const planned = hostsInPlannedWork(hosts);
   let next = state;
   for (const worker of state.workers.values()) {
-    const { workerId } = worker.listing;
+    const { workerId, hostId } = worker.listing;
     const isAlive = alive.has(workerId);
     const wasKnown = Math.max(worker.foundAt, worker.lastReportAt ?? 0) < askedAt;
     if (!isAlive && wasKnown && !worker.isTerminated) {
-      next = yield* handleWorkerTermination(next, workerId, 'its host no longer runs it');
+      const reason = 'its host no longer runs it';
+      next = yield* handleWorkerTermination(next, workerId, reason, planned.has(hostId));
     }
     if (isAlive && worker.isTerminated) {
       next = yield* renewLease(setWorker(next, updateWorker(worker, { isTerminated: false })), workerId, 0);
@@ -223,5 +233,5 @@
   }
   next = yield* dropRunsOfReplacedWorkers(next, hosts);
   if (askedAt <= state.claimedAt) return next;
-  return yield* dropOrphanRuns(next, (workerId) => !alive.has(workerId), 'its host no longer runs it');
+  return yield* dropOrphansOfEndedWorkers(next, (workerId) => alive.has(workerId));
 }
