--- a/packages/scheduling/src/__tests__/crashing-tasks.test.ts
+++ b/packages/scheduling/src/__tests__/crashing-tasks.test.ts
@@ -23,7 +23,7 @@
   const workers = createCrashingWorkers(harness, {
     racks: Array.from({ length: workerCount }, (_, index) => `rack-${index}`),
     isDeadly: isOfDeadlyJob,
-    durationMilliseconds: 500,
+    durationOf: () => 500,
     ...terms,
   });
   return {
@@ -108,7 +108,7 @@
     const workers = createCrashingWorkers(harness, {
       racks: ['r1', 'r2', 'r3', 'r4', 'r5', 'r6'],
       isDeadly: isOfDeadlyJob,
-      durationMilliseconds: 500,
+      durationOf: () => 500,
     });
     workers.play(3 * TEN_SECONDS);
     t.is(selectJobStatus(harness.state(), 'quotes', 'deadly'), 'failed');
@@ -233,8 +233,29 @@
       t.is(scene.statusOf('more-19'), 'completed');
     });
 
+    itAlone('starts no task beside a suspect of an ended job before the suspect is stopped', (t) => {
+      const scene = createScene(3, {
+        isDeadly: ({ jobId, index }) => jobId === 'deadly' && index === 1,
+        durationOf: ({ jobId }) => (jobId === 'deadly' ? 5_000 : 500),
+      });
+      scene.harness.accept(jobOf('deadly', [{ taskCount: 2 }]));
+      scene.workers.play(5);
+      scene.harness.accept(jobOf('sound', [{ taskCount: 8 }]));
+      t.is(scene.statusOf('deadly'), 'running');
+      t.true(isQuarantined(scene, keyOf('deadly', 0)));
+      scene.workers.play(TEN_SECONDS);
+      t.is(scene.statusOf('deadly'), 'failed');
+      t.is(scene.statusOf('sound'), 'completed');
+      const suspectId = taskIdOf(keyOf('deadly', 0));
+      t.deepEqual(
+        scene.workers.starts.filter(({ beside }) => beside.includes(suspectId)).map(({ taskId }) => taskId),
+        [taskIdOf(keyOf('deadly', 1))],
+      );
+      t.deepEqual(scene.harness.violations(), []);
+    });
+
     itAlone('reserves a worker of a full service for a suspected task', (t) => {
-      const scene = createScene(3, { durationMilliseconds: 2_500 });
+      const scene = createScene(3, { durationOf: () => 2_500 });
       scene.harness.accept(jobOf('deadly', [{}]));
       scene.workers.play(2);
       scene.harness.accept(jobOf('sound', [{ taskCount: 80 }], { ageMilliseconds: 0 }));
@@ -244,7 +265,7 @@
     });
 
     itAlone('keeps at most a quarter of the workers from other waiting tasks', (t) => {
-      const scene = createScene(8, { durationMilliseconds: 1_000 });
+      const scene = createScene(8, { durationOf: () => 1_000 });
       scene.harness.accept(jobOf('sound', [{ taskCount: 120 }]));
       scene.workers.play(1);
       const [first = ''] = scene.workers.workerIds();
@@ -261,7 +282,7 @@
     });
 
     itAlone('ends the quarantine of a task that has been at work for long enough', (t) => {
-      const scene = createScene(2, { durationMilliseconds: 60_000 });
+      const scene = createScene(2, { durationOf: () => 60_000 });
       scene.harness.accept(jobOf('sound', [{}]));
       scene.workers.play(1);
       scene.workers.crash([scene.workers.workerOf(taskIdOf(keyOf('sound'))) ?? '']);
@@ -272,7 +293,7 @@
     });
 
     itAlone('suspects no task that had been at work for long when its worker crashed', (t) => {
-      const scene = createScene(2, { durationMilliseconds: 60_000 });
+      const scene = createScene(2, { durationOf: () => 60_000 });
       scene.harness.accept(jobOf('sound', [{}]));
       scene.workers.play(3 * ONE_SECOND);
       scene.workers.crash([scene.workers.workerOf(taskIdOf(keyOf('sound'))) ?? '']);
@@ -283,7 +304,7 @@
 
   within('kinds of work', ({ it: itKind }) => {
     itKind('gives up a lasting task that crashes its workers', (t) => {
-      const scene = createScene(6, { durationMilliseconds: 600_000 });
+      const scene = createScene(6, { durationOf: () => 600_000 });
       scene.harness.accept(jobOf('lasting', [{ taskCount: 6, isLasting: true, maximumPerWorker: 1 }]));
       scene.workers.play(3 * ONE_SECOND);
       scene.harness.accept(jobOf('deadly', [{ isLasting: true }]));
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -49,7 +49,8 @@
   return { jobId, occurrence: 0, step, index };
 }
 
-function listingOf(name: string, fields: Partial<WorkerListing>): WorkerListing {
+/** Returns the entry of a worker in the register. */
+export function listingOf(name: string, fields: Partial<WorkerListing> = {}): WorkerListing {
   return {
     workerId: name,
     incarnation: 1,
@@ -86,6 +87,8 @@
   readonly takeStarts: () => readonly EffectOf<'start-run'>[];
   /** Returns the stop orders since the last call. */
   readonly takeStops: () => readonly EffectOf<'stop-run'>[];
+  /** Returns the violations of invariants so far. */
+  readonly violations: () => readonly EffectOf<'log'>[];
   /** Returns every record that was read or stored, oldest first, as a next owner reads them. */
   readonly records: () => readonly StoredServiceRecord[];
   /** Lets workers confirm every start order that is not yet settled. */
@@ -114,6 +117,7 @@
   let listed: readonly WorkerListing[] = [];
   let started: readonly EffectOf<'start-run'>[] = [];
   let stopped: readonly EffectOf<'stop-run'>[] = [];
+  let violations: readonly EffectOf<'log'>[] = [];
   let { state } = restoreService({
     service: 'quotes',
     parameters: {
@@ -160,6 +164,8 @@
     }
     started = [...started, ...effectsOf(effects, 'start-run')];
     stopped = [...stopped, ...effectsOf(effects, 'stop-run')];
+    const violated = effectsOf(effects, 'log').filter(({ decision }) => decision === 'invariantViolated');
+    if (violated.length > 0) violations = [...violations, ...violated];
     return effects;
   };
 
@@ -209,6 +215,7 @@
       stopped = [];
       return taken;
     },
+    violations: () => violations,
     records: () => stored,
     confirmStarts: () => {
       takeStarts().forEach(({ address }) =>
--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -30,7 +30,8 @@
 
 /** Returns whether a worker may get new tasks now. Isolated workers get only the quarantined tasks that isolate them. */
 export function isEligible(state: ServiceState, worker: WorkerState): boolean {
-  return !state.quarantine.workers.has(worker.listing.workerId) && mayTakeTasks(state, worker);
+  const { workers: isolated } = state.quarantine;
+  return mayTakeTasks(state, worker) && (isolated.size === 0 || !isolated.has(worker.listing.workerId));
 }
 
 /** Returns the free capacity of a worker. */
--- a/packages/scheduling/src/decide/quarantine.ts
+++ b/packages/scheduling/src/decide/quarantine.ts
@@ -38,18 +38,19 @@
   readonly isContended: boolean;
 }
 
-function occupiedWorkers(state: ServiceState, suspects: Iterable<Suspect>): Map<string, string> {
+/** Returns the workers with a run of a suspect, also those that are not known yet or whose next incarnation may run it. */
+function occupiedWorkers(suspects: Iterable<Suspect>): Map<string, string> {
   const occupied = new Map<string, string>();
   for (const { isolationId, runs } of suspects) {
-    for (const { workerId, incarnation } of runs) {
-      const worker = state.workers.get(workerId);
-      const isOnWorker = worker?.listing.incarnation === incarnation && !worker.isTerminated;
-      if (isOnWorker) occupied.set(workerId, isolationId);
-    }
+    for (const { workerId } of runs) occupied.set(workerId, isolationId);
   }
   return occupied;
 }
 
+function countIsolated({ candidates, isolated }: Isolation): number {
+  return candidates.filter(({ worker }) => isolated.has(worker.listing.workerId)).length;
+}
+
 function countWaitingMembers(suspects: Iterable<Suspect>): number {
   let count = 0;
   for (const { step, members } of suspects) {
@@ -66,24 +67,24 @@
   const candidates = waiting.length === 0 ? [] : isolationCandidates(state);
   return {
     candidates,
-    isolated: occupiedWorkers(state, suspects.values()),
+    isolated: occupiedWorkers(suspects.values()),
     limit: Math.max(1, Math.floor(candidates.length * MAXIMUM_ISOLATED_SHARE)),
     isContended: state.waiting.total.tasks > countWaitingMembers(suspects.values()),
   };
 }
 
-function isFull({ candidates, isolated, limit, isContended }: Isolation): boolean {
-  return isolated.size >= (isContended ? limit : candidates.length);
+function isFull(isolation: Isolation): boolean {
+  const { candidates, limit, isContended } = isolation;
+  return countIsolated(isolation) >= (isContended ? limit : candidates.length);
 }
 
 /** Returns whether a suspect may isolate the chosen workers. Idle workers are free to take if nothing else waits. */
-function mayIsolate(
-  { isolated, limit, isContended }: Isolation,
-  chosen: readonly IsolationCandidate[],
-): boolean {
+function mayIsolate(isolation: Isolation, chosen: readonly IsolationCandidate[]): boolean {
+  const { limit, isContended } = isolation;
+  const isolatedCount = countIsolated(isolation);
   const added = new Set(chosen.map(({ worker }) => worker.listing.workerId)).size;
   const isHarmless = !isContended && chosen.every(({ isAlone }) => isAlone);
-  return isHarmless || isolated.size === 0 || isolated.size + added <= limit;
+  return isHarmless || isolatedCount === 0 || isolatedCount + added <= limit;
 }
 
 function* startAlone(
--- a/packages/scheduling/src/decide/quarantined-tasks.ts
+++ b/packages/scheduling/src/decide/quarantined-tasks.ts
@@ -13,6 +13,7 @@
 /** Tasks that are isolated together: one quarantined task, or a gang of which at least one member is quarantined. */
 export interface Suspect {
   readonly isolationId: string;
+  readonly job: JobState;
   readonly request: StepRequest;
   readonly step: StepState;
   readonly members: readonly Member[];
@@ -24,9 +25,9 @@
   readonly waitingSince: Instant;
 }
 
-/** Returns whether a task is still to be isolated. */
-function isSuspected(job: JobState | undefined, task: TaskState | undefined): boolean {
-  return job?.phase === 'active' && task !== undefined && !task.isDone && task.isQuarantined;
+/** Returns whether a task is still to be isolated: until its last run is gone, even if its job has ended by then. */
+function isSuspected({ phase }: JobState, { isQuarantined, isDone, runs }: TaskState): boolean {
+  return isQuarantined && (runs.length > 0 || (phase === 'active' && !isDone));
 }
 
 function suspectOf(state: ServiceState, key: TaskKey): Suspect | null {
@@ -40,6 +41,7 @@
     : [{ key, task }];
   return {
     isolationId: isolationIdOf(key, request.isGang),
+    job,
     request,
     step,
     members,
@@ -64,6 +66,7 @@
   suspects: ReadonlyMap<string, Suspect>,
 ): readonly WaitingSuspect[] {
   const mayWait = (suspect: Suspect): boolean =>
+    suspect.job.phase === 'active' &&
     suspect.step.readySince !== null &&
     suspect.members.every(({ task }) => isTaskWaiting(task)) &&
     !hasPendingVerdict(state, suspect);
--- a/packages/scheduling/src/service/crash-counts.ts
+++ b/packages/scheduling/src/service/crash-counts.ts
@@ -1,6 +1,7 @@
 /** Counts the crashes of workers against the tasks that ran on them. */
 import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
 import {
+  isExcused,
   QUARANTINE_CRASHES,
   updateQuarantine,
   type CountedTask,
@@ -22,19 +23,16 @@
   return crashId === null ? null : (crashes.get(crashId) ?? null);
 }
 
-function isExcused(state: ServiceState, evidence: CrashEvidence): boolean {
-  return crashOf(state.quarantine, evidence)?.isExcused ?? false;
-}
-
 /** Returns the task with the crash of the worker of one of its runs counted, if there was one. */
 export function withCrashCounted(
   state: ServiceState,
+  key: TaskKey,
   task: TaskState,
   run: Run,
   request: StepRequest,
 ): TaskState {
   const { crash: evidence } = run;
-  if (evidence === null || task.isDone || isExcused(state, evidence)) return task;
+  if (evidence === null || task.isDone || isExcused(state.quarantine, evidence, taskIdOf(key))) return task;
   const workerCrashes = task.workerCrashes + countOf(evidence, request);
   const isSuspect = evidence.isYoung || workerCrashes >= QUARANTINE_CRASHES;
   return updateTask(task, { workerCrashes, isQuarantined: task.isQuarantined || isSuspect });
--- a/packages/scheduling/src/service/crash-evidence.ts
+++ b/packages/scheduling/src/service/crash-evidence.ts
@@ -10,7 +10,7 @@
   type WorkerCrash,
 } from './quarantine-state.js';
 import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, runsOnWorker } from './tasks.js';
+import { changeRun, findTask, runsOnWorker } from './tasks.js';
 import { updateRun, updateService } from './update.js';
 
 type RunOfTask = readonly [key: TaskKey, run: Run];
@@ -89,7 +89,8 @@
     dataCentre,
     taskIds: new Set(ordered.map(([key]) => taskIdOf(key))),
     counted: [],
-    isExcused: false,
+    isExplained: ordered.some(([key]) => findTask(state, key)?.isQuarantined === true),
+    excusedTaskIds: new Set(),
   };
 }
 
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -4,7 +4,7 @@
 import type { ServiceStep } from './effect.js';
 import { endJob } from './jobs.js';
 import { excuseMassEnds, MASS_END_MILLISECONDS } from './mass-ends.js';
-import { QUARANTINE_CRASHES, updateQuarantine, type PendingVerdict } from './quarantine-state.js';
+import { isExcused, QUARANTINE_CRASHES, updateQuarantine, type PendingVerdict } from './quarantine-state.js';
 import type { ServiceState } from './state.js';
 import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
 import { updateService, updateTask } from './update.js';
@@ -15,6 +15,10 @@
 /** Limit if the run had been at work for long, or the crash had no witness. */
 const LIMIT_OF_WEAK_EVIDENCE = 4;
 
+function isNearMassEnd({ quarantine: { massEnd } }: ServiceState, { crashedAt }: PendingVerdict): boolean {
+  return massEnd !== null && Math.abs(massEnd.at - crashedAt) <= MASS_END_MILLISECONDS;
+}
+
 function hasCrashNearby(state: ServiceState, { key, evidence, crashedAt }: PendingVerdict): boolean {
   const { crashes } = state.quarantine;
   const rack = evidence.crashId === null ? null : crashes.get(evidence.crashId)?.rack;
@@ -29,15 +33,11 @@
 function limitOf(state: ServiceState, verdict: PendingVerdict): number {
   const { evidence } = verdict;
   if (evidence.crashId === null || !evidence.isYoung) return LIMIT_OF_WEAK_EVIDENCE;
-  const hasOtherCause = !evidence.isConfirmed || !evidence.isHostClean || hasCrashNearby(state, verdict);
+  const isNearOthers = hasCrashNearby(state, verdict) || isNearMassEnd(state, verdict);
+  const hasOtherCause = !evidence.isConfirmed || !evidence.isHostClean || isNearOthers;
   return hasOtherCause ? LIMIT_WITH_OTHER_CAUSE : LIMIT_WITHOUT_OTHER_CAUSE;
 }
 
-function isExcused(state: ServiceState, { evidence }: PendingVerdict): boolean {
-  if (evidence.crashId === null) return false;
-  return state.quarantine.crashes.get(evidence.crashId)?.isExcused ?? false;
-}
-
 function* decide(state: ServiceState, taskId: string, verdict: PendingVerdict): ServiceStep<ServiceState> {
   const { key } = verdict;
   const decided = updateService(state, {
@@ -47,7 +47,8 @@
     }),
   });
   const crashes = findTask(state, key)?.workerCrashes ?? 0;
-  if (isExcused(state, verdict) || crashes < limitOf(state, verdict)) return decided;
+  const isVoid = isExcused(state.quarantine, verdict.evidence, taskId);
+  if (isVoid || crashes < limitOf(state, verdict)) return decided;
   return yield* endJob(decided, key.jobId, 'failed', `${crashes} workers crashed under a task`);
 }
 
--- a/packages/scheduling/src/service/mass-ends.ts
+++ b/packages/scheduling/src/service/mass-ends.ts
@@ -7,7 +7,7 @@
   QUARANTINE_CRASHES,
   updateQuarantine,
   type CountedTask,
-  type QuarantineState,
+  type MassEnd,
   type WorkerCrash,
 } from './quarantine-state.js';
 import type { ServiceState, WorkerState } from './state.js';
@@ -38,22 +38,38 @@
   });
 }
 
-function isMassEnd(state: ServiceState, crashes: readonly WorkerCrash[]): boolean {
+/** Returns the workers that have not ended, except those of some crashes, which may have restarted since. */
+function aliveBeside(state: ServiceState, crashes: readonly WorkerCrash[]): readonly WorkerState[] {
   const crashedIds = new Set(crashes.map(({ workerId }) => workerId));
-  if (crashedIds.size < MINIMUM_WORKERS) return false;
-  const alive = [...state.workers.values()].filter(
+  return [...state.workers.values()].filter(
     ({ isTerminated, listing }) => !isTerminated && !crashedIds.has(listing.workerId),
   );
+}
+
+/** Returns whether recent crashes are a mass end. Crashes that a quarantined task explains do not make one. */
+function isMassEnd(recent: readonly WorkerCrash[], alive: readonly WorkerState[]): boolean {
+  const unexplained = recent.filter(({ isExplained }) => !isExplained);
   return (
-    crashedIds.size > (crashedIds.size + alive.length) * MINIMUM_SHARE ||
-    isAllOfOnePlace(crashes, alive, 'rack') ||
-    isAllOfOnePlace(crashes, alive, 'dataCentre')
+    unexplained.length >= MINIMUM_WORKERS &&
+    (unexplained.length > (recent.length + alive.length) * MINIMUM_SHARE ||
+      isAllOfOnePlace(unexplained, alive, 'rack') ||
+      isAllOfOnePlace(unexplained, alive, 'dataCentre'))
   );
 }
 
-function mayBeMassEnd({ now, quarantine: { massEndAt } }: ServiceState): boolean {
-  const sinceLast = massEndAt === null ? Infinity : now - massEndAt;
-  return sinceLast <= MASS_END_MILLISECONDS || sinceLast > MASS_END_PAUSE_MILLISECONDS;
+function isContinued({ now, quarantine: { massEnd } }: ServiceState): boolean {
+  return massEnd !== null && now - massEnd.at <= MASS_END_MILLISECONDS;
+}
+
+function mayBeMassEnd(state: ServiceState): boolean {
+  const { massEnd } = state.quarantine;
+  const isPaused = massEnd !== null && state.now - massEnd.at <= MASS_END_PAUSE_MILLISECONDS;
+  return !isPaused || isContinued(state);
+}
+
+/** Returns whether a mass end includes a crash. Its quarantined task explains a crash better unless the rack is gone. */
+function isIncluded({ isExplained, rack }: WorkerCrash, alive: readonly WorkerState[]): boolean {
+  return !isExplained || alive.every(({ listing }) => listing.rack !== rack);
 }
 
 function undoCount(state: ServiceState, { key, count, causedQuarantine }: CountedTask): ServiceState {
@@ -76,31 +92,48 @@
   });
 }
 
-function excuse(state: ServiceState, crash: WorkerCrash): ServiceState {
+/** Undoes what a crash counted, except against tasks that the mass end has already excused for another crash. */
+function excuse(state: ServiceState, crash: WorkerCrash, massEnd: MassEnd): ServiceState {
+  const excusedTaskIds = new Set([...crash.taskIds].filter((taskId) => !massEnd.excusedTaskIds.has(taskId)));
   let next = state;
-  for (const counted of crash.counted) next = undoCount(next, counted);
-  const excused: WorkerCrash = { ...crash, counted: [], isExcused: true };
-  const crashes: QuarantineState['crashes'] = next.quarantine.crashes.set(crash.crashId, excused);
-  return updateService(next, { quarantine: updateQuarantine(next.quarantine, { crashes }) });
+  for (const counted of crash.counted) {
+    if (excusedTaskIds.has(taskIdOf(counted.key))) next = undoCount(next, counted);
+  }
+  const crashes = next.quarantine.crashes.set(crash.crashId, { ...crash, excusedTaskIds });
+  return updateService(next, {
+    quarantine: updateQuarantine(next.quarantine, {
+      crashes,
+      massEnd: {
+        at: massEnd.at,
+        excusedTaskIds: new Set([...massEnd.excusedTaskIds, ...excusedTaskIds]),
+      },
+    }),
+  });
+}
+
+function beginMassEnd(state: ServiceState): MassEnd {
+  const { massEnd } = state.quarantine;
+  return massEnd !== null && isContinued(state) ? massEnd : { at: state.now, excusedTaskIds: new Set() };
 }
 
 /** Excuses the newest crashes if they are a mass end: what they counted against tasks is undone. */
 export function excuseMassEnds(state: ServiceState): ServiceState {
   if (!state.quarantine.hasNewCrash) return state;
-  let next = updateService(state, {
+  const searched = updateService(state, {
     quarantine: updateQuarantine(state.quarantine, { hasNewCrash: false }),
   });
   const recent = [...state.quarantine.crashes.values()].filter(
     ({ at }) => at >= state.now - MASS_END_MILLISECONDS,
   );
-  if (!mayBeMassEnd(state) || !isMassEnd(state, recent)) return next;
+  const alive = aliveBeside(state, recent);
+  if (!mayBeMassEnd(state) || !isMassEnd(recent, alive)) return searched;
+  let next = searched;
+  let massEnd = beginMassEnd(state);
   for (const crash of recent) {
-    if (!crash.isExcused) next = excuse(next, crash);
+    if (crash.excusedTaskIds.size === 0 && isIncluded(crash, alive)) {
+      next = excuse(next, crash, massEnd);
+      massEnd = next.quarantine.massEnd ?? massEnd;
+    }
   }
-  const massEndAt = isContinued(state) ? state.quarantine.massEndAt : state.now;
-  return updateService(next, { quarantine: updateQuarantine(next.quarantine, { massEndAt }) });
-}
-
-function isContinued({ now, quarantine: { massEndAt } }: ServiceState): boolean {
-  return massEndAt !== null && now - massEndAt <= MASS_END_MILLISECONDS;
+  return next;
 }
--- a/packages/scheduling/src/service/quarantine-state.ts
+++ b/packages/scheduling/src/service/quarantine-state.ts
@@ -26,6 +26,11 @@
   readonly isHostClean: boolean;
 }
 
+/** Returns whether the crash of a worker is no evidence against a task, since it is part of a mass end. */
+export function isExcused({ crashes }: QuarantineState, { crashId }: CrashEvidence, taskId: string): boolean {
+  return crashId !== null && crashes.get(crashId)?.excusedTaskIds.has(taskId) === true;
+}
+
 /** Evidence against a run whose worker ended while the service had no owner that knew the worker. */
 export const UNWITNESSED_CRASH: CrashEvidence = {
   crashId: null,
@@ -53,8 +58,18 @@
   /** Ids of the tasks that the worker ran; empty if it was idle. */
   readonly taskIds: ReadonlySet<string>;
   readonly counted: readonly CountedTask[];
-  /** Whether the crash is part of a mass end, which is evidence against no task. */
-  readonly isExcused: boolean;
+  /** Whether a quarantined task ran alone on the worker, and so is the likely cause. */
+  readonly isExplained: boolean;
+  /** Ids of the tasks against which it is no evidence, since it is part of a mass end. */
+  readonly excusedTaskIds: ReadonlySet<string>;
+}
+
+/** Many workers that crashed at about the same time, with a rack or a data centre. */
+export interface MassEnd {
+  /** When it was detected. */
+  readonly at: Instant;
+  /** Ids of the tasks that it excuses, each for one crash. */
+  readonly excusedTaskIds: ReadonlySet<string>;
 }
 
 /** A task that may be given up once it is known whether the crash is part of a mass end. */
@@ -70,8 +85,8 @@
   readonly crashes: PersistentMap<string, WorkerCrash>;
   /** Whether a crash was recorded since mass ends were last searched for. */
   readonly hasNewCrash: boolean;
-  /** When the newest mass end was detected; null for none. */
-  readonly massEndAt: Instant | null;
+  /** The newest mass end; null for none. */
+  readonly massEnd: MassEnd | null;
   /** Quarantined tasks, by task id. */
   readonly tasks: PersistentMap<string, TaskKey>;
   /** Quarantined tasks whose quarantine is not logged yet. */
@@ -87,7 +102,7 @@
 export const EMPTY_QUARANTINE: QuarantineState = {
   crashes: PersistentMap(),
   hasNewCrash: false,
-  massEndAt: null,
+  massEnd: null,
   tasks: PersistentMap(),
   unloggedTaskIds: PersistentSet(),
   workers: PersistentMap(),
@@ -103,7 +118,7 @@
   return {
     crashes: quarantine.crashes,
     hasNewCrash: quarantine.hasNewCrash,
-    massEndAt: quarantine.massEndAt,
+    massEnd: quarantine.massEnd,
     tasks: quarantine.tasks,
     unloggedTaskIds: quarantine.unloggedTaskIds,
     workers: quarantine.workers,
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/service/tasks.ts
@@ -190,7 +190,7 @@
   const before = findTask(state, key);
   const changed = withTask(job, key, (task) =>
     change(
-      updateTask(withCrashCounted(state, task, run, request), {
+      updateTask(withCrashCounted(state, key, task, run, request), {
         runs: task.runs.filter((other) => !isSameRun(other, run)),
         waitingSince: state.now,
       }),
