Send no start to a worker whose capacity shrank since the task was placed

Cause: the capacity of a worker was checked when a task was placed. If its listed capacity shrank before the order to start was sent, or sent again, the start brought the worker over its capacity.

Change: before each order to start, also a repeated one, the reserved capacity is compared with the listed one. If it is over, the run is removed and its task waits; if an earlier order may still be carried out, the run is stopped instead.

--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -39,6 +39,17 @@
   return subtractResources(worker.listing.capacity, worker.committed);
 }
 
+/** Returns whether a worker has the capacity that a placed task of a step needs; its capacity may have shrunk since. */
+export function hasCapacityForPlaced(request: StepRequest, { listing, committed }: WorkerState): boolean {
+  const needs = reservedResourcesOf(request);
+  const { capacity } = listing;
+  return (
+    (needs.milliCores <= 0 || committed.milliCores <= capacity.milliCores) &&
+    (needs.memoryMegabytes <= 0 || committed.memoryMegabytes <= capacity.memoryMegabytes) &&
+    (needs.accelerators <= 0 || committed.accelerators <= capacity.accelerators)
+  );
+}
+
 /** Returns a worker with its free capacity. */
 export function candidateOf(worker: WorkerState): Candidate {
   return { worker, freeCapacity: freeCapacityOf(worker) };
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -1,5 +1,5 @@
 /** Sends orders to start and stop runs, and applies the answers of workers. */
-import { isLeaving } from '../decide/eligibility.js';
+import { hasCapacityForPlaced, isLeaving } from '../decide/eligibility.js';
 import { findStartViolations } from '../invariants/check-start.js';
 import type { TaskKey } from '../model/job.js';
 import { taskIdOf } from '../model/job.js';
@@ -88,9 +88,19 @@
   return worker !== null && !worker.isTerminated && !isLeaving(state, worker);
 }
 
-/** Starts a run whose record is stored. If its worker is draining by now, the run is removed and its task waits. */
+/** Returns whether the capacity of the worker of a run still suffices for it. */
+function fitsOnWorker(state: ServiceState, key: TaskKey, run: Run): boolean {
+  const request = state.jobs.get(key.jobId)?.request.steps[key.step];
+  const worker = workerOfRun(state, run);
+  return request === undefined || worker === null || hasCapacityForPlaced(request, worker);
+}
+
+/**
+ * Starts a run whose record is stored. If its worker is draining by now or has too little capacity, the run is removed
+ * and its task waits.
+ */
 export function* orderStart(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
-  if (!mayStart(state, run)) return removeRun(state, key, run);
+  if (!mayStart(state, run) || !fitsOnWorker(state, key, run)) return removeRun(state, key, run);
   const faults = [...findStartViolations(state, key, run)];
   for (const { invariant, detail } of faults) {
     yield {
@@ -154,7 +164,11 @@
 ): ServiceStep<ServiceState> {
   const retried: Run = updateRun(run, { hasUnansweredStart: run.hasUnansweredStart || wasUnanswered });
   const changed = changeRun(state, key, run, () => retried);
-  return yield* sendStart(changed, key, retried, RETRY_DELAY_MILLISECONDS);
+  if (fitsOnWorker(changed, key, retried)) {
+    return yield* sendStart(changed, key, retried, RETRY_DELAY_MILLISECONDS);
+  }
+  if (!retried.hasUnansweredStart) return removeRun(changed, key, retried);
+  return yield* orderStop(changed, key, retried, 'its worker has too little capacity');
 }
 
 /** Records that a worker has the run. A clock that does not match belongs to another incarnation under the same id. */
