--- a/packages/scheduling/src/__tests__/crashing-tasks.test.ts
+++ b/packages/scheduling/src/__tests__/crashing-tasks.test.ts
@@ -115,6 +115,45 @@
     t.is(workers.starts.length, 1);
   });
 
+  it('gives up a task at the limit whose verdict the previous owner did not store', (t) => {
+    const progressOf = (workerCrashes: number) => ({
+      phase: 'active' as const,
+      queue: 'quotes',
+      occurrencesDone: [],
+      occurrencesDoneBelow: 0,
+      occurrences: [
+        {
+          occurrence: 0,
+          steps: [
+            [
+              {
+                index: 0,
+                isDone: false,
+                lastRun: workerCrashes,
+                failedRuns: 0,
+                workerCrashes,
+                isQuarantined: true,
+                checkpoint: '',
+                runs: [],
+              },
+            ],
+          ],
+        },
+      ],
+      hasStarted: true,
+    });
+    const startsAfter = (workerCrashes: number): number => {
+      const harness = createServiceHarness([
+        { offset: 1, record: { kind: 'job-accepted', request: jobOf('deadly', [{}]) } },
+        { offset: 2, record: { kind: 'job-progress', jobId: 'deadly', progress: progressOf(workerCrashes) } },
+      ]);
+      harness.addWorkers(['w1']);
+      harness.advance(100);
+      return harness.takeStarts().length;
+    };
+    t.deepEqual([startsAfter(3), startsAfter(4)], [1, 0]);
+  });
+
   within('what is no evidence', ({ it: itExcused }) => {
     itExcused('suspects no task of a rack that goes down', (t) => {
       const scene = createScene(9, { racks: ['a', 'a', 'a', 'b', 'b', 'b', 'b', 'b', 'b'] });
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -4,7 +4,13 @@
 import type { ServiceStep } from './effect.js';
 import { endJob } from './jobs.js';
 import { excuseMassEnds, MASS_END_MILLISECONDS } from './mass-ends.js';
-import { isExcused, QUARANTINE_CRASHES, updateQuarantine, type PendingVerdict } from './quarantine-state.js';
+import {
+  isExcused,
+  LIMIT_OF_WEAK_EVIDENCE,
+  QUARANTINE_CRASHES,
+  updateQuarantine,
+  type PendingVerdict,
+} from './quarantine-state.js';
 import type { ServiceState } from './state.js';
 import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
 import { updateService, updateTask } from './update.js';
@@ -12,8 +18,6 @@
 /** Crashes after which a task that ran alone is given up, by how far the last crash can have another cause. */
 const LIMIT_WITHOUT_OTHER_CAUSE = 2;
 const LIMIT_WITH_OTHER_CAUSE = 3;
-/** Limit if the run had been at work for long, or the crash had no witness. */
-const LIMIT_OF_WEAK_EVIDENCE = 4;
 
 function isNearMassEnd({ quarantine: { massEnd } }: ServiceState, { crashedAt }: PendingVerdict): boolean {
   return massEnd !== null && Math.abs(massEnd.at - crashedAt) <= MASS_END_MILLISECONDS;
--- a/packages/scheduling/src/service/quarantine-state.ts
+++ b/packages/scheduling/src/service/quarantine-state.ts
@@ -9,6 +9,9 @@
 /** Number of crashes from which on a task is quarantined however long its runs were at work. */
 export const QUARANTINE_CRASHES = 2;
 
+/** Crashes after which a task is given up if its last run had been at work for long, or the crash had no witness. */
+export const LIMIT_OF_WEAK_EVIDENCE = 4;
+
 /** Time for which a crash is remembered. */
 export const CRASH_RETENTION_MILLISECONDS = 30_000;
 
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -6,7 +6,14 @@
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
 import { NO_PLACEMENT_CHANGES } from './placement-changes.js';
-import { EMPTY_QUARANTINE, updateQuarantine, type QuarantineState } from './quarantine-state.js';
+import {
+  EMPTY_QUARANTINE,
+  LIMIT_OF_WEAK_EVIDENCE,
+  UNWITNESSED_CRASH,
+  updateQuarantine,
+  type PendingVerdict,
+  type QuarantineState,
+} from './quarantine-state.js';
 import { allTasks, isTaskWaiting } from './tasks.js';
 import { EMPTY_WAITING_QUEUE } from './waiting-queue.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
@@ -174,10 +181,15 @@
   return { requests, progress, cancelled, released };
 }
 
+/** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
 function restoreQuarantine(state: ServiceState): QuarantineState {
   const quarantined = [...allTasks(state)].filter(([, task]) => task.isQuarantined && !task.isDone);
+  const overdue = quarantined
+    .filter(([, { runs, workerCrashes }]) => runs.length === 0 && workerCrashes >= LIMIT_OF_WEAK_EVIDENCE)
+    .map(([key]): PendingVerdict => ({ key, evidence: UNWITNESSED_CRASH, crashedAt: -Infinity }));
   return updateQuarantine(EMPTY_QUARANTINE, {
     tasks: PersistentMap(quarantined.map(([key]) => [taskIdOf(key), key])),
+    verdicts: PersistentMap(overdue.map((verdict) => [taskIdOf(verdict.key), verdict])),
     isStale: quarantined.length > 0,
   });
 }
