Merge the quarantine of tasks that crash their workers

Joined by hand: a worker may take tasks if it is reachable, neither leaving nor isolated; quarantined tasks take no reservation while hosts are drained; a start is checked against capacity, drain and isolation; the log event is 527, since 526 is taken.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -103,6 +103,11 @@
     level: 'warn',
     message: 'lasting tasks wait; the counts are workers that have capacity for one of them',
   },
+  taskQuarantined: {
+    number: 527,
+    level: 'warn',
+    message: 'worker crashed under a task; the task runs alone until it has shown to be sound',
+  },
   workerFound: { number: 531, level: 'info', message: 'worker found in the register; requesting its runs' },
   workerLost: {
     number: 532,
--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/eligibility.ts
@@ -1,5 +1,6 @@
 /** Determines which workers may get tasks, and the free capacity of each. */
 import type { StepRequest } from '../model/job.js';
+import { reservedResourcesOf } from '../model/step-needs.js';
 import { subtractResources, type Resources } from '../model/resources.js';
 import type { ServiceState, WorkerState } from '../service/state.js';
 
@@ -58,21 +59,42 @@
   );
 }
 
+/** Returns whether a worker is isolated for quarantined tasks and gets no others. */
+function isIsolated({ quarantine }: ServiceState, { listing }: WorkerState): boolean {
+  return !quarantine.workers.isEmpty() && quarantine.workers.has(listing.workerId);
+}
+
 /** Returns whether a worker may get a lasting task that found no other worker for long. */
 export function isEligibleForOverdueTask(state: ServiceState, worker: WorkerState): boolean {
-  return isReachable(state, worker) && !isGoing(state, worker);
+  return isReachable(state, worker) && !isGoing(state, worker) && !isIsolated(state, worker);
 }
 
-/** Returns whether a worker may get new tasks now. */
-export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+/** Returns whether a worker may get new tasks now, were it not isolated. */
+export function mayTakeTasks(state: ServiceState, worker: WorkerState): boolean {
   return isReachable(state, worker) && !isLeaving(state, worker);
 }
 
+/** Returns whether a worker may get new tasks now. Isolated workers get only the quarantined tasks that isolate them. */
+export function isEligible(state: ServiceState, worker: WorkerState): boolean {
+  return mayTakeTasks(state, worker) && !isIsolated(state, worker);
+}
+
 /** Returns the free capacity of a worker. */
 export function freeCapacityOf(worker: WorkerState): Resources {
   return subtractResources(worker.listing.capacity, worker.committed);
 }
 
+/** Returns whether a worker has the capacity that a placed task of a step needs; its capacity may have shrunk since. */
+export function hasCapacityForPlaced(request: StepRequest, { listing, committed }: WorkerState): boolean {
+  const needs = reservedResourcesOf(request);
+  const { capacity } = listing;
+  return (
+    (needs.milliCores <= 0 || committed.milliCores <= capacity.milliCores) &&
+    (needs.memoryMegabytes <= 0 || committed.memoryMegabytes <= capacity.memoryMegabytes) &&
+    (needs.accelerators <= 0 || committed.accelerators <= capacity.accelerators)
+  );
+}
+
 /** Returns a worker with its free capacity. */
 export function candidateOf(worker: WorkerState): Candidate {
   return { worker, freeCapacity: freeCapacityOf(worker) };
--- a/packages/scheduling/src/decide/relocation.ts
+++ b/packages/scheduling/src/decide/relocation.ts
@@ -59,7 +59,7 @@
     const waiting = findWaitingStep(state, waitingKey);
     if (waiting !== null && isRelocatable(waiting.request)) {
       for (const [index, task] of waiting.step.tasks.entries()) {
-        if (isTaskWaiting(task)) {
+        if (isTaskWaiting(task) && !task.isQuarantined) {
           reserveForTask(relocation, taskKeyOf(waiting, index), waiting.request, waiting.step, task);
         }
       }
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -5,9 +5,11 @@
 import { reportBlockedTasks } from '../decide/blocked-tasks.js';
 import { ejectUnhealthyWorkers } from '../decide/health.js';
 import { placeWaitingTasks } from '../decide/place-tasks.js';
+import { markQuarantineStale, placeQuarantinedTasks } from '../decide/quarantine.js';
 import type { ServiceStep } from './effect.js';
 import type { ServiceEvent } from './event.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
+import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
 import { considerEveryWorker } from './placement-changes.js';
@@ -126,7 +128,8 @@
   next = yield* ejectUnhealthyWorkers(next);
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
-  return considerCooledDownWorkers(yield* forgetJobs(next), before.ticks.lastAt);
+  const remembered = markQuarantineStale(yield* forgetJobs(next));
+  return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
 
 function* handle(state: ServiceState, event: ServiceEvent): ServiceStep<ServiceState> {
@@ -173,7 +176,7 @@
   const handled = yield* handle(updateService(before, { now, timeOfDay: event.timeOfDay }), event);
   if (handled.restartedWorkerId !== null) return yield* renewClaim(handled);
   if (handled.isSuperseded) return handled;
-  const withoutBrokenGangs = yield* stopIncompleteGangs(handled);
-  const placed = yield* placeWaitingTasks(withoutBrokenGangs);
+  const settled = yield* settleWorkerCrashes(yield* stopIncompleteGangs(handled));
+  const placed = yield* placeWaitingTasks(yield* placeQuarantinedTasks(settled));
   return yield* flushOutbox(placed);
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -6,6 +6,14 @@
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import type { SchedulingParameters } from './parameters.js';
 import { NO_PLACEMENT_CHANGES } from './placement-changes.js';
+import {
+  EMPTY_QUARANTINE,
+  LIMIT_OF_WEAK_EVIDENCE,
+  UNWITNESSED_CRASH,
+  updateQuarantine,
+  type PendingVerdict,
+  type QuarantineState,
+} from './quarantine-state.js';
 import { allTasks, isTaskWaiting } from './tasks.js';
 import { EMPTY_WAITING_QUEUE } from './waiting-queue.js';
 import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
@@ -64,6 +72,7 @@
     unansweredStarts: PersistentMap(),
     restartedWorkerId: null,
     isStopping: false,
+    quarantine: EMPTY_QUARANTINE,
   };
 }
 
@@ -78,6 +87,7 @@
     sentAt: null,
     startedAt: null,
     speedPercent: 0,
+    crash: null,
   };
 }
 
@@ -86,6 +96,8 @@
     isDone: progress.isDone,
     lastRun: progress.lastRun,
     failedRuns: progress.failedRuns,
+    workerCrashes: progress.workerCrashes,
+    isQuarantined: progress.isQuarantined,
     checkpoint: progress.checkpoint,
     runs: progress.runs.map((run) => restoreRun(run, now)),
   });
@@ -170,6 +182,19 @@
   return { requests, progress, cancelled, released };
 }
 
+/** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
+function restoreQuarantine(state: ServiceState): QuarantineState {
+  const quarantined = [...allTasks(state)].filter(([, task]) => task.isQuarantined && !task.isDone);
+  const overdue = quarantined
+    .filter(([, { runs, workerCrashes }]) => runs.length === 0 && workerCrashes >= LIMIT_OF_WEAK_EVIDENCE)
+    .map(([key]): PendingVerdict => ({ key, evidence: UNWITNESSED_CRASH, crashedAt: -Infinity }));
+  return updateQuarantine(EMPTY_QUARANTINE, {
+    tasks: PersistentMap(quarantined.map(([key]) => [taskIdOf(key), key])),
+    verdicts: PersistentMap(overdue.map((verdict) => [taskIdOf(verdict.key), verdict])),
+    isStale: quarantined.length > 0,
+  });
+}
+
 /** Builds the state of a new owner. The caller still has to apply the returned cancellations. */
 export function restoreService(input: RestoreInput): {
   readonly state: ServiceState;
@@ -191,6 +216,7 @@
       obsoleteRunJobIds: PersistentSet(keysWithRuns.map(({ jobId }) => jobId)),
       brokenGangJobIds: PersistentSet(jobIdsOf(restored.filter((job) => job.hasGang))),
       endedJobIds: PersistentOrderedSet(jobIdsOf(restored.filter((job) => job.endedAt !== null))),
+      quarantine: restoreQuarantine(state),
     },
     cancelledJobIds: [...cancelled],
   };
--- a/packages/scheduling/src/service/update.ts
+++ b/packages/scheduling/src/service/update.ts
@@ -52,6 +52,7 @@
     unansweredStarts: state.unansweredStarts,
     restartedWorkerId: state.restartedWorkerId,
     isStopping: state.isStopping,
+    quarantine: state.quarantine,
     ...changes,
   };
 }
@@ -113,6 +114,8 @@
     checkpoint: task.checkpoint,
     waitingSince: task.waitingSince,
     avoidedWorkers: task.avoidedWorkers,
+    workerCrashes: task.workerCrashes,
+    isQuarantined: task.isQuarantined,
     ...changes,
   };
 }
@@ -131,6 +134,7 @@
     sentAt: run.sentAt,
     startedAt: run.startedAt,
     speedPercent: run.speedPercent,
+    crash: run.crash,
     ...changes,
   };
 }
