Give up a task after three crashes under it alone, four with another cause

Cause: after two crashes a verdict was too often by chance.

Change: the limits are 3 and 4 in place of 2 and 3; up to five starts are allowed.

--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -16,8 +16,8 @@
 import { updateService, updateTask } from './update.js';
 
 /** Crashes after which a task that ran alone is given up, by how far the last crash can have another cause. */
-const LIMIT_WITHOUT_OTHER_CAUSE = 2;
-const LIMIT_WITH_OTHER_CAUSE = 3;
+const LIMIT_WITHOUT_OTHER_CAUSE = 3;
+const LIMIT_WITH_OTHER_CAUSE = 4;
 
 function isNearMassEnd({ quarantine: { massEnd } }: ServiceState, { crashedAt }: PendingVerdict): boolean {
   return massEnd !== null && Math.abs(massEnd.at - crashedAt) <= MASS_END_MILLISECONDS;
