Keep a reserve in each pool when the burst of another one takes hosts

At 27 s one service had 224 workers and the others 32, 9 and 7, so each burst began with a few hosts and waited about 3 s for moves.

Change: of the hosts that its latest peak required, a donor keeps up to an equal part of half of all hosts. Gangs and lasting tasks, which fewer hosts could not run, still get all hosts that the donors do not require, as many as they lack beyond the hosts that are arriving.

Tests: "does not strip the other pools ..." fails on the former code (8, 8, 8 hosts taken instead of 5, 5, 5). "does not take more of the reserves ..." fails if the arriving hosts are not counted.

--- a/packages/scheduling/src/__tests__/pool-balancing.test.ts
+++ b/packages/scheduling/src/__tests__/pool-balancing.test.ts
@@ -15,7 +15,7 @@
 
 const PEAK_VALIDITY_MILLISECONDS = 30_000;
 
-describe('pool balancing', ({ it }) => {
+describe('pool balancing', ({ describe: within, it }) => {
   it('moves as many standby hosts to a pool as it lacks', (t) => {
     const harness = createFleetHarness();
     harness.list(...TWO_HOSTS, hostOf('h3', 'spare'), hostOf('h4', 'spare'), hostOf('h5', 'spare'));
@@ -124,6 +124,50 @@
     t.deepEqual(requestedPools.sort().toArray(), ['orders', 'quotes', 'quotes', 'quotes']);
   });
 
+  within('a burst of one pool', ({ it: itInBurst }) => {
+    const POOLS = ['quotes', 'orders', 'invoices', 'returns'];
+    /** Hosts of each pool but the one with the burst: an even share of all hosts. */
+    const HOSTS_PER_POOL = 10;
+
+    /** Reports a burst of the pool `quotes` for 3 s; returns how many hosts were requested from each other pool. */
+    function requestedDuringBurst(fields: Partial<ServiceReport>): readonly number[] {
+      const harness = createFleetHarness([], POOLS);
+      const hosts = POOLS.flatMap((pool) =>
+        Array.from({ length: HOSTS_PER_POOL }, (_, index) => hostOf(`${pool}-${index}`, pool)),
+      );
+      harness.list(...hosts);
+      const report = (service: string, load: Partial<ServiceReport>): void => {
+        const loads = hosts.filter(({ pool }) => pool === service).map(({ hostId }) => loadOf(hostId));
+        harness.dispatch({ kind: 'service-reported', report: reportOf(loads, { service, ...load }) });
+      };
+      for (let waited = 0; waited < 3_000; waited += 250) {
+        for (const pool of POOLS) report(pool, pool === 'quotes' ? fields : {});
+        harness.advance(250);
+      }
+      const requested = harness.state().hosts.filter(({ requestedAction }) => requestedAction !== null);
+      return POOLS.slice(1).map((pool) => requested.count(({ listing }) => listing.pool === pool));
+    }
+
+    itInBurst(
+      'does not strip the other pools of the hosts that they keep for the return of their peaks',
+      (t) => {
+        t.deepEqual(requestedDuringBurst({ waitingMilliCores: 100 * HOST_MILLI_CORES }), [5, 5, 5]);
+      },
+    );
+
+    itInBurst(
+      'takes the reserves of the other pools for gangs and lasting tasks, which must be placed',
+      (t) => {
+        t.deepEqual(requestedDuringBurst({ missingHosts: 100 }), [8, 8, 8]);
+      },
+    );
+
+    itInBurst('does not take more of the reserves than gangs and lasting tasks need', (t) => {
+      const waitingMilliCores = 100 * HOST_MILLI_CORES;
+      t.deepEqual(requestedDuringBurst({ missingHosts: 3, waitingMilliCores }), [5, 5, 5]);
+    });
+  });
+
   it('keeps hosts that run lasting tasks in their pool', (t) => {
     const harness = createFleetHarness();
     const hosts = ['h1', 'h2', 'h3'];
--- a/packages/scheduling/src/fleet/pool-demand.ts
+++ b/packages/scheduling/src/fleet/pool-demand.ts
@@ -15,6 +15,9 @@
 /** Time for which a peak of demand is expected to return: a pool keeps its hosts meanwhile, since a move takes time. */
 const PEAK_VALIDITY_MILLISECONDS = 30_000;
 
+/** Share of all hosts that is reserved in the pools for the return of their peaks, in equal parts. */
+const RESERVED_SHARE = 0.5;
+
 /** Age above which a report is too old to base moves on. */
 const REPORT_VALIDITY_MILLISECONDS = 1_500;
 
@@ -29,6 +32,10 @@
   readonly requiredHosts: number;
   /** Hosts below which the pool gives none to standby: those that its latest peak required, at least the required ones. */
   readonly keptHosts: number;
+  /** Hosts below which the pool gives none to other pools: kept hosts up to an even share, at least the required ones. */
+  readonly reservedHosts: number;
+  /** Hosts beyond the arriving ones that waiting gangs or lasting tasks need. */
+  readonly urgentHosts: number;
 }
 
 function averageHostMilliCores(state: FleetState, pool: string): number {
@@ -82,6 +89,12 @@
   return isOver || requiredHosts >= known.hosts ? { hosts: requiredHosts, at: now } : known;
 }
 
+/** Returns how many hosts each pool may reserve for the return of its peak. */
+function evenReserveOf({ hosts, pools }: FleetState): number {
+  const serving = pools.filter(({ isStandby }) => !isStandby);
+  return Math.floor((hosts.size * RESERVED_SHARE) / Math.max(1, serving.length));
+}
+
 /** Returns the balance of a pool; null if its service has not reported lately. */
 export function balanceOf(state: FleetState, pool: string): PoolBalance | null {
   const received = state.reports.get(pool);
@@ -97,13 +110,16 @@
     received.report.missingHosts > 0 ? serving + received.report.missingHosts : 0,
   );
   const peak = updatePeak(received, requiredHosts, ofPool.size + arriving, state.now);
+  const keptHosts = Math.max(requiredHosts, peak.hosts);
   return {
     pool,
     received: { ...received, peak },
     currentHosts,
     returningHosts,
     requiredHosts,
-    keptHosts: Math.max(requiredHosts, peak.hosts),
+    keptHosts,
+    reservedHosts: Math.max(requiredHosts, Math.min(keptHosts, evenReserveOf(state))),
+    urgentHosts: Math.max(0, received.report.missingHosts - arriving),
   };
 }
 
--- a/packages/scheduling/src/fleet/pools.ts
+++ b/packages/scheduling/src/fleet/pools.ts
@@ -78,11 +78,24 @@
   );
 }
 
+/** Returns the number of hosts that a donor keeps. */
+type DonorFloor = (donor: PoolBalance) => number;
+
+/** Floor against gangs and lasting tasks, which fewer hosts could not run at all. */
+const requiredFloor: DonorFloor = ({ requiredHosts }) => requiredHosts;
+
+/** Floor against other tasks, which run one after another on fewer hosts. */
+const reservedFloor: DonorFloor = ({ reservedHosts }) => reservedHosts;
+
 /** Returns the donor with the most hosts to spare, so that no pool is emptied before the others; null for none. */
-function largestDonor(spares: ReadonlyMap<PoolBalance, number>): PoolBalance | null {
+function largestDonor(
+  remainingHosts: ReadonlyMap<PoolBalance, number>,
+  floorOf: DonorFloor,
+): PoolBalance | null {
   let largest: PoolBalance | null = null;
   let most = 0;
-  for (const [donor, spare] of spares) {
+  for (const [donor, remaining] of remainingHosts) {
+    const spare = remaining - floorOf(donor);
     if (spare > most) {
       largest = donor;
       most = spare;
@@ -91,10 +104,10 @@
   return largest;
 }
 
-/** The state while pools are filled, with the hosts that each donor may still give away. */
+/** The state while pools are filled, with the hosts that remain to each donor. */
 interface Filling {
   readonly state: FleetState;
-  readonly spares: ReadonlyMap<PoolBalance, number>;
+  readonly remainingHosts: ReadonlyMap<PoolBalance, number>;
 }
 
 function* fillFromStandby(state: FleetState, pool: string, missing: number): FleetStep<FleetState> {
@@ -106,27 +119,38 @@
 }
 
 /** Takes hosts from the donors, each time from the one with the most to spare. */
-function* fillFromDonors(filling: Filling, pool: string, missing: number): FleetStep<Filling> {
-  const spares = new Map(filling.spares);
+function* fillFromDonors(
+  filling: Filling,
+  pool: string,
+  missing: number,
+  floorOf: DonorFloor,
+): FleetStep<Filling> {
+  const remainingHosts = new Map(filling.remainingHosts);
   let { state } = filling;
   let left = missing;
-  for (let donor = largestDonor(spares); left > 0 && donor !== null; donor = largestDonor(spares)) {
+  let donor = largestDonor(remainingHosts, floorOf);
+  while (left > 0 && donor !== null) {
     const host = leastLoadedHost(state, donor);
-    if (host === null) spares.delete(donor);
+    if (host === null) remainingHosts.delete(donor);
     else {
       state = yield* requestMove(state, host, pool, 'another pool needs hosts');
       left -= 1;
-      spares.set(donor, (spares.get(donor) ?? 0) - 1);
+      remainingHosts.set(donor, (remainingHosts.get(donor) ?? 0) - 1);
     }
+    donor = largestDonor(remainingHosts, floorOf);
   }
-  return { state, spares };
+  return { state, remainingHosts };
 }
 
-function* fillPool({ state, spares }: Filling, balance: PoolBalance): FleetStep<Filling> {
+function* fillPool({ state, remainingHosts }: Filling, balance: PoolBalance): FleetStep<Filling> {
+  const { pool, urgentHosts } = balance;
   const missing = missingHostsOf(balance);
   const fromStandby = Math.min(missing, freeStandbyHosts(state).length);
-  const filled = yield* fillFromStandby(state, balance.pool, fromStandby);
-  return yield* fillFromDonors({ state: filled, spares }, balance.pool, missing - fromStandby);
+  const filled = yield* fillFromStandby(state, pool, fromStandby);
+  const left = missing - fromStandby;
+  const urgent = Math.min(left, Math.max(0, urgentHosts - fromStandby));
+  const relieved = yield* fillFromDonors({ state: filled, remainingHosts }, pool, urgent, requiredFloor);
+  return yield* fillFromDonors(relieved, pool, left - urgent, reservedFloor);
 }
 
 /** Moves standby hosts to a pool that has fewer hosts than its latest peak required. */
@@ -158,9 +182,7 @@
   const balances = serving.flatMap((pool) => balanceOf(before, pool) ?? []);
   let filling: Filling = {
     state: balances.reduce(recordDemand, before),
-    spares: new Map(
-      balances.map((balance) => [balance, balance.currentHosts - balance.requiredHosts] as const),
-    ),
+    remainingHosts: new Map(balances.map((balance) => [balance, balance.currentHosts] as const)),
   };
   for (const balance of balances) filling = yield* fillPool(filling, balance);
   let { state } = filling;
