Do not drain a host for the move that brought it

Cause: while an order to move is open, the owner of the fleet asked the service of the pool in which the host is listed to release it, also if that is the pool to which it was ordered. 689 workers were drained just after their arrival, half of those of one service for 0.80 s, at most for 5.8 s, since a new owner of the fleet returns no host in its first 5 s. 57 workers stood unused for 2.8 s while 1,200 tasks of their service waited.

Change: a service is asked to release hosts only for maintenance and for moves to other pools. A new owner of the fleet settles an inherited move whose host is up in its new pool; it used to drain the host and order the same move again, which the platform answers as already done.

Tests: "does not ask a service to drain a host that has just arrived ..." and "settles a move of unknown outcome ..." fail on the former code.

The tests of scheduling (79) and of fleet-emulator (87, 1 known failure) pass.

--- a/packages/scheduling/src/__tests__/host-orders.test.ts
+++ b/packages/scheduling/src/__tests__/host-orders.test.ts
@@ -1,9 +1,11 @@
 import { describe } from '@baobabdeck/test-tools';
+import { selectServiceHostRequests } from '../fleet/requested-actions.js';
 import type { FleetRecord } from '../fleet/state.js';
 import {
   DAY,
   HOST_MILLI_CORES,
   TWO_HOSTS,
+  countRequested,
   createFleetHarness,
   hostOf,
   loadOf,
@@ -66,6 +68,34 @@
     t.deepEqual(harness.advance(250), []);
   });
 
+  it('does not ask a service to drain a host that has just arrived by a move to it', (t) => {
+    const harness = createFleetHarness();
+    harness.list(...TWO_HOSTS, hostOf('h3', 'spare'));
+    reportNeed(harness);
+    const [order] = ordersOf(harness.advance(250));
+    if (order === undefined) {
+      t.fail();
+      return;
+    }
+    harness.list(...TWO_HOSTS, hostOf('h3', 'quotes'));
+    t.deepEqual(selectServiceHostRequests(harness.state(), 'quotes').releases, []);
+    harness.settle(order, 'accepted');
+    t.deepEqual(selectServiceHostRequests(harness.state(), 'quotes').releases, []);
+  });
+
+  it('asks the service that a host leaves to drain it', (t) => {
+    const harness = createFleetHarness([], ['quotes', 'orders']);
+    const hosts = [...TWO_HOSTS, hostOf('h3', 'orders'), hostOf('h4', 'orders'), hostOf('h5', 'orders')];
+    harness.list(...hosts);
+    const loads = ['h3', 'h4', 'h5'].map((hostId) => loadOf(hostId));
+    harness.dispatch({ kind: 'service-reported', report: reportOf(loads, { service: 'orders' }) });
+    reportNeed(harness);
+    harness.advance(250);
+    const { releases } = selectServiceHostRequests(harness.state(), 'orders');
+    t.deepEqual(releases, [{ hostId: 'h3', purpose: 'move' }]);
+    t.deepEqual(selectServiceHostRequests(harness.state(), 'quotes').releases, []);
+  });
+
   within('orders of an earlier owner', ({ it: itEarlier }) => {
     const settledAgo = (milliseconds: number): FleetRecord => ({
       kind: 'host-settled',
@@ -110,14 +140,15 @@
       t.is(ordersOf(withCooldown.advance(800)).length, 1);
     });
 
+    const unacceptedOrder: FleetRecord = {
+      kind: 'host-ordered',
+      hostId: 'h3',
+      what: { kind: 'move', pool: 'quotes' },
+      isAccepted: false,
+      recordedAt: new Date(DAY - 60_000),
+    };
+
     itEarlier('sends an order of unknown outcome again once the lease of its owner has expired', (t) => {
-      const unacceptedOrder: FleetRecord = {
-        kind: 'host-ordered',
-        hostId: 'h3',
-        what: { kind: 'move', pool: 'quotes' },
-        isAccepted: false,
-        recordedAt: new Date(DAY - 60_000),
-      };
       const harness = createFleetHarness([unacceptedOrder]);
       harness.list(...TWO_HOSTS, hostOf('h3', 'spare'));
       t.deepEqual(ordersOf(harness.advance(4_900)), []);
@@ -126,5 +157,19 @@
         [{ kind: 'move', pool: 'quotes' }],
       );
     });
+
+    itEarlier(
+      'settles a move of unknown outcome without draining its host if the host is in its new pool',
+      (t) => {
+        const harness = createFleetHarness([unacceptedOrder]);
+        harness.list(...TWO_HOSTS, hostOf('h3', 'quotes'));
+        const effects = harness.advance(5_100);
+        t.is(countRequested(harness), 0);
+        const records = effects.flatMap((effect) =>
+          effect.kind === 'store-fleet-records' ? effect.records : [],
+        );
+        t.like(records, [{ kind: 'host-settled', hostId: 'h3' }]);
+      },
+    );
   });
 });
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -103,9 +103,14 @@
   };
 }
 
+/** Returns whether a host is up in the pool to which an earlier owner ordered it, so that the order was carried out. */
+function isMoveCarriedOut({ listing }: HostState, what: HostAction): boolean {
+  return what.kind === 'move' && listing.pool === what.pool && listing.state === 'up';
+}
+
 /**
- * Requests the orders of an earlier owner again, since it is unknown whether they were carried out. A host that serves
- * a pool is drained again first, since its service may have used it meanwhile.
+ * Requests the orders of an earlier owner again, unless the list of hosts shows that they were carried out. A host that
+ * serves a pool is drained again first, since its service may have used it meanwhile.
  */
 function resumeOrders(before: FleetState): FleetState {
   if (before.inheritedOrders.isEmpty() || before.listedAt === null) return before;
@@ -113,7 +118,11 @@
   let state: FleetState = updateFleet(before, { inheritedOrders: before.inheritedOrders.clear() });
   for (const [hostId, what] of before.inheritedOrders) {
     const host = state.hosts.get(hostId);
-    if (host !== undefined && host.order === null) state = requestHostAction(state, host, what);
+    if (host !== undefined && host.order === null) {
+      state = isMoveCarriedOut(host, what)
+        ? addRecord(state, { kind: 'host-settled', hostId })
+        : requestHostAction(state, host, what);
+    }
   }
   return state;
 }
--- a/packages/scheduling/src/fleet/requested-actions.ts
+++ b/packages/scheduling/src/fleet/requested-actions.ts
@@ -1,7 +1,7 @@
 /** Requested host actions: services drain the hosts, then the orders begin. */
 import type { FleetEventOf } from './event.js';
 import { beginOrder, earlierOrdersExpireAt, mayOrder, setHost } from './orders.js';
-import type { FleetState, HostState } from './state.js';
+import type { FleetState, HostAction, HostState } from './state.js';
 import { updateFleet, updateHost } from './update.js';
 
 /** Time after which the request to move a host that is still busy is dropped. */
@@ -63,11 +63,16 @@
   );
 }
 
-/** Returns the host requests for one service. */
+/** Returns whether an action takes a host away from a service, at least for some time. */
+function isTakenFrom(service: string, what: HostAction): boolean {
+  return what.kind === 'maintain' || what.pool !== service;
+}
+
+/** Returns the host requests for one service. A host that has arrived by a move to the service is not drained for it. */
 export function selectServiceHostRequests(state: FleetState, service: string): ServiceHostRequests {
   const releases = [...state.hosts.values()].flatMap(({ listing, requestedAction, order }) => {
     const what = requestedAction?.what ?? order?.what;
-    if (listing.pool !== service || what === undefined) return [];
+    if (listing.pool !== service || what === undefined || !isTakenFrom(service, what)) return [];
     const purpose = what.kind === 'move' ? ('move' as const) : ('maintenance' as const);
     return [{ hostId: listing.hostId, purpose }];
   });
