Stop the rest of a gang at once when a member's worker has crashed

Cause: a run whose start was not answered is kept on a terminated worker for 13 s, since the order may still arrive, and so counted as a present member; the others waited until their time ran out.

The gang starts again only once the kept run is gone, as before.

--- a/packages/scheduling/src/service/lost-runs.ts
+++ b/packages/scheduling/src/service/lost-runs.ts
@@ -9,7 +9,7 @@
 import type { Run, ServiceState, WorkerState } from './state.js';
 import { orphanRuns, removeRun, runsOnWorker } from './tasks.js';
 import { setWorker } from './worker-index.js';
-import { updateRun, updateWorker } from './update.js';
+import { updateRun, updateService, updateWorker } from './update.js';
 
 /** Time within which an unanswered order may still be executed. */
 export const DELAYED_ORDER_MILLISECONDS = 13_000;
@@ -70,8 +70,12 @@
   yield { kind: 'log', decision: 'workerLost', fields: { workerId, hostId, reason, incarnation } };
   const recorded = isPlanned ? state : recordWorkerCrash(state, worker);
   const terminated = setWorker(recorded, updateWorker(worker, { isTerminated: true }));
-  const ended = [...runsOnWorker(terminated, worker)].filter(([, run]) => !mayStillStart(run));
-  return yield* dropRuns(terminated, ended, reason);
+  const runs = [...runsOnWorker(terminated, worker)];
+  const ended = runs.filter(([, run]) => !mayStillStart(run));
+  const dropped = yield* dropRuns(terminated, ended, reason);
+  // A gang has lost a member even if its run is kept.
+  const gangJobIds = runs.flatMap(([{ jobId }]) => (state.jobs.get(jobId)?.hasGang === true ? [jobId] : []));
+  return updateService(dropped, { brokenGangJobIds: dropped.brokenGangJobIds.union(gangJobIds) });
 }
 
 /** Drops the remaining runs on terminated workers once no delayed order for them can be executed any more. */
