--- a/packages/scheduling/src/decide/quarantine.ts
+++ b/packages/scheduling/src/decide/quarantine.ts
@@ -21,6 +21,9 @@
 /** Largest share of the workers that quarantined tasks may keep from other waiting tasks. */
 const MAXIMUM_ISOLATED_SHARE = 1 / 4;
 
+/** Time after which a suspect may take idle workers beyond that share, so that no backlog keeps it waiting. */
+const SUSPECT_PATIENCE_MILLISECONDS = 1_500;
+
 /** Marks the quarantine to be looked at again, unless there is none. */
 export function markQuarantineStale(state: ServiceState): ServiceState {
   const { quarantine } = state;
@@ -74,16 +77,23 @@
 }
 
 function isFull(isolation: Isolation): boolean {
-  const { candidates, limit, isContended } = isolation;
-  return countIsolated(isolation) >= (isContended ? limit : candidates.length);
+  return countIsolated(isolation) >= isolation.candidates.length;
 }
 
-/** Returns whether a suspect may isolate the chosen workers. Idle workers are free to take if nothing else waits. */
-function mayIsolate(isolation: Isolation, chosen: readonly IsolationCandidate[]): boolean {
+/**
+ * Returns whether a suspect may isolate the chosen workers. Idle workers are free to take if nothing else waits, and for
+ * a suspect that has waited for long.
+ */
+function mayIsolate(
+  isolation: Isolation,
+  chosen: readonly IsolationCandidate[],
+  waitedMilliseconds: number,
+): boolean {
   const { limit, isContended } = isolation;
   const isolatedCount = countIsolated(isolation);
   const added = new Set(chosen.map(({ worker }) => worker.listing.workerId)).size;
-  const isHarmless = !isContended && chosen.every(({ isAlone }) => isAlone);
+  const isFree = !isContended || waitedMilliseconds >= SUSPECT_PATIENCE_MILLISECONDS;
+  const isHarmless = isFree && chosen.every(({ isAlone }) => isAlone);
   return isHarmless || isolatedCount === 0 || isolatedCount + added <= limit;
 }
 
@@ -118,7 +128,7 @@
     if (isFull(isolation)) return next;
     const free = candidates.filter(({ worker }) => !isolated.has(worker.listing.workerId));
     const chosen = planIsolation(suspect, free);
-    const isAllowed = chosen !== null && mayIsolate(isolation, chosen);
+    const isAllowed = chosen !== null && mayIsolate(isolation, chosen, state.now - suspect.waitingSince);
     if (isAllowed) {
       for (const { worker } of chosen) isolated.set(worker.listing.workerId, suspect.isolationId);
       if (chosen.every(({ isAlone }) => isAlone)) next = yield* startAlone(next, suspect, chosen);
--- a/packages/scheduling/src/service/crash-evidence.ts
+++ b/packages/scheduling/src/service/crash-evidence.ts
@@ -15,9 +15,15 @@
 
 type RunOfTask = readonly [key: TaskKey, run: Run];
 
+/** Returns whether a run was started by an earlier owner, so that it is older than its first report to this one. */
+function isInherited({ placedInVersion }: Run): boolean {
+  return placedInVersion === 0;
+}
+
 /** Returns whether a run was at work for `SURVIVAL_MILLISECONDS` by the last report of its worker. */
-export function hasSurvived({ lastReportAt }: WorkerState, { startedAt }: Run): boolean {
-  return startedAt !== null && lastReportAt !== null && lastReportAt - startedAt >= SURVIVAL_MILLISECONDS;
+export function hasSurvived({ lastReportAt }: WorkerState, run: Run): boolean {
+  if (run.startedAt === null || lastReportAt === null) return false;
+  return isInherited(run) || lastReportAt - run.startedAt >= SURVIVAL_MILLISECONDS;
 }
 
 function requestOf(state: ServiceState, key: TaskKey): StepRequest | null {
@@ -52,7 +58,6 @@
   worker: WorkerState,
   [key, run]: RunOfTask,
   crashId: string,
-  earlierOnHost: readonly WorkerCrash[],
 ): CrashEvidence {
   const beside = runsBeside(state, worker, isolationIdOfTask(state, key));
   return {
@@ -60,7 +65,6 @@
     isConfirmed: run.startedAt !== null,
     isYoung: !hasSurvived(worker, run),
     wasAlone: beside.every(([, other]) => other.phase === 'recording'),
-    isHostClean: earlierOnHost.every((crash) => crash.taskIds.has(taskIdOf(key))),
   };
 }
 
@@ -102,12 +106,11 @@
   if (worker.isTerminated || isLeaving(state, worker)) return state;
   const ordered = [...runsOnWorker(state, worker)].filter(([, run]) => run.phase !== 'recording');
   const crash = crashOfWorker(state, worker, ordered);
-  const earlierOnHost = [...state.quarantine.crashes.values()].filter(
-    ({ hostId }) => hostId === crash.hostId,
-  );
+  // A worker that is listed again under its id may be seen to end twice.
+  if (state.quarantine.crashes.has(crash.crashId)) return state;
   let next = state;
   for (const entry of ordered) {
-    const evidence = evidenceAgainst(state, worker, entry, crash.crashId, earlierOnHost);
+    const evidence = evidenceAgainst(state, worker, entry, crash.crashId);
     next = changeRun(next, ...entry, (run) => updateRun(run, { crash: evidence }));
   }
   const crashes = next.quarantine.crashes.set(crash.crashId, crash);
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -1,5 +1,5 @@
 /** Gives up jobs with a task that crashes each worker that starts it, and clears tasks that have shown to be sound. */
-import { taskIdOf, type TaskKey } from '../model/job.js';
+import type { TaskKey } from '../model/job.js';
 import { forgetOldCrashes, hasSurvived } from './crash-evidence.js';
 import type { ServiceStep } from './effect.js';
 import { endJob } from './jobs.js';
@@ -15,31 +15,12 @@
 import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
 import { updateService, updateTask } from './update.js';
 
-/** Crashes after which a task that ran alone is given up, by how far the last crash can have another cause. */
-const LIMIT_WITHOUT_OTHER_CAUSE = 3;
-const LIMIT_WITH_OTHER_CAUSE = 4;
+/** Crashes after which a task that ran alone is given up. */
+const CRASH_LIMIT = 3;
 
-function isNearMassEnd({ quarantine: { massEnd } }: ServiceState, { crashedAt }: PendingVerdict): boolean {
-  return massEnd !== null && Math.abs(massEnd.at - crashedAt) <= MASS_END_MILLISECONDS;
-}
-
-function hasCrashNearby(state: ServiceState, { key, evidence, crashedAt }: PendingVerdict): boolean {
-  const { crashes } = state.quarantine;
-  const rack = evidence.crashId === null ? null : crashes.get(evidence.crashId)?.rack;
-  return [...crashes.values()].some(
-    (crash) =>
-      crash.rack === rack &&
-      Math.abs(crash.at - crashedAt) <= MASS_END_MILLISECONDS &&
-      !crash.taskIds.has(taskIdOf(key)),
-  );
-}
-
-function limitOf(state: ServiceState, verdict: PendingVerdict): number {
-  const { evidence } = verdict;
-  if (evidence.crashId === null || !evidence.isYoung) return LIMIT_OF_WEAK_EVIDENCE;
-  const isNearOthers = hasCrashNearby(state, verdict) || isNearMassEnd(state, verdict);
-  const hasOtherCause = !evidence.isConfirmed || !evidence.isHostClean || isNearOthers;
-  return hasOtherCause ? LIMIT_WITH_OTHER_CAUSE : LIMIT_WITHOUT_OTHER_CAUSE;
+function limitOf({ evidence }: PendingVerdict): number {
+  const isWeak = evidence.crashId === null || !evidence.isYoung;
+  return isWeak ? LIMIT_OF_WEAK_EVIDENCE : CRASH_LIMIT;
 }
 
 function* decide(state: ServiceState, taskId: string, verdict: PendingVerdict): ServiceStep<ServiceState> {
@@ -52,7 +33,7 @@
   });
   const crashes = findTask(state, key)?.workerCrashes ?? 0;
   const isVoid = isExcused(state.quarantine, verdict.evidence, taskId);
-  if (isVoid || crashes < limitOf(state, verdict)) return decided;
+  if (isVoid || crashes < limitOf(verdict)) return decided;
   return yield* endJob(decided, key.jobId, 'failed', `${crashes} workers crashed under a task`);
 }
 
--- a/packages/scheduling/src/service/mass-ends.ts
+++ b/packages/scheduling/src/service/mass-ends.ts
@@ -38,11 +38,11 @@
   });
 }
 
-/** Returns the workers that have not ended, except those of some crashes, which may have restarted since. */
+/** Returns the workers that have not ended, except those on the hosts of some crashes, which may have restarted since. */
 function aliveBeside(state: ServiceState, crashes: readonly WorkerCrash[]): readonly WorkerState[] {
-  const crashedIds = new Set(crashes.map(({ workerId }) => workerId));
+  const crashedHostIds = new Set(crashes.map(({ hostId }) => hostId));
   return [...state.workers.values()].filter(
-    ({ isTerminated, listing }) => !isTerminated && !crashedIds.has(listing.workerId),
+    ({ isTerminated, listing }) => !isTerminated && !crashedHostIds.has(listing.hostId),
   );
 }
 
--- a/packages/scheduling/src/service/quarantine-state.ts
+++ b/packages/scheduling/src/service/quarantine-state.ts
@@ -25,8 +25,6 @@
   readonly isYoung: boolean;
   /** Whether no other task can have crashed the worker. */
   readonly wasAlone: boolean;
-  /** Whether no other worker of the host has crashed recently under other tasks. */
-  readonly isHostClean: boolean;
 }
 
 /** Returns whether the crash of a worker is no evidence against a task, since it is part of a mass end. */
@@ -40,7 +38,6 @@
   isConfirmed: true,
   isYoung: false,
   wasAlone: false,
-  isHostClean: false,
 };
 
 /** Effect of a crash on one task, so that it can be undone. */
