Blame a crash on runs of less than 0.3 s at work, in place of 2 s

Each crash made suspects of all short tasks beside the one at fault; at most a quarter of eight workers runs suspects, so they queued for 10 s and more, and the task at fault came to its next run only after 10 to 20 s.

Change: a run that was at work for 0.3 s by its worker's last report is not quarantined for its first crash; its second crash quarantines it as before.

--- a/packages/scheduling/src/service/quarantine-state.ts
+++ b/packages/scheduling/src/service/quarantine-state.ts
@@ -4,7 +4,7 @@
 import type { Instant } from './state.js';
 
 /** Time at work, by the reports of its worker, after which a run has shown that its start crashes no worker. */
-export const SURVIVAL_MILLISECONDS = 2_000;
+export const SURVIVAL_MILLISECONDS = 300;
 
 /** Number of crashes from which on a task is quarantined however long its runs were at work. */
 export const QUARANTINE_CRASHES = 2;
