Require two crashes under a task alone before its third gives it up

Cause: a task that had lost its worker twice beside others was given up after one crash while it ran alone, which may be chance.

Change: three crashes suffice only if two of the remembered ones came while the task ran alone; otherwise it takes four.

--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -1,5 +1,5 @@
 /** Gives up jobs with a task that crashes each worker that starts it, and clears tasks that have shown to be sound. */
-import type { TaskKey } from '../model/job.js';
+import { taskIdOf, type TaskKey } from '../model/job.js';
 import { forgetOldCrashes, hasSurvived } from './crash-evidence.js';
 import type { ServiceStep } from './effect.js';
 import { endJob } from './jobs.js';
@@ -15,12 +15,21 @@
 import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
 import { updateService, updateTask } from './update.js';
 
-/** Crashes after which a task that ran alone is given up. */
+/** Crashes after which a task is given up, and how many of them must have come while it ran alone. */
 const CRASH_LIMIT = 3;
+const MINIMUM_CRASHES_ALONE = 2;
 
-function limitOf({ evidence }: PendingVerdict): number {
-  const isWeak = evidence.crashId === null || !evidence.isYoung;
-  return isWeak ? LIMIT_OF_WEAK_EVIDENCE : CRASH_LIMIT;
+/** Counts the recent crashes of workers that ran nothing but a task, or nothing but it as a suspect. */
+function countCrashesAlone({ quarantine }: ServiceState, taskId: string): number {
+  return quarantine.crashes.count(
+    ({ taskIds, isExplained }) => taskIds.has(taskId) && (isExplained || taskIds.size === 1),
+  );
+}
+
+function limitOf(state: ServiceState, { key, evidence }: PendingVerdict): number {
+  const isWitnessed = evidence.crashId !== null && evidence.isYoung;
+  const isRepeated = countCrashesAlone(state, taskIdOf(key)) >= MINIMUM_CRASHES_ALONE;
+  return isWitnessed && isRepeated ? CRASH_LIMIT : LIMIT_OF_WEAK_EVIDENCE;
 }
 
 function* decide(state: ServiceState, taskId: string, verdict: PendingVerdict): ServiceStep<ServiceState> {
@@ -33,7 +42,7 @@
   });
   const crashes = findTask(state, key)?.workerCrashes ?? 0;
   const isVoid = isExcused(state.quarantine, verdict.evidence, taskId);
-  if (isVoid || crashes < limitOf(verdict)) return decided;
+  if (isVoid || crashes < limitOf(state, verdict)) return decided;
   return yield* endJob(decided, key.jobId, 'failed', `${crashes} workers crashed under a task`);
 }
 
