--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -2,8 +2,9 @@
 import { describe } from '@baobabdeck/test-tools';
 import type { JobPlan } from '../job-plans.js';
 import type { ModelHost } from '../model-fleet.js';
-import type { ModelWorker } from '../model-worker.js';
-import { createReferee, type Referee } from '../referee.js';
+import type { ModelWorker } from '../model-worker-types.js';
+import type { Referee } from '../referee-types.js';
+import { createReferee } from '../referee.js';
 import type { RuleName } from '../sightings.js';
 import type { VirtualTime } from '../virtual-time.js';
 
--- a/packages/fleet-emulator/src/capacity-rules.ts
+++ b/packages/fleet-emulator/src/capacity-rules.ts
@@ -1,9 +1,9 @@
 /** Rule on starts on workers that start whatever they are told to start. */
 import { taskIdOf, type Resources } from '@baobabdeck/scheduling';
 import { sumOfNeeds } from './job-plans.js';
-import type { ModelWorker } from './model-worker.js';
+import type { ModelWorker } from './model-worker-types.js';
 import type { ObservedStart, WorkerObserver } from './observer.js';
-import type { RefereeParts } from './referee.js';
+import type { RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
 
 /** Time between two reports of a worker about itself. */
--- a/packages/fleet-emulator/src/host-rules.ts
+++ b/packages/fleet-emulator/src/host-rules.ts
@@ -1,19 +1,12 @@
 /** Rules on orders on hosts and on waves. */
 import type { WorkerObserver } from './observer.js';
 import type { HostObserver } from './model-fleet.js';
-import type { RefereeParts } from './referee.js';
+import type { HostRules, RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
 
 /** Time between the orders of two holders on one host. */
 const HOLDER_LEASE_MILLISECONDS = 3_000;
 
-/** What the rules hear. */
-export interface HostRules extends HostObserver {
-  readonly onWaveCompleted: (wave: number) => void;
-  /** A wave is asked for; its hosts may be down for it up to a limit. */
-  readonly onWaveAsked: (wave: number, hostIds: readonly string[], maximumDown: number) => void;
-}
-
 /** Creates the rules; a host that is taken ends what runs on it by an order, like a stop. */
 export function createHostRules(
   { time, hosts }: RefereeParts,
--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -1,6 +1,6 @@
 /** Rules on what callers are told of their jobs, and on work that must go on. */
 import { stepOfTask } from './job-plans.js';
-import type { Referee, RefereeParts } from './referee.js';
+import type { Referee, RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
 
 /** Time after the acceptance of a job from which on it must be known everywhere. */
--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -12,7 +12,8 @@
 import type { RandomSource } from '@baobabdeck/emulator';
 import { createGangHall } from './gang-hall.js';
 import type { JobPlans } from './job-plans.js';
-import { createModelWorker, type ModelWorker } from './model-worker.js';
+import type { ModelWorker } from './model-worker-types.js';
+import { createModelWorker } from './model-worker.js';
 import type { Endpoint, Network } from './network.js';
 import type { WorkerObserver } from './observer.js';
 import type { VirtualTime } from './virtual-time.js';
--- a/packages/fleet-emulator/src/model-worker.ts
+++ b/packages/fleet-emulator/src/model-worker.ts
@@ -3,7 +3,6 @@
   fits,
   taskIdOf,
   type EndedReport,
-  type Resources,
   type RunEnd,
   type StartOutcome,
   type StopOutcome,
@@ -12,6 +11,7 @@
 } from '@baobabdeck/scheduling';
 import type { RenewLeaseOrder, RenewLeaseOutcome, StartRunOrder, StopRunOrder } from '@baobabdeck/scheduler';
 import type { GangHall, GangMember } from './gang-hall.js';
+import type { ModelRun, ModelWorker, WorkerMood } from './model-worker-types.js';
 import { stepOfTask, sumOfNeeds, type JobPlans } from './job-plans.js';
 import type { WorkerObserver } from './observer.js';
 import type { VirtualTime } from './virtual-time.js';
@@ -27,26 +27,6 @@
 /** Time after which a lasting task fails by itself. */
 const LASTING_MILLISECONDS = 25_000;
 
-/** A run on a worker. */
-export interface ModelRun {
-  readonly task: TaskKey;
-  readonly run: number;
-  readonly startedAt: number;
-  /** Since when it works; null while a gang waits. */
-  workingSince: number | null;
-  readonly resumedMilliseconds: number;
-  isStopping: boolean;
-}
-
-/** How a worker's life treats what it is asked. */
-export interface WorkerMood {
-  /** Share of runs that fail by the worker's fault. */
-  failing: number;
-  /** Runs do not get on. */
-  isHanging: boolean;
-  isDraining: boolean;
-}
-
 /** What a worker is made of. */
 export interface ModelWorkerParts {
   readonly time: VirtualTime;
@@ -63,30 +43,6 @@
   readonly guardsCapacity: boolean;
 }
 
-/** One life of a worker. */
-export interface ModelWorker {
-  readonly listing: () => WorkerListing;
-  readonly guardsCapacity: boolean;
-  readonly capacity: () => Resources;
-  /** Changes its capacity; what runs on it runs on. */
-  readonly setCapacity: (capacity: Resources) => void;
-  readonly mood: WorkerMood;
-  readonly isUp: () => boolean;
-  readonly runs: () => readonly ModelRun[];
-  readonly percentOf: (run: ModelRun) => number;
-  readonly renew: (order: RenewLeaseOrder) => Promise<RenewLeaseOutcome>;
-  readonly start: (
-    order: StartRunOrder,
-    isLate: boolean,
-  ) => {
-    readonly outcome: StartOutcome;
-    readonly clockMilliseconds: number | null;
-  };
-  readonly stop: (order: StopRunOrder) => StopOutcome;
-  /** Ends this life: everything on it ends, and no one hears of it. */
-  readonly end: () => void;
-}
-
 type StartAnswer = ReturnType<ModelWorker['start']>;
 
 const FULL_PERCENT = 100;
--- a/packages/fleet-emulator/src/observer.ts
+++ b/packages/fleet-emulator/src/observer.ts
@@ -1,6 +1,6 @@
 /** What the models tell the referee. */
 import type { RunEnd, TaskKey } from '@baobabdeck/scheduling';
-import type { ModelWorker } from './model-worker.js';
+import type { ModelWorker } from './model-worker-types.js';
 
 /** An order that a worker carried out. */
 export interface ObservedStart {
--- a/packages/fleet-emulator/src/play-result.ts
+++ b/packages/fleet-emulator/src/play-result.ts
@@ -1,5 +1,5 @@
 /** What came of a play. */
-import type { PlayCounts } from './referee.js';
+import type { PlayCounts } from './referee-types.js';
 import type { Violation } from './sightings.js';
 import type { World } from './world.js';
 
--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -1,7 +1,7 @@
 /** Rules on what becomes of the work that was handed in: none stands still beside free room, and enough is served. */
 import { countFitting, subtractResources, type Resources, type TaskKey } from '@baobabdeck/scheduling';
 import { stepOfTask, sumOfNeeds } from './job-plans.js';
-import type { Referee, RefereeParts } from './referee.js';
+import type { Referee, RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
 
 /** Time for which work may stand still beside free room. */
--- a/packages/fleet-emulator/src/task-rules.ts
+++ b/packages/fleet-emulator/src/task-rules.ts
@@ -1,9 +1,9 @@
 /** Rules on the starts and ends of tasks. */
 import { taskIdOf, type TaskKey } from '@baobabdeck/scheduling';
 import { stepOfTask } from './job-plans.js';
-import type { ModelWorker } from './model-worker.js';
+import type { ModelWorker } from './model-worker-types.js';
 import type { ObservedEnd, ObservedStart, WorkerObserver } from './observer.js';
-import type { RefereeParts } from './referee.js';
+import type { RefereeParts } from './referee-types.js';
 import type { SeenRun, Sightings } from './sightings.js';
 
 /** Time after an acknowledged cancelling within which a run may still start. */
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -7,7 +7,8 @@
 import { createModelStore, type ModelStore } from './model-store.js';
 import { createProcessor, FREE_PROCESSOR, type Processor, type ProcessorCosts } from './processor.js';
 import { createNetwork, type Network } from './network.js';
-import { createReferee, type Referee } from './referee.js';
+import type { Referee } from './referee-types.js';
+import { createReferee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
 
@@ -110,11 +111,13 @@
       priority: index % 2,
       maximumFailedRuns: 3,
       advice: null,
+      isPublic: false,
     })),
     services: [
       ...names.map((name) => ({ name, isStandby: false, refusesOverload })),
       { name: STANDBY_POOL, isStandby: true, refusesOverload },
     ],
+    workspaces: [],
     limits: {
       headerBytes: 16_384,
       bodyBytes: 262_144,
--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -71,6 +71,7 @@
       version: 1,
       queues: [],
       services: [{ name: 'off', isStandby: true, refusesOverload: true }],
+      workspaces: [],
       limits: {
         headerBytes: 1_024,
         bodyBytes: 1_024,
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -63,6 +63,7 @@
     ...job,
     service: queue.service,
     queue: queue.name,
+    workspace: null,
     priority: queue.priority,
     maximumFailedRuns: queue.maximumFailedRuns,
     stretch: queue.stretch,
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -21,7 +21,9 @@
 const RELEASE_PREFIX = 'release/';
 
 /** Job request whose times are milliseconds since 1970. */
-type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition'> & {
+type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition' | 'workspace'> & {
+  /** Absent in records of earlier versions. */
+  readonly workspace?: string | null;
   readonly acceptedAt: number;
   readonly repetition: {
     readonly times: number;
@@ -66,6 +68,7 @@
   const { acceptedAt, repetition } = encoded;
   return {
     ...encoded,
+    workspace: encoded.workspace ?? null,
     acceptedAt: new Date(acceptedAt),
     repetition: repetition === null ? null : { ...repetition, firstDueAt: new Date(repetition.firstDueAt) },
   };
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -6,7 +6,6 @@
   selectQueueStatistics,
   type SchedulingParameters,
   type ServiceEffect,
-  type ServiceEvent,
   type ServiceState,
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
@@ -19,16 +18,14 @@
 import { decodeReadable } from './decoded-record.js';
 import { openJournal, type OwnedJournal } from './owned-journal.js';
 import { decodeRecord, encodeRequestTombstones, encodeRecord } from './record-codec.js';
-import { createReducerLoop, type ReducerLoop, type EventBody } from './reducer-loop.js';
+import { createReducerLoop, type ReducerLoop } from './reducer-loop.js';
+import type { ServiceEventBody } from './service-event.js';
 import { performWorkerEffect } from './worker-effects.js';
 
 const LONG_POLL_MILLISECONDS = 1_000;
 const RETRY_DELAY_MILLISECONDS = 100;
 const TICK_INTERVAL_MILLISECONDS = 100;
 
-/** Scheduler event without its timestamps. */
-export type ServiceEventBody = EventBody<ServiceEvent>;
-
 /** Dependencies and parameters of a service owner. */
 export interface ServiceOwnerParts {
   readonly service: string;
--- a/packages/scheduler/src/owner/worker-effects.ts
+++ b/packages/scheduler/src/owner/worker-effects.ts
@@ -2,7 +2,7 @@
 import type { ServiceEffect } from '@baobabdeck/scheduling';
 import type { WorkerOrders } from '../ports/index.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import type { ServiceEventBody } from './service-owner.js';
+import type { ServiceEventBody } from './service-event.js';
 
 type EffectOf<K extends ServiceEffect['kind']> = Extract<ServiceEffect, { readonly kind: K }>;
 type WorkerEffect = EffectOf<'renew-lease' | 'start-run' | 'stop-run'>;
--- a/packages/scheduler/src/ports/operator.ts
+++ b/packages/scheduler/src/ports/operator.ts
@@ -1,5 +1,5 @@
 /** Entries published by the operator: the configuration of queues and services, and maintenance waves. */
-import type { AdviceTerms, WaveStatus } from '@baobabdeck/scheduling';
+import type { AdviceTerms, ResourceCap, WaveStatus } from '@baobabdeck/scheduling';
 
 /** A queue to which callers submit jobs. */
 export interface Queue {
@@ -15,6 +15,8 @@
   readonly priority: number;
   readonly maximumFailedRuns: number;
   readonly advice: AdviceTerms | null;
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
 }
 
 /** A service: the pool of hosts that runs the tasks of its queues. */
@@ -26,6 +28,17 @@
   readonly refusesOverload: boolean;
 }
 
+/** A workspace: callers that share keys, a share of the capacity and a limit on what they run. */
+export interface Workspace {
+  readonly name: string;
+  /** Digests of the keys of its callers. */
+  readonly keyDigests: readonly string[];
+  /** Share of the capacity while all is in use, and number of jobs a second that the workspace is entitled to submit. */
+  readonly weight: number;
+  /** The most that it may have running on all workers of all services. */
+  readonly cap: ResourceCap;
+}
+
 /** Limits on the requests of callers. */
 export interface CallerLimits {
   readonly headerBytes: number;
@@ -39,6 +52,8 @@
   readonly version: number;
   readonly queues: readonly Queue[];
   readonly services: readonly Service[];
+  /** Empty if callers need no keys. */
+  readonly workspaces: readonly Workspace[];
   readonly limits: CallerLimits;
 }
 
--- a/packages/scheduler/src/warm-up/warm-up-play.ts
+++ b/packages/scheduler/src/warm-up/warm-up-play.ts
@@ -13,7 +13,7 @@
   type ServiceState,
 } from '@baobabdeck/scheduling';
 import { runSteps } from '@baobabdeck/types';
-import type { ServiceEventBody } from '../owner/service-owner.js';
+import type { ServiceEventBody } from '../owner/service-event.js';
 import { passThroughCodec, inboxReads, WARM_UP_SERVICE } from './model-jobs.js';
 import { createModelWorkers, type ModelWorkers } from './model-workers.js';
 
--- a/packages/scheduling/src/__tests__/acting-workers.ts
+++ b/packages/scheduling/src/__tests__/acting-workers.ts
@@ -1,9 +1,9 @@
 /** Lets the workers of a service harness act over time: runs start up, stop after a delay and end after their duration. */
 import type { TaskKey } from '../model/job.js';
 import type { EndedReport, RunningReport } from '../model/worker.js';
-import type { ServiceEffect } from '../service/effect.js';
-import type { Run } from '../service/state.js';
-import { findTask } from '../service/tasks.js';
+import type { ServiceEffect } from '../state/effect.js';
+import type { Run } from '../state/service-state.js';
+import { findTask } from '../state/tasks.js';
 import { effectsOf, type EffectOf, type ServiceHarness } from './service-harness.js';
 
 /** How long runs take, in milliseconds. */
--- a/packages/scheduling/src/__tests__/crowded-service.ts
+++ b/packages/scheduling/src/__tests__/crowded-service.ts
@@ -9,7 +9,7 @@
   type EffectOf,
   type ServiceHarness,
 } from './service-harness.js';
-import type { ServiceEffect } from '../service/effect.js';
+import type { ServiceEffect } from '../state/effect.js';
 
 /** Number of workers of a crowded service. */
 export const CROWDED_WORKERS = 50;
--- a/packages/scheduling/src/__tests__/demand.test.ts
+++ b/packages/scheduling/src/__tests__/demand.test.ts
@@ -1,5 +1,5 @@
 import { describe } from '@baobabdeck/test-tools';
-import { estimateOfferedMilliCores } from '../service/demand.js';
+import { estimateOfferedMilliCores } from '../state/arrivals.js';
 
 const NOW = 100_000;
 const WORK = 600_000;
--- a/packages/scheduling/src/__tests__/fleet-harness.ts
+++ b/packages/scheduling/src/__tests__/fleet-harness.ts
@@ -4,7 +4,7 @@
 import { reduceFleet, restoreFleet } from '../fleet/reduce.js';
 import type { FleetRecord, FleetState } from '../fleet/state.js';
 import type { HostListing } from '../model/worker.js';
-import type { HostLoad, ServiceReport } from '../service/demand.js';
+import type { HostLoad, ServiceReport } from '../model/service-report.js';
 
 type Body = FleetEvent extends infer E ? (E extends FleetEvent ? Omit<E, 'at' | 'timeOfDay'> : never) : never;
 type EffectOf<K extends FleetEffect['kind']> = Extract<FleetEffect, { readonly kind: K }>;
--- a/packages/scheduling/src/__tests__/maintenance-waves.test.ts
+++ b/packages/scheduling/src/__tests__/maintenance-waves.test.ts
@@ -1,7 +1,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import type { FleetEffect } from '../fleet/event.js';
 import type { FleetRecord } from '../fleet/state.js';
-import type { HostLoad } from '../service/demand.js';
+import type { HostLoad } from '../model/service-report.js';
 import {
   DAY,
   createFleetHarness,
--- a/packages/scheduling/src/__tests__/pending-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/pending-jobs.test.ts
@@ -2,7 +2,7 @@
 import type { StoredServiceRecord } from '../model/records.js';
 import { restoreService } from '../service/restore.js';
 import { selectJobStatus, selectPendingCount } from '../service/selectors.js';
-import type { ServiceState } from '../service/state.js';
+import type { ServiceState } from '../state/service-state.js';
 import { createServiceHarness, effectsOf, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
 
 function countPending(harness: ServiceHarness): number | null {
--- a/packages/scheduling/src/__tests__/pool-balancing.test.ts
+++ b/packages/scheduling/src/__tests__/pool-balancing.test.ts
@@ -1,7 +1,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import type { FleetEffect } from '../fleet/event.js';
 import type { HostListing } from '../model/worker.js';
-import type { ServiceReport } from '../service/demand.js';
+import type { ServiceReport } from '../model/service-report.js';
 import {
   HOST_MILLI_CORES,
   TWO_HOSTS,
--- a/packages/scheduling/src/__tests__/quarantine-review.test.ts
+++ b/packages/scheduling/src/__tests__/quarantine-review.test.ts
@@ -2,7 +2,7 @@
 import type { HostListing, RunningReport } from '../model/worker.js';
 import type { StoredServiceRecord } from '../model/records.js';
 import type { JobRequest } from '../model/job.js';
-import { runsOnWorker } from '../service/tasks.js';
+import { runsOnWorker } from '../state/tasks.js';
 import {
   CAPACITY,
   createServiceHarness,
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -3,11 +3,11 @@
 import { PLAIN_STEP, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
 import type { ServiceRecord, StoredServiceRecord } from '../model/records.js';
 import type { WorkerListing, WorkerReport } from '../model/worker.js';
-import type { ServiceEffect } from '../service/effect.js';
-import type { ServiceEvent } from '../service/event.js';
+import type { ServiceEffect } from '../state/effect.js';
+import type { ServiceEvent } from '../state/event.js';
 import { reduceService } from '../service/reduce.js';
 import { restoreService } from '../service/restore.js';
-import type { ServiceState } from '../service/state.js';
+import type { ServiceState } from '../state/service-state.js';
 
 type Body = ServiceEvent extends infer E
   ? E extends ServiceEvent
@@ -31,6 +31,7 @@
     jobId,
     service: 'quotes',
     queue: 'quotes',
+    workspace: null,
     specification: 'work',
     steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
     repetition: null,
--- a/packages/scheduling/src/__tests__/shrinking-capacity.test.ts
+++ b/packages/scheduling/src/__tests__/shrinking-capacity.test.ts
@@ -2,7 +2,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import { PLAIN_STEP } from '../model/job.js';
 import type { RunningReport, WorkerListing } from '../model/worker.js';
-import type { ServiceEffect } from '../service/effect.js';
+import type { ServiceEffect } from '../state/effect.js';
 import { reduceService } from '../service/reduce.js';
 import {
   CAPACITY,
--- a/packages/scheduling/src/__tests__/waiting-queue.test.ts
+++ b/packages/scheduling/src/__tests__/waiting-queue.test.ts
@@ -4,7 +4,7 @@
   setWaitingStep,
   waitingInOrder,
   type WaitingKey,
-} from '../service/waiting-queue.js';
+} from '../state/waiting-queue.js';
 
 const NEEDS = { milliCores: 500, memoryMegabytes: 64, accelerators: 0 };
 
--- a/packages/scheduling/src/decide/critical-path.ts
+++ b/packages/scheduling/src/decide/order/critical-path.ts
@@ -1,5 +1,5 @@
 /** Estimates the critical path of a job: its duration if every task gets a worker at once. */
-import type { StepRequest } from '../model/job.js';
+import type { StepRequest } from '../../model/job.js';
 
 /** Returns the critical path in milliseconds by the caller's estimates; lasting steps count as 0. */
 export function estimateCriticalPathMilliseconds(
--- a/packages/scheduling/src/decide/waiting-order.ts
+++ b/packages/scheduling/src/decide/order/waiting-order.ts
@@ -1,14 +1,14 @@
 /** Determines the order in which waiting steps are placed. */
-import type { StepRequest, TaskKey } from '../model/job.js';
-import type { JobState, OccurrenceState, ServiceState, StepState } from '../service/state.js';
-import { stepRequestOf } from '../model/step-needs.js';
-import { isTaskWaiting } from '../service/tasks.js';
+import type { StepRequest, TaskKey } from '../../model/job.js';
+import type { JobState, OccurrenceState, ServiceState, StepState } from '../../state/service-state.js';
+import { stepRequestOf } from '../../model/step-needs.js';
+import { isTaskWaiting } from '../../state/tasks.js';
 import {
   compareWaiting,
   waitingInOrder,
   type WaitingEntry,
   type WaitingKey,
-} from '../service/waiting-queue.js';
+} from '../../state/waiting-queue.js';
 
 /** A ready step with tasks that wait for a worker. */
 export interface WaitingStep {
--- a/packages/scheduling/src/decide/blocked-tasks.ts
+++ b/packages/scheduling/src/decide/placement/blocked-tasks.ts
@@ -1,15 +1,15 @@
 /** Reports lasting tasks that have waited for long, with the workers that have capacity for them and may not take them. */
-import { fits, type Resources } from '../model/resources.js';
-import { reservedResourcesOf } from '../model/step-needs.js';
-import type { ServiceStep } from '../service/effect.js';
-import type { ServiceState, WorkerState } from '../service/state.js';
+import { fits, type Resources } from '../../model/resources.js';
+import { reservedResourcesOf } from '../../model/step-needs.js';
+import type { ServiceStep } from '../../state/effect.js';
+import type { ServiceState, WorkerState } from '../../state/service-state.js';
 import { freeCapacityOf, hasRequiredLabel, isEligible } from './eligibility.js';
 import {
   findWaitingStep,
   longestWaitMilliseconds,
   orderWaitingSteps,
   type WaitingStep,
-} from './waiting-order.js';
+} from '../order/waiting-order.js';
 
 /** Time that a lasting task must have waited to be reported. */
 const REPORTED_WAIT_MILLISECONDS = 3_000;
--- a/packages/scheduling/src/decide/choose-worker.ts
+++ b/packages/scheduling/src/decide/placement/choose-worker.ts
@@ -1,7 +1,7 @@
 /** Selects the worker for one task among eligible workers. */
-import type { StepRequest } from '../model/job.js';
-import { reservedResourcesOf } from '../model/step-needs.js';
-import type { StepState, TaskState, WorkerState } from '../service/state.js';
+import type { StepRequest } from '../../model/job.js';
+import { reservedResourcesOf } from '../../model/step-needs.js';
+import type { StepState, TaskState, WorkerState } from '../../state/service-state.js';
 import { hasRequiredLabel } from './eligibility.js';
 import { fitsOn, freeMilliCoresOn, type EligibleWorkers } from './eligible-workers.js';
 
--- a/packages/scheduling/src/decide/eligibility.ts
+++ b/packages/scheduling/src/decide/placement/eligibility.ts
@@ -1,8 +1,8 @@
 /** Determines which workers may get tasks, and the free capacity of each. */
-import type { StepRequest } from '../model/job.js';
-import { reservedResourcesOf } from '../model/step-needs.js';
-import { subtractResources, type Resources } from '../model/resources.js';
-import type { ServiceState, WorkerState } from '../service/state.js';
+import type { StepRequest } from '../../model/job.js';
+import { reservedResourcesOf } from '../../model/step-needs.js';
+import { subtractResources, type Resources } from '../../model/resources.js';
+import type { ServiceState, WorkerState } from '../../state/service-state.js';
 
 /** A worker that may get tasks, with its free capacity. */
 export interface Candidate {
--- a/packages/scheduling/src/decide/eligible-workers.ts
+++ b/packages/scheduling/src/decide/placement/eligible-workers.ts
@@ -5,8 +5,8 @@
   NO_RESOURCES,
   subtractResources,
   type Resources,
-} from '../model/resources.js';
-import type { ServiceState, WorkerState } from '../service/state.js';
+} from '../../model/resources.js';
+import type { ServiceState, WorkerState } from '../../state/service-state.js';
 import { freeCapacityOf, isEligible, isEligibleForOverdueTask } from './eligibility.js';
 
 /** Workers that may get tasks, with the free capacity of each. */
--- a/packages/scheduling/src/decide/new-run.ts
+++ b/packages/scheduling/src/decide/placement/new-run.ts
@@ -1,5 +1,6 @@
 /** Builds runs of tasks that were just assigned to a worker. */
-import type { Instant, Run, WorkerState } from '../service/state.js';
+import type { Instant } from '../../model/instant.js';
+import type { Run, WorkerState } from '../../state/service-state.js';
 
 /** Returns a run that is placed on a worker and not recorded yet. */
 export function newRun(
--- a/packages/scheduling/src/decide/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -1,13 +1,13 @@
 /** Selects a worker for each waiting task. */
-import type { TaskKey } from '../model/job.js';
-import { reservedResourcesOf } from '../model/step-needs.js';
-import type { ServiceStep } from '../service/effect.js';
-import { mayIssueOrders } from '../service/lease.js';
-import { runLogFields } from '../service/runs.js';
-import type { ServiceState, StepState, WorkerState } from '../service/state.js';
-import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
-import { NO_PLACEMENT_CHANGES } from '../service/placement-changes.js';
-import type { WaitingKey } from '../service/waiting-queue.js';
+import type { TaskKey } from '../../model/job.js';
+import { reservedResourcesOf } from '../../model/step-needs.js';
+import type { ServiceStep } from '../../state/effect.js';
+import { mayIssueOrders } from '../../state/lease.js';
+import { runLogFields } from '../../state/run-log-fields.js';
+import type { ServiceState, StepState, WorkerState } from '../../state/service-state.js';
+import { addRun, findTask, isTaskWaiting } from '../../state/tasks.js';
+import { NO_PLACEMENT_CHANGES } from '../../state/placement-changes.js';
+import type { WaitingKey } from '../../state/waiting-queue.js';
 import {
   findWaitingStep,
   longestWaitMilliseconds,
@@ -15,7 +15,7 @@
   orderNewlyWaitingSteps,
   orderWaitingSteps,
   type WaitingStep,
-} from './waiting-order.js';
+} from '../order/waiting-order.js';
 import {
   copyEligibleWorkers,
   allEligibleWorkers,
@@ -29,7 +29,7 @@
 } from './eligible-workers.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
 import { newRun } from './new-run.js';
-import { updateService } from '../service/update.js';
+import { updateService } from '../../state/update.js';
 
 /** Waiting steps that one event may check against the capacity that it frees. */
 const STEPS_PER_EVENT = 64;
--- a/packages/scheduling/src/decide/relocation.ts
+++ b/packages/scheduling/src/decide/placement/relocation.ts
@@ -2,10 +2,10 @@
  * Reserves free capacity for tasks that are stopped to drain their workers. Each task that still has to be placed takes
  * its share first, so that no more tasks are stopped than other workers can take.
  */
-import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
-import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
-import type { ServiceState, StepState, TaskState, WorkerState } from '../service/state.js';
-import { isTaskWaiting, runsOnWorker } from '../service/tasks.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../../model/job.js';
+import { reservedResourcesOf, stepRequestOf } from '../../model/step-needs.js';
+import type { ServiceState, StepState, TaskState, WorkerState } from '../../state/service-state.js';
+import { isTaskWaiting, runsOnWorker } from '../../state/tasks.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
 import {
   allEligibleWorkers,
@@ -13,7 +13,7 @@
   reserveCapacity,
   type EligibleWorkers,
 } from './eligible-workers.js';
-import { findWaitingStep, orderWaitingSteps, taskKeyOf } from './waiting-order.js';
+import { findWaitingStep, orderWaitingSteps, taskKeyOf } from '../order/waiting-order.js';
 
 /** Capacity of workers that are not being drained, less what is reserved. */
 export interface Relocation {
--- a/packages/scheduling/src/service/crash-evidence.ts
+++ b/packages/scheduling/src/decide/quarantine/crash-evidence.ts
@@ -1,6 +1,6 @@
 /** Records crashes of workers as evidence against the tasks that ran on them. */
-import { isLeaving } from '../decide/eligibility.js';
-import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
+import { isLeaving } from '../placement/eligibility.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../../model/job.js';
 import {
   CRASH_RETENTION_MILLISECONDS,
   SURVIVAL_MILLISECONDS,
@@ -8,10 +8,10 @@
   updateQuarantine,
   type CrashEvidence,
   type WorkerCrash,
-} from './quarantine-state.js';
-import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, findTask, runsOnWorker } from './tasks.js';
-import { updateRun, updateService } from './update.js';
+} from '../../state/quarantine-state.js';
+import type { Run, ServiceState, WorkerState } from '../../state/service-state.js';
+import { changeRun, findTask, runsOnWorker } from '../../state/tasks.js';
+import { updateRun, updateService } from '../../state/update.js';
 
 type RunOfTask = readonly [key: TaskKey, run: Run];
 
--- a/packages/scheduling/src/decide/isolation-plan.ts
+++ b/packages/scheduling/src/decide/quarantine/isolation-plan.ts
@@ -1,10 +1,10 @@
 /** Selects the workers on which quarantined tasks run alone. */
-import { fits, subtractResources, type Resources } from '../model/resources.js';
-import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
-import { isProvenLastingRun } from '../service/crash-evidence.js';
-import type { ServiceState, TaskState, WorkerState } from '../service/state.js';
-import { runsOnWorker } from '../service/tasks.js';
-import { hasRequiredLabel, mayTakeTasks } from './eligibility.js';
+import { fits, subtractResources, type Resources } from '../../model/resources.js';
+import { reservedResourcesOf, stepRequestOf } from '../../model/step-needs.js';
+import { isProvenLastingRun } from './crash-evidence.js';
+import type { ServiceState, TaskState, WorkerState } from '../../state/service-state.js';
+import { runsOnWorker } from '../../state/tasks.js';
+import { hasRequiredLabel, mayTakeTasks } from '../placement/eligibility.js';
 import type { WaitingSuspect } from './quarantined-tasks.js';
 
 /** A worker on which quarantined tasks may run once it runs nothing else. */
--- a/packages/scheduling/src/decide/quarantined-tasks.ts
+++ b/packages/scheduling/src/decide/quarantine/quarantined-tasks.ts
@@ -1,9 +1,10 @@
 /** Finds the quarantined tasks that run and those that wait for a worker of their own. */
-import type { StepRequest, TaskKey } from '../model/job.js';
-import { stepRequestOf } from '../model/step-needs.js';
-import { isolationIdOf } from '../service/quarantine-state.js';
-import type { Instant, JobState, Run, ServiceState, StepState, TaskState } from '../service/state.js';
-import { isTaskWaiting } from '../service/tasks.js';
+import type { StepRequest, TaskKey } from '../../model/job.js';
+import { stepRequestOf } from '../../model/step-needs.js';
+import { isolationIdOf } from '../../state/quarantine-state.js';
+import type { Instant } from '../../model/instant.js';
+import type { JobState, Run, ServiceState, StepState, TaskState } from '../../state/service-state.js';
+import { isTaskWaiting } from '../../state/tasks.js';
 
 interface Member {
   readonly key: TaskKey;
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -1,8 +1,8 @@
 /** Events that the fleet owner handles and effects that it requests. */
 import type { HostListing } from '../model/worker.js';
-import type { ServiceReport } from '../service/demand.js';
-import type { SchedulingFields } from '../service/effect.js';
-import type { Instant } from '../service/state.js';
+import type { ServiceReport } from '../model/service-report.js';
+import type { SchedulingFields } from '../state/effect.js';
+import type { Instant } from '../model/instant.js';
 import type { FleetRecord, HostAction, PoolConfiguration, WaveStatus } from './state.js';
 
 /** Outcome of an order on a host. */
--- a/packages/scheduling/src/fleet/pool-demand.ts
+++ b/packages/scheduling/src/fleet/pool-demand.ts
@@ -1,6 +1,6 @@
 /** Computes how many hosts each pool has, requires for its load, and keeps for the return of a peak. */
-import type { HostLoad, ServiceReport } from '../service/demand.js';
-import type { Instant } from '../service/state.js';
+import type { HostLoad, ServiceReport } from '../model/service-report.js';
+import type { Instant } from '../model/instant.js';
 import type { DemandPeak, FleetState, HostState, ReceivedReport } from './state.js';
 
 /** Capacity relative to the load: arrivals come in bursts, and tasks cannot fill hosts completely. */
--- a/packages/scheduling/src/fleet/pools.ts
+++ b/packages/scheduling/src/fleet/pools.ts
@@ -1,6 +1,6 @@
 /** Balances hosts among pools: selects the hosts to move for the demand of each pool. */
-import type { HostLoad } from '../service/demand.js';
-import type { Instant } from '../service/state.js';
+import type { HostLoad } from '../model/service-report.js';
+import type { Instant } from '../model/instant.js';
 import type { FleetStep } from './event.js';
 import { isStandbyPool, mayOrder, requestHostAction } from './orders.js';
 import { balanceOf, missingHostsOf, type PoolBalance } from './pool-demand.js';
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -1,6 +1,6 @@
 /** Reducer of the fleet owner: maps a state and an event to effects and the next state. */
 import { Map as PersistentMap } from 'immutable';
-import type { Instant } from '../service/state.js';
+import type { Instant } from '../model/instant.js';
 import type { FleetEvent, FleetStep } from './event.js';
 import { handleFleetHostsListed } from './hosts.js';
 import {
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -1,8 +1,8 @@
 /** State of the fleet owner: hosts, orders on hosts, maintenance waves, and the reports of services. */
 import type { Map as PersistentMap } from 'immutable';
 import type { HostListing } from '../model/worker.js';
-import type { ServiceReport } from '../service/demand.js';
-import type { Instant } from '../service/state.js';
+import type { ServiceReport } from '../model/service-report.js';
+import type { Instant } from '../model/instant.js';
 
 /** Action on a host: a move to another pool, or maintenance for a wave. */
 export type HostAction =
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -1,5 +1,5 @@
 /** Carries out maintenance waves in time, within their limit of hosts down, with little disruption of busy pools. */
-import type { HostLoad } from '../service/demand.js';
+import type { HostLoad } from '../model/service-report.js';
 import type { FleetEventOf, FleetStep } from './event.js';
 import { isStandbyPool, mayOrder, recordWave, requestHostAction } from './orders.js';
 import type { FleetState, HostState, WaveState } from './state.js';
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -2,17 +2,20 @@
 export * from './model/job.js';
 export * from './model/records.js';
 export * from './model/resources.js';
+export type * from './model/service-report.js';
 export * from './model/worker.js';
-export type { SchedulingDecision, SchedulingFields, ServiceEffect, ServiceStep } from './service/effect.js';
-export type { RunAddress, ServiceEvent, ServiceEventOf, StartOutcome, StopOutcome } from './service/event.js';
-export { selectServiceReport, type HostLoad, type ServiceReport } from './service/demand.js';
-export { selectReleaseProgress, type ReleaseProgress } from './service/release.js';
-export type { SchedulingParameters } from './service/parameters.js';
+export * from './model/workspace.js';
+export type { SchedulingDecision, SchedulingFields, ServiceEffect, ServiceStep } from './state/effect.js';
+export type { RunAddress, ServiceEvent, ServiceEventOf, StartOutcome, StopOutcome } from './state/event.js';
+export { selectServiceReport } from './service/demand.js';
+export { selectReleaseProgress } from './service/release.js';
+export type { SchedulingParameters } from './state/parameters.js';
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreInput } from './service/restore.js';
 export { selectQueueStatistics, type QueueStatistics } from './service/queue-statistics.js';
 export { selectJobStatus, selectPendingCount } from './service/selectors.js';
-export type { Instant, ServiceState, TaskState } from './service/state.js';
+export type { Instant } from './model/instant.js';
+export type { ServiceState, TaskState } from './state/service-state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
 export { reduceFleet, restoreFleet, type FleetRestoreParts } from './fleet/reduce.js';
 export type {
--- a/packages/scheduling/src/invariants/check-start.ts
+++ b/packages/scheduling/src/invariants/check-start.ts
@@ -1,9 +1,9 @@
 /** Checks the invariants that hold whenever a task is started; docs/INVARIANTS.md gives the reason for each. */
-import { refusesTask } from '../decide/eligibility.js';
+import { refusesTask } from '../decide/placement/eligibility.js';
 import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
-import { isolationIdOfTask, runsBeside } from '../service/crash-evidence.js';
-import type { JobState, Run, ServiceState, StepState, WorkerState } from '../service/state.js';
-import { findTask } from '../service/tasks.js';
+import { isolationIdOfTask, runsBeside } from '../decide/quarantine/crash-evidence.js';
+import type { JobState, Run, ServiceState, StepState, WorkerState } from '../state/service-state.js';
+import { findTask } from '../state/tasks.js';
 import { stepRequestOf } from '../model/step-needs.js';
 
 /** Names of the invariants on starts. */
--- a/packages/scheduling/src/model/job.ts
+++ b/packages/scheduling/src/model/job.ts
@@ -76,6 +76,8 @@
   readonly service: string;
   /** The queue to which the job was submitted. */
   readonly queue: string;
+  /** The workspace whose key submitted the job; null for public queues and without workspaces. */
+  readonly workspace: string | null;
   /** Passed to workers unchanged. */
   readonly specification: string;
   readonly steps: readonly StepRequest[];
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -1,7 +1,7 @@
 /** Gives up jobs with a task that crashes each worker that starts it, and clears tasks that have shown to be sound. */
 import { taskIdOf, type TaskKey } from '../model/job.js';
-import { forgetOldCrashes, hasSurvived } from './crash-evidence.js';
-import type { ServiceStep } from './effect.js';
+import { forgetOldCrashes, hasSurvived } from '../decide/quarantine/crash-evidence.js';
+import type { ServiceStep } from '../state/effect.js';
 import { endJob } from './jobs.js';
 import { excuseMassEnds, MASS_END_MILLISECONDS } from './mass-ends.js';
 import {
@@ -10,10 +10,10 @@
   QUARANTINE_CRASHES,
   updateQuarantine,
   type PendingVerdict,
-} from './quarantine-state.js';
-import type { ServiceState } from './state.js';
-import { changeTask, findTask, markJobChanged, runsOnWorker } from './tasks.js';
-import { updateService, updateTask } from './update.js';
+} from '../state/quarantine-state.js';
+import type { ServiceState } from '../state/service-state.js';
+import { changeTask, findTask, markJobChanged, runsOnWorker } from '../state/tasks.js';
+import { updateService, updateTask } from '../state/update.js';
 
 /** Crashes after which a task is given up, and how many of them must have come while it ran alone. */
 const CRASH_LIMIT = 3;
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -1,83 +1,13 @@
 /** Builds the report of a service to the fleet owner: its load, its demand and the progress of requested hosts. */
-import { taskIdOf, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
-import { candidatesOf, type Candidate } from '../decide/eligibility.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../model/job.js';
+import { candidatesOf, type Candidate } from '../decide/placement/eligibility.js';
 import { countFitting, type Resources } from '../model/resources.js';
-import { selectReleaseProgress, type ReleaseProgress } from './release.js';
-import type { Instant, JobState, ServiceState, StepState, WorkerState } from './state.js';
+import type { HostLoad, ServiceReport } from '../model/service-report.js';
+import { estimateOfferedMilliCores } from '../state/arrivals.js';
+import { selectReleaseProgress } from './release.js';
+import type { JobState, ServiceState, StepState, WorkerState } from '../state/service-state.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
 
-/** Work that arrived with one job. */
-export interface Arrival {
-  readonly at: Instant;
-  /** Estimated work, in thousandths of a core times milliseconds. */
-  readonly work: number;
-}
-
-/** Load of one host of a service. */
-export interface HostLoad {
-  readonly hostId: string;
-  /** Worker that the other fields describe. The host may run another one by now. */
-  readonly workerId: string;
-  readonly committedMilliCores: number;
-  readonly taskCount: number;
-  readonly lastingCount: number;
-  /** Whether the worker may get tasks, regardless of requests for its host. */
-  readonly isSound: boolean;
-  readonly release: ReleaseProgress | null;
-}
-
-/** Report of one service to the fleet owner. */
-export interface ServiceReport {
-  readonly service: string;
-  readonly hosts: readonly HostLoad[];
-  /** Need of the waiting tasks, in thousandths of a core. */
-  readonly waitingMilliCores: number;
-  /** Need of the lasting tasks, in thousandths of a core. */
-  readonly lastingMilliCores: number;
-  /** Average need of recently arrived work, in thousandths of a core. */
-  readonly offeredMilliCores: number;
-  /** Minimum number of hosts on which the lasting tasks and gangs keep within `maximumPerWorker`. */
-  readonly leastHosts: number;
-  /** Number of additional hosts that waiting gangs or lasting tasks need. */
-  readonly missingHosts: number;
-}
-
-/** Time window over which arrivals are averaged. */
-const ARRIVAL_WINDOW_MILLISECONDS = 2_000;
-
-/** Shorter time window, which detects a burst sooner. With fewer than `BURST_ARRIVALS` arrivals it is not reliable. */
-const BURST_WINDOW_MILLISECONDS = 600;
-const BURST_ARRIVALS = 4;
-
-/** Returns the estimated work of a job, without its lasting steps, in thousandths of a core times milliseconds. */
-export function estimateWork(request: JobRequest): number {
-  return request.steps.reduce(
-    (sum, step) =>
-      step.isLasting ? sum : sum + step.taskCount * step.needs.milliCores * step.estimatedMilliseconds,
-    0,
-  );
-}
-
-/** Returns the arrivals that are still in the time window. */
-export function trimArrivals(arrivals: readonly Arrival[], now: Instant): readonly Arrival[] {
-  const from = now - ARRIVAL_WINDOW_MILLISECONDS;
-  const first = arrivals.findIndex((arrival) => arrival.at >= from);
-  if (first === 0 || arrivals.length === 0) return arrivals;
-  return first < 0 ? [] : arrivals.slice(first);
-}
-
-function sumWork(arrivals: readonly Arrival[]): number {
-  return arrivals.reduce((sum, { work }) => sum + work, 0);
-}
-
-/** Estimates how many thousandths of a core arrivals at the recent rate keep busy. */
-export function estimateOfferedMilliCores(arrivals: readonly Arrival[], now: Instant): number {
-  const average = sumWork(trimArrivals(arrivals, now)) / ARRIVAL_WINDOW_MILLISECONDS;
-  const latest = arrivals.filter(({ at }) => at >= now - BURST_WINDOW_MILLISECONDS);
-  const burst = latest.length < BURST_ARRIVALS ? 0 : sumWork(latest) / BURST_WINDOW_MILLISECONDS;
-  return Math.max(average, burst);
-}
-
 function hostLoadOf(state: ServiceState, worker: WorkerState): HostLoad {
   const { hostId, workerId } = worker.listing;
   const isReleasing =
--- a/packages/scheduling/src/service/forget-jobs.ts
+++ b/packages/scheduling/src/service/forget-jobs.ts
@@ -1,9 +1,10 @@
 /** Forgets ended jobs: their occurrences once all their runs have ended, their status after the retention time. */
-import type { ServiceStep } from './effect.js';
-import { setJob } from './job-index.js';
+import type { ServiceStep } from '../state/effect.js';
+import { setJob } from '../state/job-index.js';
 import { runsOfJob } from './jobs.js';
-import type { Instant, ServiceState } from './state.js';
-import { updateJob, updateService } from './update.js';
+import type { Instant } from '../model/instant.js';
+import type { ServiceState } from '../state/service-state.js';
+import { updateJob, updateService } from '../state/update.js';
 
 /** Removes ended jobs from the active jobs once their end is stored and they have no runs. */
 function settleOverJobs(state: ServiceState): ServiceState {
--- a/packages/scheduling/src/decide/gang.ts
+++ b/packages/scheduling/src/service/gang.ts
@@ -1,9 +1,9 @@
 /** Stops gangs that have lost a member: the other members would wait for it without making progress. */
 import type { TaskKey } from '../model/job.js';
-import type { ServiceStep } from '../service/effect.js';
-import { orderStop } from '../service/runs.js';
-import type { JobState, Run, ServiceState, StepState, TaskState } from '../service/state.js';
-import { updateService } from '../service/update.js';
+import type { ServiceStep } from '../state/effect.js';
+import { orderStop } from './runs.js';
+import type { JobState, Run, ServiceState, StepState, TaskState } from '../state/service-state.js';
+import { updateService } from '../state/update.js';
 
 /** Returns whether a run may be at work; a run on a terminated worker is kept only until no order for it can arrive. */
 function isOnLiveWorker(state: ServiceState, run: Run): boolean {
--- a/packages/scheduling/src/decide/health.ts
+++ b/packages/scheduling/src/service/health.ts
@@ -4,13 +4,13 @@
  * up to a limit, and then gets tasks again.
  */
 import type { TaskKey } from '../model/job.js';
-import type { ServiceStep } from '../service/effect.js';
-import { orderStop } from '../service/runs.js';
-import type { Run, ServiceState, WorkerState } from '../service/state.js';
-import { changeTask, findTask, runsOnWorker } from '../service/tasks.js';
-import { setWorker } from '../service/worker-index.js';
+import type { ServiceStep } from '../state/effect.js';
+import { orderStop } from './runs.js';
+import type { Run, ServiceState, WorkerState } from '../state/service-state.js';
+import { changeTask, findTask, runsOnWorker } from '../state/tasks.js';
+import { setWorker } from '../state/worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
-import { updateTask, updateWorker } from '../service/update.js';
+import { updateTask, updateWorker } from '../state/update.js';
 
 /** Consecutive failed runs after which a worker is ejected. */
 const MAXIMUM_CONSECUTIVE_FAILURES = 3;
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -2,14 +2,25 @@
 import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
 import type { JobRequest, JobStatus, TaskKey } from '../model/job.js';
 import type { JobPhase } from '../model/records.js';
-import { trimArrivals, estimateWork } from './demand.js';
-import type { ServiceStep } from './effect.js';
-import { estimateCriticalPathMilliseconds, estimateRemainingMilliseconds } from '../decide/critical-path.js';
-import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
-import { removeRun, markJobChanged } from './tasks.js';
-import { setJob } from './job-index.js';
+import { trimArrivals, estimateWork } from '../state/arrivals.js';
+import type { ServiceStep } from '../state/effect.js';
+import {
+  estimateCriticalPathMilliseconds,
+  estimateRemainingMilliseconds,
+} from '../decide/order/critical-path.js';
+import type { Instant } from '../model/instant.js';
+import type {
+  JobState,
+  OccurrenceState,
+  Run,
+  ServiceState,
+  StepState,
+  TaskState,
+} from '../state/service-state.js';
+import { removeRun, markJobChanged } from '../state/tasks.js';
+import { setJob } from '../state/job-index.js';
 import { orderStop } from './runs.js';
-import { updateJob, updateOccurrence, updateService, updateStep } from './update.js';
+import { updateJob, updateOccurrence, updateService, updateStep } from '../state/update.js';
 
 /** Returns a task that has not started. */
 export function newTask(now: Instant): TaskState {
--- a/packages/scheduling/src/service/lost-runs.ts
+++ b/packages/scheduling/src/service/lost-runs.ts
@@ -1,15 +1,15 @@
 /** Drops runs on workers whose incarnation has ended or whose leases have certainly expired. */
 import type { TaskKey } from '../model/job.js';
 import type { HostListing } from '../model/worker.js';
-import { recordWorkerCrash } from './crash-evidence.js';
-import type { ServiceStep } from './effect.js';
-import { haveAllLeasesExpired } from './lease.js';
-import { UNWITNESSED_CRASH } from './quarantine-state.js';
-import { runLogFields } from './runs.js';
-import type { Run, ServiceState, WorkerState } from './state.js';
-import { orphanRuns, removeRun, runsOnWorker } from './tasks.js';
-import { setWorker } from './worker-index.js';
-import { updateRun, updateService, updateWorker } from './update.js';
+import { recordWorkerCrash } from '../decide/quarantine/crash-evidence.js';
+import type { ServiceStep } from '../state/effect.js';
+import { haveAllLeasesExpired } from '../state/lease.js';
+import { UNWITNESSED_CRASH } from '../state/quarantine-state.js';
+import { runLogFields } from '../state/run-log-fields.js';
+import type { Run, ServiceState, WorkerState } from '../state/service-state.js';
+import { orphanRuns, removeRun, runsOnWorker } from '../state/tasks.js';
+import { setWorker } from '../state/worker-index.js';
+import { updateRun, updateService, updateWorker } from '../state/update.js';
 
 /** Time within which an unanswered order may still be executed. */
 export const DELAYED_ORDER_MILLISECONDS = 13_000;
--- a/packages/scheduling/src/service/mass-ends.ts
+++ b/packages/scheduling/src/service/mass-ends.ts
@@ -9,10 +9,10 @@
   type CountedTask,
   type MassEnd,
   type WorkerCrash,
-} from './quarantine-state.js';
-import type { ServiceState, WorkerState } from './state.js';
-import { changeTask, findTask, markJobChanged } from './tasks.js';
-import { updateService, updateTask } from './update.js';
+} from '../state/quarantine-state.js';
+import type { ServiceState, WorkerState } from '../state/service-state.js';
+import { changeTask, findTask, markJobChanged } from '../state/tasks.js';
+import { updateService, updateTask } from '../state/update.js';
 
 /** Time within which the workers of a mass end crash. */
 export const MASS_END_MILLISECONDS = 1_000;
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -3,14 +3,14 @@
  */
 import { Map as PersistentMap } from 'immutable';
 import type { JobProgress, ServiceRecord, TaskProgress } from '../model/records.js';
-import type { ServiceStep } from './effect.js';
-import type { ServiceEventOf } from './event.js';
+import type { ServiceStep } from '../state/effect.js';
+import type { ServiceEventOf } from '../state/event.js';
 import { runsOfJob } from './jobs.js';
 import { orderStart } from './runs.js';
-import type { AppendInFlight, JobState, ServiceState, TaskState } from './state.js';
-import { setWorker } from './worker-index.js';
+import type { AppendInFlight, JobState, ServiceState, TaskState } from '../state/service-state.js';
+import { setWorker } from '../state/worker-index.js';
 import { renewLeases } from './workers.js';
-import { updateJob, updateService, updateWorker } from './update.js';
+import { updateJob, updateService, updateWorker } from '../state/update.js';
 
 /** Maximum number of jobs whose progress goes into one batch. Larger batches would be stored too late. */
 const JOBS_PER_BATCH = 100;
--- a/packages/scheduling/src/decide/quarantine.ts
+++ b/packages/scheduling/src/service/quarantine.ts
@@ -1,22 +1,26 @@
 /** Runs quarantined tasks alone: on workers that are kept free of all other tasks for them. */
 import { Map as PersistentMap } from 'immutable';
-import type { ServiceStep } from '../service/effect.js';
-import { mayIssueOrders } from '../service/lease.js';
-import { updateQuarantine } from '../service/quarantine-state.js';
-import { runLogFields } from '../service/runs.js';
-import type { ServiceState } from '../service/state.js';
-import { addRun, findTask, isTaskWaiting } from '../service/tasks.js';
-import { updateService } from '../service/update.js';
-import { considerWorker } from '../service/worker-index.js';
-import { isolationCandidates, planIsolation, type IsolationCandidate } from './isolation-plan.js';
-import { newRun } from './new-run.js';
+import type { ServiceStep } from '../state/effect.js';
+import { mayIssueOrders } from '../state/lease.js';
+import { updateQuarantine } from '../state/quarantine-state.js';
+import { runLogFields } from '../state/run-log-fields.js';
+import type { ServiceState } from '../state/service-state.js';
+import { addRun, findTask, isTaskWaiting } from '../state/tasks.js';
+import { updateService } from '../state/update.js';
+import { considerWorker } from '../state/worker-index.js';
+import {
+  isolationCandidates,
+  planIsolation,
+  type IsolationCandidate,
+} from '../decide/quarantine/isolation-plan.js';
+import { newRun } from '../decide/placement/new-run.js';
 import {
   findSuspects,
   keepSuspectedTasks,
   orderWaitingSuspects,
   type Suspect,
   type WaitingSuspect,
-} from './quarantined-tasks.js';
+} from '../decide/quarantine/quarantined-tasks.js';
 
 /** Largest share of the workers that quarantined tasks may keep from other waiting tasks. */
 const MAXIMUM_ISOLATED_SHARE = 1 / 4;
--- a/packages/scheduling/src/service/queue-statistics.ts
+++ b/packages/scheduling/src/service/queue-statistics.ts
@@ -1,5 +1,5 @@
 /** Counts the waiting work of a service, for its log. */
-import type { JobState, ServiceState, StepState } from './state.js';
+import type { JobState, ServiceState, StepState } from '../state/service-state.js';
 
 /** Counts of jobs, tasks and workers of one service. */
 export interface QueueStatistics {
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -1,27 +1,28 @@
 /** Reducer of a service's scheduler: applies one event, yields effects and returns the next state. */
 import type { TaskKey } from '../model/job.js';
 import type { StoredServiceRecord } from '../model/records.js';
-import { stopIncompleteGangs } from '../decide/gang.js';
-import { reportBlockedTasks } from '../decide/blocked-tasks.js';
-import { ejectUnhealthyWorkers } from '../decide/health.js';
-import { placeWaitingTasks } from '../decide/place-tasks.js';
-import { markQuarantineStale, placeQuarantinedTasks } from '../decide/quarantine.js';
-import type { ServiceStep } from './effect.js';
-import type { ServiceEvent } from './event.js';
+import { stopIncompleteGangs } from './gang.js';
+import { reportBlockedTasks } from '../decide/placement/blocked-tasks.js';
+import { ejectUnhealthyWorkers } from './health.js';
+import { placeWaitingTasks } from '../decide/placement/place-tasks.js';
+import { markQuarantineStale, placeQuarantinedTasks } from './quarantine.js';
+import type { ServiceStep } from '../state/effect.js';
+import type { ServiceEvent } from '../state/event.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
-import { considerEveryWorker } from './placement-changes.js';
+import { considerEveryWorker } from '../state/placement-changes.js';
 import { drainLeavingWorkers, handleHostRequests } from './release.js';
 import { handleStartSettled, handleStopSettled, orderStop, workerOfRun } from './runs.js';
-import type { Instant, ServiceState } from './state.js';
-import { findTask } from './tasks.js';
+import type { Instant } from '../model/instant.js';
+import type { ServiceState } from '../state/service-state.js';
+import { findTask } from '../state/tasks.js';
 import { dropLapsedRuns } from './lost-runs.js';
 import { handleWorkerReported, handleWorkerSilent } from './reports.js';
-import { considerWorker } from './worker-index.js';
+import { considerWorker } from '../state/worker-index.js';
 import { handleHostsListed, handleWorkersListed, renewDueLeases } from './workers.js';
-import { updateService } from './update.js';
+import { updateService } from '../state/update.js';
 
 function* giveUpOwnership(state: ServiceState, reason: string): ServiceStep<ServiceState> {
   if (state.isSuperseded) return state;
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -1,16 +1,29 @@
 /** Drains workers that shut down or whose hosts the fleet owner requests, without harming their tasks. */
-import { isDrainStalled } from '../decide/eligibility.js';
-import { createRelocation, isRelocatable, reserveForTask, type Relocation } from '../decide/relocation.js';
+import { isDrainStalled } from '../decide/placement/eligibility.js';
+import {
+  createRelocation,
+  isRelocatable,
+  reserveForTask,
+  type Relocation,
+} from '../decide/placement/relocation.js';
 import type { StepRequest, TaskKey } from '../model/job.js';
-import type { ServiceStep } from './effect.js';
-import type { HostReleaseRequest, ServiceEventOf } from './event.js';
-import { mayIssueOrders } from './lease.js';
+import type { ReleaseProgress } from '../model/service-report.js';
+import type { ServiceStep } from '../state/effect.js';
+import type { HostReleaseRequest, ServiceEventOf } from '../state/event.js';
+import { mayIssueOrders } from '../state/lease.js';
 import { orderStop } from './runs.js';
-import type { CapacityReservation, JobState, Run, ServiceState, StepState, WorkerState } from './state.js';
-import { reserveForRelocation, runsOnWorker } from './tasks.js';
-import { considerWorker, setWorker } from './worker-index.js';
+import type {
+  CapacityReservation,
+  JobState,
+  Run,
+  ServiceState,
+  StepState,
+  WorkerState,
+} from '../state/service-state.js';
+import { reserveForRelocation, runsOnWorker } from '../state/tasks.js';
+import { considerWorker, setWorker } from '../state/worker-index.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
-import { updateService, updateWorker } from './update.js';
+import { updateService, updateWorker } from '../state/update.js';
 
 /** Time for which tasks without checkpoints may delay the maintenance of their host. */
 const MAINTENANCE_GRACE_MILLISECONDS = 8_000;
@@ -18,9 +31,6 @@
 /** Time after which a request for a host expires unless it is repeated. */
 const REQUEST_TTL_MILLISECONDS = 2_000;
 
-/** Progress of the release of a host. */
-export type ReleaseProgress = 'released' | 'draining';
-
 /** Returns whether a run is known to run at full speed on a worker that answers. */
 function isRunningAtFullSpeed(state: ServiceState, run: Run): boolean {
   const FULL_SPEED_PERCENT = 100;
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -2,16 +2,17 @@
 import { taskIdOf } from '../model/job.js';
 import type { EndedReport, RunningReport, WorkerReport } from '../model/worker.js';
 import { clearSurvivors } from './crash-verdicts.js';
-import type { ServiceStep } from './effect.js';
+import type { ServiceStep } from '../state/effect.js';
 import { handleRunEnd } from './run-ends.js';
-import type { ServiceEventOf } from './event.js';
-import { recordClockReading } from './lease.js';
-import { retryStop, runLogFields } from './runs.js';
-import type { Run, ServiceState, WorkerState } from './state.js';
-import { changeRun, findRun, findTask, markJobStarted, removeRun, runsOnWorker } from './tasks.js';
-import { setWorker } from './worker-index.js';
+import type { ServiceEventOf } from '../state/event.js';
+import { recordClockReading } from '../state/lease.js';
+import { retryStop } from './runs.js';
+import { runLogFields } from '../state/run-log-fields.js';
+import type { Run, ServiceState, WorkerState } from '../state/service-state.js';
+import { changeRun, findRun, findTask, markJobStarted, removeRun, runsOnWorker } from '../state/tasks.js';
+import { setWorker } from '../state/worker-index.js';
 import { handleRestart, renewLease } from './workers.js';
-import { updateRun, updateWorker } from './update.js';
+import { updateRun, updateWorker } from '../state/update.js';
 
 /** Delay before a renewal is sent again to a worker that did not answer. */
 const SILENT_RETRY_MILLISECONDS = 200;
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -2,10 +2,10 @@
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
 import { taskIdOf, type JobRequest } from '../model/job.js';
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
-import { setJob } from './job-index.js';
+import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
-import type { SchedulingParameters } from './parameters.js';
-import { NO_PLACEMENT_CHANGES } from './placement-changes.js';
+import type { SchedulingParameters } from '../state/parameters.js';
+import { NO_PLACEMENT_CHANGES } from '../state/placement-changes.js';
 import {
   EMPTY_QUARANTINE,
   LIMIT_OF_WEAK_EVIDENCE,
@@ -13,11 +13,19 @@
   updateQuarantine,
   type PendingVerdict,
   type QuarantineState,
-} from './quarantine-state.js';
-import { allTasks, isTaskWaiting } from './tasks.js';
-import { EMPTY_WAITING_QUEUE } from './waiting-queue.js';
-import type { Instant, JobState, OccurrenceState, Run, ServiceState, StepState, TaskState } from './state.js';
-import { updateJob, updateOccurrence, updateService, updateStep, updateTask } from './update.js';
+} from '../state/quarantine-state.js';
+import { allTasks, isTaskWaiting } from '../state/tasks.js';
+import { EMPTY_WAITING_QUEUE } from '../state/waiting-queue.js';
+import type { Instant } from '../model/instant.js';
+import type {
+  JobState,
+  OccurrenceState,
+  Run,
+  ServiceState,
+  StepState,
+  TaskState,
+} from '../state/service-state.js';
+import { updateJob, updateOccurrence, updateService, updateStep, updateTask } from '../state/update.js';
 
 /** Input from which the state of a new owner is built. */
 export interface RestoreInput {
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -1,14 +1,22 @@
 /** Applies the ends of runs to their tasks, steps and jobs. */
 import type { RunEnd, TaskKey } from '../model/job.js';
-import type { ServiceStep } from './effect.js';
+import type { ServiceStep } from '../state/effect.js';
 import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
-import { orderStop, runLogFields } from './runs.js';
-import type { JobState, Run, ServiceState, StepState, TaskState } from './state.js';
-import { avoidWorker, findTask, markJobStarted, removeRun, withStep } from './tasks.js';
-import { setJob } from './job-index.js';
-import { setWorker } from './worker-index.js';
+import { orderStop } from './runs.js';
+import { runLogFields } from '../state/run-log-fields.js';
+import type { JobState, Run, ServiceState, StepState, TaskState } from '../state/service-state.js';
+import { avoidWorker, findTask, markJobStarted, removeRun, withStep } from '../state/tasks.js';
+import { setJob } from '../state/job-index.js';
+import { setWorker } from '../state/worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
-import { updateJob, updateRun, updateService, updateStep, updateTask, updateWorker } from './update.js';
+import {
+  updateJob,
+  updateRun,
+  updateService,
+  updateStep,
+  updateTask,
+  updateWorker,
+} from '../state/update.js';
 
 function keepCheckpoint(task: TaskState, checkpoint: string): TaskState {
   return checkpoint === '' ? task : updateTask(task, { checkpoint });
--- a/packages/scheduling/src/service/runs.ts
+++ b/packages/scheduling/src/service/runs.ts
@@ -1,15 +1,15 @@
 /** Sends orders to start and stop runs, and applies the answers of workers. */
-import { hasCapacityForPlaced, refusesTask } from '../decide/eligibility.js';
+import { hasCapacityForPlaced, refusesTask } from '../decide/placement/eligibility.js';
 import { findStartViolations } from '../invariants/check-start.js';
 import type { TaskKey } from '../model/job.js';
-import { taskIdOf } from '../model/job.js';
-import type { SchedulingFields, ServiceStep } from './effect.js';
-import type { RunAddress, ServiceEventOf, StartOutcome } from './event.js';
-import { extendLease, matchesClock, recordClockReading } from './lease.js';
-import type { Run, ServiceState, WorkerState } from './state.js';
-import { avoidWorker, changeRun, findRun, findTask, markJobStarted, removeRun } from './tasks.js';
-import { setWorker } from './worker-index.js';
-import { updateRun, updateService, updateWorker } from './update.js';
+import type { ServiceStep } from '../state/effect.js';
+import type { RunAddress, ServiceEventOf, StartOutcome } from '../state/event.js';
+import { extendLease, matchesClock, recordClockReading } from '../state/lease.js';
+import type { Run, ServiceState, WorkerState } from '../state/service-state.js';
+import { avoidWorker, changeRun, findRun, findTask, markJobStarted, removeRun } from '../state/tasks.js';
+import { runLogFields } from '../state/run-log-fields.js';
+import { setWorker } from '../state/worker-index.js';
+import { updateRun, updateService, updateWorker } from '../state/update.js';
 
 /** Delay before an order that was not answered, or was answered with an expired lease, is sent again. */
 const RETRY_DELAY_MILLISECONDS = 100;
@@ -24,11 +24,6 @@
   return { task: key, run: run.run, workerId: run.workerId, incarnation: run.incarnation };
 }
 
-/** Returns the fields that identify a run in the log. */
-export function runLogFields(key: TaskKey, run: Run): SchedulingFields {
-  return { jobId: key.jobId, task: taskIdOf(key), run: run.run, workerId: run.workerId };
-}
-
 /** Returns the worker of a run, or null if another incarnation has replaced it. */
 export function workerOfRun(state: ServiceState, run: Run): WorkerState | null {
   const worker = state.workers.get(run.workerId);
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -1,7 +1,8 @@
 /** Selects values for callers from a service's state. */
 import type { JobStatus } from '../model/job.js';
 import { statusOf } from './jobs.js';
-import type { Instant, ServiceState } from './state.js';
+import type { Instant } from '../model/instant.js';
+import type { ServiceState } from '../state/service-state.js';
 
 /** Longest time since the inbox was read for which a count of pending jobs is given out. */
 const COUNT_VALIDITY_MILLISECONDS = 2_000;
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -3,10 +3,10 @@
 import { taskIdOf } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
 import type { HostListing, WorkerListing } from '../model/worker.js';
-import { recordWorkerCrash } from './crash-evidence.js';
-import type { ServiceStep } from './effect.js';
-import type { ServiceEventOf } from './event.js';
-import { extendLease } from './lease.js';
+import { recordWorkerCrash } from '../decide/quarantine/crash-evidence.js';
+import type { ServiceStep } from '../state/effect.js';
+import type { ServiceEventOf } from '../state/event.js';
+import { extendLease } from '../state/lease.js';
 import {
   DELAYED_ORDER_MILLISECONDS,
   dropOrphansOfEndedWorkers,
@@ -16,7 +16,7 @@
   mayRunOnNextIncarnation,
 } from './lost-runs.js';
 import { orderStop } from './runs.js';
-import type { ServiceState, WorkerState } from './state.js';
+import type { ServiceState, WorkerState } from '../state/service-state.js';
 import {
   adoptOrphans,
   changeRun,
@@ -25,9 +25,9 @@
   groupOrphans,
   runsOnWorker,
   type OrphansByWorker,
-} from './tasks.js';
-import { removeWorker, setWorker } from './worker-index.js';
-import { updateRun, updateService, updateWorker } from './update.js';
+} from '../state/tasks.js';
+import { removeWorker, setWorker } from '../state/worker-index.js';
+import { updateRun, updateService, updateWorker } from '../state/update.js';
 
 function newWorker(state: ServiceState, listing: WorkerListing): WorkerState {
   const { clockMilliseconds } = listing;
--- a/packages/scheduling/src/service/crash-counts.ts
+++ b/packages/scheduling/src/state/crash-counts.ts
@@ -10,7 +10,7 @@
   type QuarantineState,
   type WorkerCrash,
 } from './quarantine-state.js';
-import type { Run, ServiceState, TaskState } from './state.js';
+import type { Run, ServiceState, TaskState } from './service-state.js';
 import { updateService, updateTask } from './update.js';
 
 /** Returns whether a crash adds to the count of a task; an order that may never have arrived only raises suspicion. */
--- a/packages/scheduling/src/service/event.ts
+++ b/packages/scheduling/src/state/event.ts
@@ -2,7 +2,7 @@
 import type { TaskKey } from '../model/job.js';
 import type { StoredServiceRecord } from '../model/records.js';
 import type { HostListing, WorkerListing, WorkerReport } from '../model/worker.js';
-import type { Instant } from './state.js';
+import type { Instant } from '../model/instant.js';
 
 /** Outcome of an order to start a run. */
 export type StartOutcome =
--- a/packages/scheduling/src/service/job-index.ts
+++ b/packages/scheduling/src/state/job-index.ts
@@ -1,7 +1,7 @@
 /** Keeps the indexes over all jobs up to date with each job that changes, so that no event has to scan all jobs. */
 import type { StepRequest } from '../model/job.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
-import type { JobState, OccurrenceState, ServiceState } from './state.js';
+import type { JobState, OccurrenceState, ServiceState } from './service-state.js';
 import {
   isSameQueuePosition,
   setWaitingStep,
--- a/packages/scheduling/src/service/lease.ts
+++ b/packages/scheduling/src/state/lease.ts
@@ -1,6 +1,7 @@
 /** Calculates leases of workers on the workers' own clocks, which may run slower than ours. */
 import { LEASE_MARGIN_MILLISECONDS, WORKER_CLOCK_DRIFT, type SchedulingParameters } from './parameters.js';
-import type { Instant, ServiceState, WorkerState } from './state.js';
+import type { Instant } from '../model/instant.js';
+import type { ServiceState, WorkerState } from './service-state.js';
 import { setWorker } from './worker-index.js';
 import { updateWorker } from './update.js';
 
--- a/packages/scheduling/src/service/placement-changes.ts
+++ b/packages/scheduling/src/state/placement-changes.ts
@@ -1,6 +1,6 @@
 /** Changes that the next placement of tasks takes into account. */
 import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
-import type { PlacementChanges, ServiceState } from './state.js';
+import type { PlacementChanges, ServiceState } from './service-state.js';
 import { updateService } from './update.js';
 
 /** The changes right after a placement: none. */
--- a/packages/scheduling/src/service/quarantine-state.ts
+++ b/packages/scheduling/src/state/quarantine-state.ts
@@ -1,7 +1,7 @@
 /** State of the search for tasks that crash their workers: recent crashes, suspected tasks and isolated workers. */
 import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
 import type { TaskKey } from '../model/job.js';
-import type { Instant } from './state.js';
+import type { Instant } from '../model/instant.js';
 
 /** Time at work, by the reports of its worker, after which a run has shown that its start crashes no worker. */
 export const SURVIVAL_MILLISECONDS = 300;
--- a/packages/scheduling/src/service/state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -4,18 +4,16 @@
   OrderedSet as PersistentOrderedSet,
   Set as PersistentSet,
 } from 'immutable';
+import type { Instant } from '../model/instant.js';
 import type { JobRequest, TaskKey } from '../model/job.js';
 import type { JobPhase, ServiceRecord } from '../model/records.js';
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
-import type { Arrival } from './demand.js';
+import type { Arrival } from './arrivals.js';
 import type { SchedulingParameters } from './parameters.js';
 import type { CrashEvidence, QuarantineState } from './quarantine-state.js';
 import type { WaitingKey, WaitingQueue } from './waiting-queue.js';
 
-/** Milliseconds on the monotonic clock of the process. */
-export type Instant = number;
-
 /** Phase of a run, from placement to stop. */
 export type RunPhase =
   /** Placed on a worker; its record is not stored yet, so no order was sent. */
--- a/packages/scheduling/src/service/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -15,7 +15,7 @@
   StepState,
   TaskState,
   WorkerState,
-} from './state.js';
+} from './service-state.js';
 import { considerWorker, setWorker } from './worker-index.js';
 import {
   updateJob,
--- a/packages/scheduling/src/service/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -10,7 +10,7 @@
   StepState,
   TaskState,
   WorkerState,
-} from './state.js';
+} from './service-state.js';
 
 /** Returns a copy of a service's state with some fields changed. */
 export function updateService(state: ServiceState, changes: Partial<ServiceState>): ServiceState {
--- a/packages/scheduling/src/service/waiting-queue.ts
+++ b/packages/scheduling/src/state/waiting-queue.ts
@@ -1,7 +1,7 @@
 /** Sorted queue of the steps with waiting tasks, so that the first ones are found without a scan. */
 import sortedTree from 'sorted-btree';
 import { minimumResources, type Resources } from '../model/resources.js';
-import type { Instant } from './state.js';
+import type { Instant } from '../model/instant.js';
 
 const SortedTree = sortedTree.default;
 type Tree<Key, Value> = InstanceType<typeof SortedTree<Key, Value>>;
--- a/packages/scheduling/src/service/worker-index.ts
+++ b/packages/scheduling/src/state/worker-index.ts
@@ -1,5 +1,5 @@
 /** Keeps the indexes over all workers up to date with each worker that changes. */
-import type { ServiceState, WorkerState } from './state.js';
+import type { ServiceState, WorkerState } from './service-state.js';
 import { updateService } from './update.js';
 
 function mayTakeTasks({
