Authenticate callers by the keys of their workspaces

Cause: a deployment whose callers belong to workspaces publishes them with their keys in the operator's configuration, which nothing read.

Status and cancel requests carry the workspace of the caller; the owner answers unknown-job to another one.

--- a/packages/errors/src/result-codes.ts
+++ b/packages/errors/src/result-codes.ts
@@ -40,6 +40,7 @@
   jobRefused: { code: 1023, status: 503, title: 'The job is not accepted and never runs' },
   jobOutcomeUnknown: { code: 1024, status: 504, title: 'The job may have been accepted' },
   ownerUnavailable: { code: 1025, status: 503, title: 'The owner of the service cannot be reached' },
+  unauthenticated: { code: 1026, status: 401, title: 'The call needs a key that is in force' },
   fileUnreadable: { code: 2001, status: 400, title: 'A settings file cannot be read' },
   malformedToml: { code: 2002, status: 400, title: 'A settings file is not valid TOML' },
   unknownSetting: { code: 2003, status: 400, title: 'A setting has an unknown key' },
--- a/packages/fleet-emulator/src/__tests__/forgotten-jobs.test.ts
+++ b/packages/fleet-emulator/src/__tests__/forgotten-jobs.test.ts
@@ -41,7 +41,7 @@
       taskPlan: () => ({ runMilliseconds: 300, failingRuns: 0 }),
       crashDelayMilliseconds: () => null,
     });
-    const answer = callers.submit(queue, JOB, 1_000);
+    const answer = callers.submit(queue, JOB, 1_000, null);
     await time.runUntil(time.now() + FORGOTTEN_MILLISECONDS);
     t.is((await answer).kind, 'accepted');
     t.is(referee.counts().runs, 1);
--- a/packages/fleet-emulator/src/__tests__/late-orders.test.ts
+++ b/packages/fleet-emulator/src/__tests__/late-orders.test.ts
@@ -46,7 +46,7 @@
     taskPlan,
     crashDelayMilliseconds: () => null,
   });
-  const answer = callers.submit(queue, JOB, 1_000);
+  const answer = callers.submit(queue, JOB, 1_000, null);
   await world.time.runUntil(world.time.now() + 100);
   world.referee.onSubmitAnswered(JOB.jobId, (await answer).kind);
 }
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -143,7 +143,7 @@
     }
     // A process that dies with the request leaves the caller without an answer.
     world.referee.onSubmitAnswered(job.jobId, 'unknown');
-    void callers.submit(found.queue, job, PATIENCE_MILLISECONDS).then((answer) => {
+    void callers.submit(found.queue, job, PATIENCE_MILLISECONDS, null).then((answer) => {
       world.referee.onSubmitAnswered(job.jobId, answer.kind);
       if (answer.kind === 'accepted') onAccepted();
       else again();
@@ -162,7 +162,7 @@
   }
   let isAnswered = false;
   node.receive(({ callers }) => {
-    void callers.getJobStatus(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
+    void callers.getJobStatus(queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
       isAnswered = true;
       if (answer.kind !== 'unavailable') {
         world.referee.onStatusShown(jobId, answer.kind === 'known' ? answer.status : null);
@@ -186,7 +186,7 @@
   }
   let isAnswered = false;
   node.receive(({ callers }) => {
-    void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS).then((answer) => {
+    void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
       isAnswered = true;
       if (answer.kind === 'unavailable') {
         world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -78,6 +78,11 @@
     level: 'warn',
     message: 'job status unavailable: no owner answered in time',
   },
+  callsUnauthenticated: {
+    number: 507,
+    level: 'info',
+    message: 'calls refused with 401 because of their key, by queue and reason',
+  },
   jobQueued: {
     number: 511,
     level: 'info',
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -25,6 +25,7 @@
   readonly configurationVersion: Gauge;
   readonly foldedOffset: Gauge<'stream'>;
   readonly ready: Gauge;
+  readonly unauthenticatedCalls: Counter<'queue' | 'reason'>;
   readonly decisions: Counter<'decision'>;
   readonly jobSeconds: Histogram<'service' | 'phase'>;
   readonly droppedLogLines: Counter;
@@ -77,6 +78,11 @@
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force', []),
     foldedOffset: gauge('folded_offset', 'Next offset to fold', ['stream']),
     ready: gauge('ready', '1 when the balancer may send requests', []),
+    unauthenticatedCalls: counter(
+      'unauthenticated_calls_total',
+      'Calls refused for a missing or unknown key',
+      ['queue', 'reason'],
+    ),
     decisions: counter('decisions_total', 'Logged decisions by name', ['decision']),
     jobSeconds: histogram(
       'job_seconds',
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -48,22 +48,39 @@
 
 /** Operations that callers can request; `remainingMilliseconds` is the time until the caller times out. */
 export interface Frontend {
-  readonly submit: (queue: Queue, job: SubmittedJob, remainingMilliseconds: number) => Promise<SubmitResult>;
+  readonly submit: (
+    queue: Queue,
+    job: SubmittedJob,
+    remainingMilliseconds: number,
+    workspace: string | null,
+  ) => Promise<SubmitResult>;
   readonly getJobStatus: (
     queue: Queue,
     jobId: string,
     remainingMilliseconds: number,
+    workspace: string | null,
   ) => Promise<JobStatusResult>;
-  readonly cancel: (queue: Queue, jobId: string, remainingMilliseconds: number) => Promise<CancelResult>;
+  readonly cancel: (
+    queue: Queue,
+    jobId: string,
+    remainingMilliseconds: number,
+    workspace: string | null,
+  ) => Promise<CancelResult>;
   readonly countPending: (queue: Queue, remainingMilliseconds: number) => Promise<PendingCountResult>;
 }
 
-function requestOf(queue: Queue, job: SubmittedJob, now: Date, remainingMilliseconds: number): JobRequest {
+function requestOf(
+  queue: Queue,
+  job: SubmittedJob,
+  now: Date,
+  remainingMilliseconds: number,
+  workspace: string | null,
+): JobRequest {
   return {
     ...job,
     service: queue.service,
     queue: queue.name,
-    workspace: null,
+    workspace,
     priority: queue.priority,
     maximumFailedRuns: queue.maximumFailedRuns,
     stretch: queue.stretch,
@@ -117,11 +134,17 @@
     queue: Queue,
     job: SubmittedJob,
     remainingMilliseconds: number,
+    workspace: string | null,
   ): Promise<SubmitResult> => {
     const inbox = inboxOf(queue);
     const startedAt = clock.steadyNow();
-    const request = requestOf(queue, job, clock.now(), remainingMilliseconds);
-    const fields = { jobId: job.jobId, queue: queue.name, service: queue.service };
+    const request = requestOf(queue, job, clock.now(), remainingMilliseconds, workspace);
+    const fields = {
+      jobId: job.jobId,
+      queue: queue.name,
+      service: queue.service,
+      ...(workspace === null ? {} : { workspace }),
+    };
     if (inbox === null) {
       writeEvent('jobRefused', { ...fields, reason: 'the service has no log yet' });
       return { kind: 'refused', reason: 'the service has no log yet', retryAfterSeconds: 1 };
@@ -159,8 +182,10 @@
     queue: Queue,
     jobId: string,
     remainingMilliseconds: number,
+    workspace: string | null,
   ): Promise<JobStatusResult> => {
-    const request = { kind: 'job-status' as const, service: queue.service, queue: queue.name, jobId };
+    const { name, service } = queue;
+    const request = { kind: 'job-status' as const, service, queue: name, jobId, workspace };
     const answer = await requestFromOwner(queue, request, remainingMilliseconds);
     if (answer?.kind === 'job-status') return { kind: 'known', status: answer.status };
     if (answer?.kind === 'unknown-job') return { kind: 'unknown-job' };
@@ -172,10 +197,13 @@
     queue: Queue,
     jobId: string,
     remainingMilliseconds: number,
+    workspace: string | null,
   ): Promise<CancelResult> => {
     const startedAt = clock.steadyNow();
-    const status = await getJobStatus(queue, jobId, remainingMilliseconds / 2);
+    const status = await getJobStatus(queue, jobId, remainingMilliseconds / 2, workspace);
     if (status.kind === 'unknown-job') return { kind: 'unknown-job' };
+    // A stored cancellation takes effect, so that none may be stored before the owner has confirmed the workspace.
+    if (status.kind === 'unavailable' && workspace !== null) return { kind: 'unavailable' };
     const inbox = inboxOf(queue);
     if (inbox === null) return { kind: 'unavailable' };
     const remainingForAppend = remainingMilliseconds - (clock.steadyNow() - startedAt);
@@ -190,7 +218,7 @@
     if (stored.kind === 'accepted') {
       void requestFromOwner(
         queue,
-        { kind: 'job-cancelled', service: queue.service, jobId },
+        { kind: 'job-cancelled', service: queue.service, jobId, workspace },
         CANCEL_NOTICE_TIMEOUT_MILLISECONDS,
       );
     }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -2,6 +2,7 @@
 export { startNode, type NodeParts, type SchedulerNode } from './node/node.js';
 export { SCHEDULER_GROUP } from './node/membership.js';
 export type { SchedulerSettings } from './node/settings.js';
+export { digestKey } from './frontend/key-digest.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
 export { warmUp, type WarmUpParts } from './warm-up/warm-up.js';
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -2,12 +2,16 @@
 import { z } from 'zod';
 import type { HostListing, JobStatus, ServiceReport } from '@baobabdeck/scheduling';
 
+/** The workspace of the caller's key; null if the call needed none. Absent in messages of earlier versions. */
+const callerWorkspace = z.string().nullable().default(null);
+
 /** Requests the status of a job. */
 const jobStatusRequest = z.object({
   kind: z.literal('job-status'),
   service: z.string(),
   queue: z.string(),
   jobId: z.string(),
+  workspace: callerWorkspace,
 });
 
 /** Requests the number of pending jobs of a queue. */
@@ -22,6 +26,7 @@
   kind: z.literal('job-cancelled'),
   service: z.string(),
   jobId: z.string(),
+  workspace: callerWorkspace,
 });
 
 /** Sent by the fleet owner: the hosts that a service owner should release or take back, and a request for its report. */
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -1,5 +1,6 @@
 /** Answers requests from other processes about the services and the fleet that this process owns. */
 import {
+  isJobOfOtherWorkspace,
   selectJobStatus,
   selectPendingCount,
   selectServiceReport,
@@ -37,7 +38,12 @@
   return report === null ? NOT_OWNER : { kind: 'service-report', report };
 }
 
-function recordCancellation(owner: ServiceOwner, jobId: string): PeerResponse {
+function recordCancellation(
+  owner: ServiceOwner,
+  state: ServiceState,
+  { jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-cancelled' }>,
+): PeerResponse {
+  if (isJobOfOtherWorkspace(state, jobId, workspace)) return { kind: 'unknown-job' };
   const records = [{ offset: 0, record: { kind: 'job-cancelled' as const, jobId } }];
   // The notice does not prove ownership, so its read counts as requested before the claim.
   owner.dispatch({ kind: 'records-read', records, askedAt: -Infinity });
@@ -48,15 +54,14 @@
 async function answerJobStatus(
   owner: ServiceOwner,
   state: ServiceState,
-  queue: string,
-  jobId: string,
+  { queue, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
 ): Promise<PeerResponse> {
-  const knownStatus = selectJobStatus(state, queue, jobId);
+  const knownStatus = selectJobStatus(state, queue, jobId, workspace);
   if (knownStatus !== null) return { kind: 'job-status', status: knownStatus };
   const isCaughtUp = await owner.catchUp();
   const caughtUp = owner.state();
   if (!isCaughtUp || caughtUp === null) return NOT_OWNER;
-  const status = selectJobStatus(caughtUp, queue, jobId);
+  const status = selectJobStatus(caughtUp, queue, jobId, workspace);
   return status === null ? { kind: 'unknown-job' } : { kind: 'job-status', status };
 }
 
@@ -100,11 +105,11 @@
     const state = owner?.state() ?? null;
     if (owner === null || state === null) return NOT_OWNER;
     if (request.kind === 'service-report') return answerServiceReport(owner, request);
-    if (request.kind === 'job-cancelled') return recordCancellation(owner, request.jobId);
+    if (request.kind === 'job-cancelled') return recordCancellation(owner, state, request);
     if (request.kind === 'pending-count') {
       const pending = selectPendingCount(state, request.queue, clock.steadyNow());
       return pending === null ? NOT_OWNER : { kind: 'pending-count', pending };
     }
-    return answerJobStatus(owner, state, request.queue, request.jobId);
+    return answerJobStatus(owner, state, request);
   };
 }
--- a/packages/scheduler/src/ports/callers.ts
+++ b/packages/scheduler/src/ports/callers.ts
@@ -38,16 +38,44 @@
 export type PendingCountResult =
   { readonly kind: 'counted'; readonly pending: number } | { readonly kind: 'unavailable' };
 
-/** The operations for callers. A timeout is the time that is left until the caller must have its answer. */
+/**
+ * Whether a call may go on. The workspace is null if the call needs no key. Reasons are fixed words that never contain a
+ * part of a header.
+ */
+export type Authentication =
+  | { readonly kind: 'authenticated'; readonly workspace: string | null }
+  | {
+      readonly kind: 'unauthenticated';
+      readonly reason: 'no-header' | 'several-headers' | 'malformed-header' | 'unknown-key';
+    };
+
+/**
+ * The operations for callers. A timeout is the time that is left until the caller must have its answer. A workspace
+ * is that of the caller's key; null if the call needed none.
+ */
 export interface CallerService {
   readonly findQueue: (hostName: string, path: string) => QueueLookup;
-  readonly submit: (queue: Queue, job: SubmittedJob, timeoutMilliseconds: number) => Promise<SubmitResult>;
+  /** Identifies the caller by the values of all its `Authorization` headers. */
+  readonly authenticate: (queue: Queue, authorizations: readonly string[]) => Authentication;
+  readonly submit: (
+    queue: Queue,
+    job: SubmittedJob,
+    timeoutMilliseconds: number,
+    workspace: string | null,
+  ) => Promise<SubmitResult>;
+  /** The status of a job of another workspace is that of an unknown job. */
   readonly getJobStatus: (
     queue: Queue,
     jobId: string,
     timeoutMilliseconds: number,
+    workspace: string | null,
   ) => Promise<JobStatusResult>;
-  readonly cancel: (queue: Queue, jobId: string, timeoutMilliseconds: number) => Promise<CancelResult>;
+  readonly cancel: (
+    queue: Queue,
+    jobId: string,
+    timeoutMilliseconds: number,
+    workspace: string | null,
+  ) => Promise<CancelResult>;
   readonly countPending: (queue: Queue, timeoutMilliseconds: number) => Promise<PendingCountResult>;
   /** Whether the load balancer should send new connections to this process, and if not, the reason. */
   readonly readiness: () => { readonly isReady: boolean; readonly reason: string };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -13,7 +13,7 @@
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreInput } from './service/restore.js';
 export { selectQueueStatistics, type QueueStatistics } from './service/queue-statistics.js';
-export { selectJobStatus, selectPendingCount } from './service/selectors.js';
+export { isJobOfOtherWorkspace, selectJobStatus, selectPendingCount } from './service/selectors.js';
 export type { Instant } from './model/instant.js';
 export type { ServiceState, TaskState } from './state/service-state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -7,10 +7,28 @@
 /** Longest time since the inbox was read for which a count of pending jobs is given out. */
 const COUNT_VALIDITY_MILLISECONDS = 2_000;
 
-/** Returns the status of a job as callers see it; null if the queue has no such job. */
-export function selectJobStatus(state: ServiceState, queue: string, jobId: string): JobStatus | null {
+/**
+ * Whether a known job belongs to another workspace than the caller's. Anybody may see a job that was submitted without a
+ * key, and a caller whose call needs no key may see every job.
+ */
+export function isJobOfOtherWorkspace(state: ServiceState, jobId: string, workspace: string | null): boolean {
+  const owner = state.jobs.get(jobId)?.request.workspace ?? null;
+  return workspace !== null && owner !== null && owner !== workspace;
+}
+
+/**
+ * Returns the status of a job as callers see it; null if the queue has no such job or it belongs to another workspace
+ * than the caller's. `workspace` is null if the call needs no key.
+ */
+export function selectJobStatus(
+  state: ServiceState,
+  queue: string,
+  jobId: string,
+  workspace: string | null = null,
+): JobStatus | null {
   const job = state.jobs.get(jobId);
-  return job === undefined || job.request.queue !== queue ? null : statusOf(job);
+  if (job === undefined || job.request.queue !== queue) return null;
+  return isJobOfOtherWorkspace(state, jobId, workspace) ? null : statusOf(job);
 }
 
 /**
