Send orders to workers through other processes while an owner is short of processor

Change: packages/scheduler/src/relays implements WorkerOrders over relays. New setting relays (on, off), log events 557 to 560, metric relayed_orders_total, relays in the status. Cost not measured yet.

--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -3,7 +3,13 @@
 import type { RandomSource } from '@baobabdeck/emulator';
 import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
 import { resultOf, type PlayResult } from './play-result.js';
-import { beginTrouble, CAPACITY_TROUBLE_KINDS, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
+import {
+  beginTrouble,
+  CAPACITY_TROUBLE_KINDS,
+  RELAY_TROUBLE_KINDS,
+  TROUBLE_KINDS,
+  type TroubleKind,
+} from './troubles.js';
 import { createWorld, type WorldSize } from './world.js';
 
 /** What to play. */
@@ -95,6 +101,20 @@
   },
 };
 
+/** Orders that always go through other processes, which crash, freeze and are cut off. */
+export const RELAYED_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: { ...SMALL_PLAY.size, nodes: 6, relays: 'always' },
+  troubleEveryMilliseconds: 1_250,
+  kinds: RELAY_TROUBLE_KINDS,
+};
+
+/** The same among all other troubles. */
+export const TROUBLED_RELAYED_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...RELAYED_PLAY,
+  kinds: [...TROUBLE_KINDS, ...RELAY_TROUBLE_KINDS],
+};
+
 /** Time before the first traffic. */
 const LEAD_MILLISECONDS = 6_000;
 
--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -28,7 +28,10 @@
   | 'answers-lost'
   | 'host-orders-late'
   | 'wave'
-  | 'shrinking-worker';
+  | 'shrinking-worker'
+  | 'cut-nodes'
+  | 'peers-late'
+  | 'peer-answers-lost';
 
 /** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
@@ -60,6 +63,17 @@
 /** Kinds that change the capacity of workers. */
 export const CAPACITY_TROUBLE_KINDS: readonly TroubleKind[] = ['shrinking-worker'];
 
+/** Kinds that concern processes which relay orders for others. */
+export const RELAY_TROUBLE_KINDS: readonly TroubleKind[] = [
+  'kill-node',
+  'freeze-node',
+  'restart-node',
+  'cut-nodes',
+  'cut-node-from-workers',
+  'peers-late',
+  'peer-answers-lost',
+];
+
 /** What a worker that shrinks has left of its capacity at the most. */
 const LARGEST_SHRUNK_SHARE = 0.7;
 
@@ -70,6 +84,10 @@
   return [...world.fleet.hosts.keys()];
 }
 
+function namesOf(nodes: World['nodes']): readonly string[] {
+  return nodes.map(({ name }) => name);
+}
+
 function someOf<T>(world: World, items: readonly T[], share: number): readonly T[] {
   return items.filter(() => world.random.chance(share));
 }
@@ -181,6 +199,19 @@
     case 'shrinking-worker':
       fleet.shrink(host, random.uniform() * LARGEST_SHRUNK_SHARE, lasting);
       break;
+    case 'cut-nodes':
+      cutFor(
+        world,
+        nodes.flatMap((other) => (random.chance(0.5) ? [[node.name, other.name] as const] : [])),
+        lasting,
+      );
+      break;
+    case 'peers-late':
+      setFor(world, conditions.lateCalls, someOf(world, namesOf(nodes), 0.4), 0.1, lasting);
+      break;
+    case 'peer-answers-lost':
+      setFor(world, conditions.lostAnswers, someOf(world, namesOf(nodes), 0.4), 0.2, lasting);
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -37,6 +37,8 @@
   readonly processor: Processor;
   /** Answers of peers by their address. */
   readonly switchboard: Map<string, (content: unknown) => Promise<unknown>>;
+  /** Changes what the process sends to others. */
+  readonly alterPeerRequest: (content: unknown) => unknown;
   readonly onLog: (name: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -163,7 +165,8 @@
       network.call<unknown>({
         from: endpoint,
         to: address,
-        execute: () => parts.switchboard.get(address)?.(structuredClone(content)) ?? null,
+        execute: () =>
+          parts.switchboard.get(address)?.(parts.alterPeerRequest(structuredClone(content))) ?? null,
         timeoutMilliseconds,
         unanswered: () => null,
       }),
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -1,6 +1,6 @@
 /** Puts processes, store, hosts, callers and the referee together. */
 import type { HostListing } from '@baobabdeck/scheduling';
-import type { QueueConfiguration, SchedulerSettings } from '@baobabdeck/scheduler';
+import type { QueueConfiguration, RelayMode, SchedulerSettings } from '@baobabdeck/scheduler';
 import { createRandom, type RandomSource } from '@baobabdeck/emulator';
 import type { JobPlans } from './job-plans.js';
 import { createModelFleet, type ModelFleet } from './model-fleet.js';
@@ -29,6 +29,10 @@
   readonly hostCapacity?: HostListing['capacity'];
   /** Whether workers refuse starts that do not fit into their capacity; they do where left out. */
   readonly workersGuardCapacity?: boolean;
+  /** Whether orders go through other processes; they do not where left out. */
+  readonly relays?: RelayMode;
+  /** Changes what processes send each other; as a broken version of them would. */
+  readonly alterPeerRequest?: (content: unknown) => unknown;
 }
 
 /** A whole system in virtual time. */
@@ -77,7 +81,7 @@
   absenceNoticeMilliseconds: 4_500,
 };
 
-function settingsOf(index: number, milliCores: number): SchedulerSettings {
+function settingsOf(index: number, milliCores: number, relays: RelayMode): SchedulerSettings {
   return {
     nodeName: `node-${index}`,
     dataCentre: 'west',
@@ -86,6 +90,7 @@
     peerPort: 0,
     metricsPort: null,
     graceMilliseconds: 6_000,
+    relays,
     scheduling: SCHEDULING,
     fleet: { holderLeaseMilliseconds: 3_000, ownershipProofMilliseconds: 2_000 },
   };
@@ -201,8 +206,9 @@
       store,
       fleet: models,
       operator,
-      settings: settingsOf(index, milliCoresOf(index)),
+      settings: settingsOf(index, milliCoresOf(index), size.relays ?? 'off'),
       switchboard,
+      alterPeerRequest: size.alterPeerRequest ?? ((content) => content),
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
         const text = err instanceof Error ? (err.stack ?? err.message) : '';
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -168,6 +168,14 @@
   logUnreadable: { number: 553, level: 'warn', message: 'log of a service cannot be read' },
   hostListFailed: { number: 554, level: 'warn', message: 'host list cannot be read' },
   callerConnectionFailed: { number: 506, level: 'info', message: 'connection of a caller failed' },
+  relaysOn: { number: 557, level: 'info', message: 'processor is short: orders may go through relays' },
+  relaysOff: { number: 558, level: 'info', message: 'processor suffices again: orders are sent directly' },
+  relaysChosen: { number: 559, level: 'info', message: 'processes that relay orders to workers changed' },
+  relayFailed: {
+    number: 560,
+    level: 'warn',
+    message: 'relay failed or refused orders; its workers are called directly for a while',
+  },
   waveAsked: { number: 561, level: 'info', message: 'operator requested a maintenance wave' },
   releaseBegun: { number: 571, level: 'info', message: 'host release started; its worker gets no new tasks' },
   releaseWithdrawn: {
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -36,6 +36,7 @@
   readonly storeCallSeconds: Histogram<'call' | 'outcome'>;
   readonly storeBytes: Counter;
   readonly workerCallSeconds: Histogram<'call' | 'outcome'>;
+  readonly relayedOrders: Counter<'outcome'>;
 }
 
 /** Creates the metrics of one process in a separate registry. */
@@ -122,5 +123,8 @@
       ['call', 'outcome'],
       DURATION_BUCKETS,
     ),
+    relayedOrders: counter('relayed_orders_total', 'Orders to workers that went through relays, by outcome', [
+      'outcome',
+    ]),
   };
 }
--- a/packages/observability/src/process-measures.test.ts
+++ b/packages/observability/src/process-measures.test.ts
@@ -13,6 +13,7 @@
     measures.storeCall('append', 'stored', 40, 1_000);
     measures.storeCall('read', 'failed', 40, 0);
     measures.workerCall('start-run', 'no-room', 3);
+    measures.relayedOrders('answered', 5);
     const page = await metrics.registry.metrics();
     const expected = [
       'baobabdeck_owner_event_seconds_bucket{le="0.005",event="ticked"} 1',
@@ -23,6 +24,7 @@
       'baobabdeck_store_call_seconds_count{call="append",outcome="stored"} 1',
       'baobabdeck_store_call_seconds_count{call="read",outcome="failed"} 1',
       'baobabdeck_store_bytes_total 1000',
+      'baobabdeck_relayed_orders_total{outcome="answered"} 5',
       'baobabdeck_worker_call_seconds_sum{call="start-run",outcome="no-room"} 0.003',
     ];
     const lines = new Set(page.split('\n'));
--- a/packages/observability/src/process-measures.ts
+++ b/packages/observability/src/process-measures.ts
@@ -16,6 +16,8 @@
   readonly storeCall: (call: string, outcome: string, milliseconds: number, bytes: number) => void;
   /** Records a completed order to a worker. */
   readonly workerCall: (call: string, outcome: string, milliseconds: number) => void;
+  /** Records a number of orders that were given to relays and settled in one way. */
+  readonly relayedOrders: (outcome: string, count: number) => void;
   /** Returns the milliseconds since process start in which the event loop was busy. */
   readonly busyMilliseconds: () => number;
 }
@@ -49,6 +51,7 @@
     },
     workerCall: (call, outcome, milliseconds) =>
       metrics.workerCallSeconds.observe({ call, outcome }, milliseconds / MILLISECONDS_PER_SECOND),
+    relayedOrders: (outcome, count) => metrics.relayedOrders.inc({ outcome }, count),
     busyMilliseconds: loopBusyMilliseconds,
   };
 }
--- a/packages/scheduler/src/measure/no-measures.ts
+++ b/packages/scheduler/src/measure/no-measures.ts
@@ -10,5 +10,6 @@
   waitingTasks: noop,
   storeCall: noop,
   workerCall: noop,
+  relayedOrders: noop,
   busyMilliseconds: () => 0,
 };
--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,5 +1,6 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
 import type { FleetState, ServiceState, TaskState } from '@baobabdeck/scheduling';
+import type { RelayStatus } from '../relays/relays.js';
 import type { OwnedLogs } from './owned-logs.js';
 
 /** One service that this process owns. */
@@ -24,6 +25,8 @@
     readonly waves: readonly { readonly wave: number; readonly hosts: number; readonly begun: number }[];
     readonly orders: readonly string[];
   } | null;
+  /** The processes that relay orders to workers for this one; empty while it sends them itself. */
+  readonly relays: readonly RelayStatus[];
 }
 
 function describeService(state: ServiceState, now: number): ServiceStatus {
@@ -58,13 +61,14 @@
   };
 }
 
-/** Returns the status of the owned services and the fleet. */
-export function selectStatus(logs: OwnedLogs, now: number): NodeStatus {
+/** Returns the status of the owned services, the fleet and the relays. */
+export function selectStatus(logs: OwnedLogs, relays: readonly RelayStatus[], now: number): NodeStatus {
   const services = logs.services().flatMap((owner) => owner.state() ?? []);
   const fleet = logs.fleet()?.state() ?? null;
   return {
     services: services.map((state) => describeService(state, now)),
     fleet: fleet === null ? null : describeFleet(fleet),
+    relays,
   };
 }
 
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -20,9 +20,10 @@
   WorkerOrders,
   WorkerRegister,
 } from '../ports/index.js';
+import { startRelays } from '../relays/relays.js';
 import { watchCandidacy } from './candidacy.js';
 import { followConfiguration } from './configuration.js';
-import { subjectOfService, inboxTopicsOf } from './layout.js';
+import { serviceOfSubject, subjectOfService, inboxTopicsOf } from './layout.js';
 import { explainSubject, selectStatus, type NodeStatus } from './explain.js';
 import { createLayoutManager } from './layout-manager.js';
 import { formatMember, type GroupMember } from './group-member.js';
@@ -89,8 +90,11 @@
     handOverFleet: () => logs.handOverFleet(),
     isStoreLost,
     recordMember: (sender) => candidacy.recordMember(sender),
+    takeRelayOffer: (offer) => relays.takeOffer(offer),
   });
   const peerAddress = await peers.listen(async (content) => {
+    const relayResponse = relays.handle(content);
+    if (relayResponse !== null) return relayResponse;
     const request = parsePeerRequest(content);
     return request === null ? { kind: 'not-owner' } : handlePeerRequest(request);
   });
@@ -102,6 +106,21 @@
   };
   const member = formatMember(self);
   const directory = createOwnerDirectory(store, peers, clock);
+  const relays = startRelays({
+    mode: settings.relays ?? 'on',
+    clock,
+    writeEvent,
+    measures,
+    self,
+    workers: parts.workers,
+    request: directory.request,
+    owners: () =>
+      [...layoutManager.layout()].flatMap(([subject, inbox]) =>
+        serviceOfSubject(subject) === null ? [] : (directory.lastKnownOwnerOf(inbox) ?? []),
+      ),
+    ownsService: () => logs.services().length > 0,
+    isStopping: () => stopping,
+  });
   const ownerClient = createOwnerClient({
     clock,
     directory,
@@ -136,7 +155,7 @@
         member,
         parameters: settings.scheduling,
         store,
-        workers: parts.workers,
+        workers: relays.workers,
         clock,
         writeEvent,
         measures,
@@ -223,7 +242,7 @@
       isStopping: () => stopping,
       bodyLimitBytes: () => configurationFollower.current()?.limits.bodyBytes ?? null,
     },
-    status: () => selectStatus(logs, clock.steadyNow()),
+    status: () => selectStatus(logs, relays.status(), clock.steadyNow()),
     isCandidate: candidacy.isCandidate,
     explain: (kind, name) => explainSubject(logs, kind, name),
     stop: async () => {
@@ -237,6 +256,7 @@
       layoutManager.close();
       configurationFollower.close();
       workerUpdates.close();
+      relays.close();
       peers.close();
     },
   };
--- a/packages/scheduler/src/node/settings.ts
+++ b/packages/scheduler/src/node/settings.ts
@@ -1,6 +1,9 @@
 /** Settings of a scheduler process, read at its start. */
 import type { FleetParameters, SchedulingParameters } from '@baobabdeck/scheduling';
 
+/** Whether an owner uses relays: while its processor is short, never, or always. */
+export type RelayMode = 'on' | 'off' | 'always';
+
 /** Settings of one process. */
 export interface SchedulerSettings {
   readonly nodeName: string;
@@ -14,6 +17,8 @@
   readonly metricsPort: number | null;
   /** Time that a graceful stop may take. */
   readonly graceMilliseconds: number;
+  /** Whether orders to workers may go through other processes; `on` if absent. */
+  readonly relays?: RelayMode | undefined;
   readonly scheduling: SchedulingParameters;
   readonly fleet: FleetParameters;
 }
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -51,6 +51,17 @@
   isFree: z.boolean().default(false),
 });
 
+/** Offers to relay orders to workers. */
+const relayOffer = z.object({
+  kind: z.literal('relay-offer'),
+  member: z.string(),
+  /** Processor capacity of the sender, in thousandths of a core, and the share of it that is idle. */
+  milliCores: z.number(),
+  idleShare: z.number(),
+  /** Link in Mbit/s; null if unknown. */
+  linkMegabits: z.number().nullable(),
+});
+
 const host = z.object({
   hostId: z.string(),
   pool: z.string(),
@@ -70,6 +81,7 @@
   fleetHeldRequest,
   storeContactRequest,
   memberPresentNotice,
+  relayOffer,
 ]);
 
 /** A request or notice from another process. */
@@ -90,6 +102,8 @@
     }
   | { readonly kind: 'store-contact'; readonly isLost: boolean }
   | { readonly kind: 'member-noted' }
+  /** The responding process has taken note of an offer; whether it uses relays now. */
+  | { readonly kind: 'relay-offer-noted'; readonly wantsRelays: boolean }
   /** The responding process serves the fleet. */
   | { readonly kind: 'fleet-held' }
   /** Another process serves the fleet; `member` is its member name. */
@@ -130,6 +144,7 @@
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
   z.object({ kind: z.literal('store-contact'), isLost: z.boolean() }),
   z.object({ kind: z.literal('member-noted') }),
+  z.object({ kind: z.literal('relay-offer-noted'), wantsRelays: z.boolean() }),
   z.object({ kind: z.literal('fleet-held') }),
   z.object({ kind: z.literal('held-by'), member: z.string() }),
   z.object({ kind: z.literal('not-owner') }),
--- a/packages/scheduler/src/peers/owner-directory.ts
+++ b/packages/scheduler/src/peers/owner-directory.ts
@@ -17,6 +17,8 @@
 /** The owners of inboxes, and requests to them. */
 export interface OwnerDirectory {
   readonly ownerOf: (partition: LogPartition) => Promise<GroupMember | null>;
+  /** The owner in the list as last read; null if there is none. */
+  readonly lastKnownOwnerOf: (partition: LogPartition) => GroupMember | null;
   /** Reads the list if the last successful read is older than an age; false if the store does not answer. */
   readonly refreshIfOlder: (ageMilliseconds: number) => Promise<boolean>;
   /** All processes in the list, as last read. */
@@ -70,6 +72,7 @@
       if (clock.steadyNow() - readAt > MAXIMUM_AGE_MILLISECONDS) await refresh();
       return owners.get(partitionKey(partition)) ?? null;
     },
+    lastKnownOwnerOf: (partition) => owners.get(partitionKey(partition)) ?? null,
     refreshIfOlder: async (ageMilliseconds) => {
       const since = clock.steadyNow() - ageMilliseconds;
       if (succeededAt < since) await refresh();
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -25,6 +25,8 @@
   readonly isStoreLost: () => boolean;
   /** Records the notice of another process that it is in the group. */
   readonly recordMember: (member: GroupMember) => void;
+  /** Records an offer to relay orders; returns whether relays are used now. */
+  readonly takeRelayOffer: (offer: Extract<PeerRequest, { readonly kind: 'relay-offer' }>) => boolean;
 }
 
 /** Passes the hosts that the fleet owner requests to the service owner, and returns the report of the service. */
@@ -69,6 +71,7 @@
   handOverFleet,
   isStoreLost,
   recordMember,
+  takeRelayOffer,
 }: PeerRequestHandlerParts): (request: PeerRequest) => Promise<PeerResponse> {
   const answerHostsOfPool = (pool: string): PeerResponse => {
     const otherOwner = fleet() === null ? remoteFleetOwner() : null;
@@ -93,6 +96,9 @@
 
   return async (request) => {
     if (request.kind === 'member-present') return recordPresentMember(request.member);
+    if (request.kind === 'relay-offer') {
+      return { kind: 'relay-offer-noted', wantsRelays: takeRelayOffer(request) };
+    }
     if (request.kind === 'store-contact') return { kind: 'store-contact', isLost: isStoreLost() };
     if (request.kind === 'fleet-held') return answerFleetHeld(request.isFree);
     if (request.kind === 'hosts-of-pool') return answerHostsOfPool(request.pool);
