Put each configuration version in force within 3 s, also when answers are lost

Cause: a removed key must not work later than 3 s after the store acknowledged the version. One read was under way at a time: a long poll on a silent connection took 1.8 s to fail and each further lost answer 1.05 s more, so that two lost answers delayed a version beyond 3 s. A process that resumed after a pause answered calls by the version from before the pause.

Change: - configuration-reads.ts sends another read beside one that is overdue by 300 ms, three at most at a time. Answers may arrive in any order. - A call that needs a key reads the configuration first if no read of the last 2.8 s has been settled.

--- a/packages/errors/src/result-codes.ts
+++ b/packages/errors/src/result-codes.ts
@@ -41,6 +41,11 @@
   jobOutcomeUnknown: { code: 1024, status: 504, title: 'The job may have been accepted' },
   ownerUnavailable: { code: 1025, status: 503, title: 'The owner of the service cannot be reached' },
   unauthenticated: { code: 1026, status: 401, title: 'The call needs a key that is in force' },
+  keysUnverifiable: {
+    code: 1027,
+    status: 503,
+    title: 'Keys cannot be checked while the configuration cannot be read',
+  },
   fileUnreadable: { code: 2001, status: 400, title: 'A settings file cannot be read' },
   malformedToml: { code: 2002, status: 400, title: 'A settings file is not valid TOML' },
   unknownSetting: { code: 2003, status: 400, title: 'A setting has an unknown key' },
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -86,6 +86,7 @@
     peerPort: 0,
     metricsPort: null,
     graceMilliseconds: 6_000,
+    revocation: { isStrict: false, maximumAgeMilliseconds: 5_000 },
     scheduling: SCHEDULING,
     fleet: { holderLeaseMilliseconds: 3_000, ownershipProofMilliseconds: 2_000 },
   };
--- a/packages/scheduler/src/node/configuration.ts
+++ b/packages/scheduler/src/node/configuration.ts
@@ -7,16 +7,17 @@
   QueueConfiguration,
   WaveRequest,
 } from '../ports/index.js';
+import { readConfiguration } from './configuration-reads.js';
 import type { SteadyClock } from './steady-clock.js';
 
-/** Longest wait of a read; bounds the delay of a new configuration if the answer to a read is lost. */
-const READ_WAIT_MILLISECONDS = 900;
-const FAILURE_PAUSE_MILLISECONDS = 150;
-
 /** The configuration in force, and the waves requested so far. */
 export interface ConfigurationFollower {
   readonly current: () => QueueConfiguration | null;
   readonly waves: () => readonly WaveRequest[];
+  /** When the newest read that was answered was sent; -Infinity before the first. */
+  readonly answeredSince: () => number;
+  /** Reads once if the process was paused since its last reads, so that it cannot decide by an old version. */
+  readonly refreshIfStale: () => Promise<void>;
   readonly close: () => void;
 }
 
@@ -34,8 +35,6 @@
   const { feed, clock, writeEvent } = parts;
   const waves = new Map<number, WaveRequest>();
   let current: QueueConfiguration | null = null;
-  let nextOffset: number | null = null;
-  let closed = false;
   let wasReachable = true;
 
   const applyConfiguration = (configuration: QueueConfiguration): void => {
@@ -69,29 +68,19 @@
     }
   };
 
-  const readOnce = async (): Promise<void> => {
-    const wait = wasReachable ? READ_WAIT_MILLISECONDS : 0;
-    const outcome = nextOffset === null ? await feed.readNewest() : await feed.read(nextOffset, wait);
-    recordReachability(outcome);
-    if (outcome.kind === 'read') {
-      outcome.entries.forEach(applyEntry);
-      nextOffset = outcome.nextOffset;
-    } else if (outcome.kind === 'expired') {
-      nextOffset = null;
-    } else {
-      await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
-    }
-  };
-
-  const follow = async (): Promise<void> => {
-    while (!closed) await readOnce();
-  };
-  void follow();
+  const reads = readConfiguration({
+    feed,
+    clock,
+    onOutcome: (outcome) => {
+      recordReachability(outcome);
+      if (outcome.kind === 'read') outcome.entries.forEach(applyEntry);
+    },
+  });
   return {
     current: () => current,
     waves: () => [...waves.values()],
-    close: () => {
-      closed = true;
-    },
+    answeredSince: reads.answeredSince,
+    refreshIfStale: reads.refreshIfStale,
+    close: reads.close,
   };
 }
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -2,11 +2,10 @@
 import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import { createFleetStandby } from '../fleet/fleet-standby.js';
 import { createFleetOwner } from '../fleet/fleet-owner.js';
-import { authenticate } from '../frontend/authenticate.js';
+import { authenticateCallers } from '../frontend/caller-authentication.js';
 import { findQueue } from '../frontend/find-queue.js';
 import { createFrontend } from '../frontend/frontend.js';
 import { createSubmissionWriter } from '../frontend/submission-writer.js';
-import { recordUnauthenticatedCalls } from '../frontend/unauthenticated-calls.js';
 import { monitorEventLoop } from '../measure/event-loop-monitor.js';
 import { createServiceOwner } from '../owner/service-owner.js';
 import { createOwnerClient } from '../peers/owner-client.js';
@@ -208,16 +207,6 @@
     ownerClient,
   });
 
-  const recordUnauthenticated = recordUnauthenticatedCalls(clock, writeEvent);
-  const authenticateCaller: CallerService['authenticate'] = (queue, authorizations) => {
-    const configuration = configurationFollower.current();
-    // A queue was found, so that a configuration is in force; without one a caller has no workspace to belong to.
-    if (configuration === null) return { kind: 'unauthenticated', reason: 'unknown-key' };
-    const authentication = authenticate(configuration, queue, authorizations);
-    if (authentication.kind === 'unauthenticated') recordUnauthenticated(queue.name, authentication.reason);
-    return authentication;
-  };
-
   const readiness = (): ReturnType<CallerService['readiness']> => {
     if (stopping) return { isReady: false, reason: 'stopping' };
     if (configurationFollower.current() === null) return { isReady: false, reason: 'no configuration yet' };
@@ -231,7 +220,12 @@
     callers: {
       ...frontend,
       findQueue: (hostName, path) => findQueue(configurationFollower.current(), hostName, path),
-      authenticate: authenticateCaller,
+      authenticate: authenticateCallers({
+        clock,
+        writeEvent,
+        revocation: settings.revocation,
+        configuration: configurationFollower,
+      }),
       readiness,
       isStopping: () => stopping,
       bodyLimitBytes: () => configurationFollower.current()?.limits.bodyBytes ?? null,
--- a/packages/scheduler/src/node/settings.ts
+++ b/packages/scheduler/src/node/settings.ts
@@ -1,6 +1,14 @@
 /** Settings of a scheduler process, read at its start. */
 import type { FleetParameters, SchedulingParameters } from '@baobabdeck/scheduling';
 
+/** How long a process relies on a configuration that it cannot read again. */
+export interface RevocationSettings {
+  /** Whether calls that need a key are refused once the configuration is older than the maximum age. */
+  readonly isStrict: boolean;
+  /** Time since the configuration was last read. */
+  readonly maximumAgeMilliseconds: number;
+}
+
 /** Settings of one process. */
 export interface SchedulerSettings {
   readonly nodeName: string;
@@ -14,6 +22,7 @@
   readonly metricsPort: number | null;
   /** Time that a graceful stop may take. */
   readonly graceMilliseconds: number;
+  readonly revocation: RevocationSettings;
   readonly scheduling: SchedulingParameters;
   readonly fleet: FleetParameters;
 }
--- a/packages/scheduler/src/ports/callers.ts
+++ b/packages/scheduler/src/ports/callers.ts
@@ -49,6 +49,12 @@
       readonly reason: 'no-header' | 'several-headers' | 'malformed-header' | 'unknown-key';
     };
 
+/** The authentication of a call by the configuration in force. */
+export type CallerAuthentication =
+  | Authentication
+  /** The configuration may be outdated, and the settings forbid to rely on it. */
+  | { readonly kind: 'unverifiable' };
+
 /**
  * The operations for callers. A timeout is the time that is left until the caller must have its answer. A workspace
  * is that of the caller's key; null if the call needed none.
@@ -56,7 +62,7 @@
 export interface CallerService {
   readonly findQueue: (hostName: string, path: string) => QueueLookup;
   /** Identifies the caller by the values of all its `Authorization` headers. */
-  readonly authenticate: (queue: Queue, authorizations: readonly string[]) => Authentication;
+  readonly authenticate: (queue: Queue, authorizations: readonly string[]) => Promise<CallerAuthentication>;
   readonly submit: (
     queue: Queue,
     job: SubmittedJob,
