--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -91,6 +91,7 @@
     metricsPort: null,
     graceMilliseconds: 6_000,
     relays,
+    revocation: { isStrict: false, maximumAgeMilliseconds: 5_000 },
     scheduling: SCHEDULING,
     fleet: { holderLeaseMilliseconds: 3_000, ownershipProofMilliseconds: 2_000 },
   };
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -162,6 +162,7 @@
       handOverFleet: () => undefined,
       isStoreLost: () => false,
       recordMember: () => undefined,
+      takeRelayOffer: () => false,
     });
     return [(await handle(request)).kind, dispatched];
   };
--- a/packages/scheduler/src/node/settings.ts
+++ b/packages/scheduler/src/node/settings.ts
@@ -4,6 +4,14 @@
 /** Whether an owner uses relays: while its processor is short, never, or always. */
 export type RelayMode = 'on' | 'off' | 'always';
 
+/** How long a process relies on a configuration that it cannot read again. */
+export interface RevocationSettings {
+  /** Whether calls that need a key are refused once the configuration is older than the maximum age. */
+  readonly isStrict: boolean;
+  /** Time since the configuration was last read. */
+  readonly maximumAgeMilliseconds: number;
+}
+
 /** Settings of one process. */
 export interface SchedulerSettings {
   readonly nodeName: string;
@@ -19,6 +27,7 @@
   readonly graceMilliseconds: number;
   /** Whether orders to workers may go through other processes; `on` if absent. */
   readonly relays?: RelayMode | undefined;
+  readonly revocation: RevocationSettings;
   readonly scheduling: SchedulingParameters;
   readonly fleet: FleetParameters;
 }
