Limit what a workspace has running across services

Workspaces may have a cap over all services, and nothing enforced it. The fleet owner now divides each cap among the services by need and sends the parts with the service-report requests. It lowers a limit first, and raises another only by what no service holds: limits that are in force, limits in messages that may still arrive, and runs. A service owner starts a task or gang only within its limit, fails jobs that can never fit, and reports use and limits. Grants are bound to the fencing epoch of the service owner and to the fleet owner's epoch. A new fleet owner raises nothing until each service is proven to hold no other grants. Deployments without workspaces send an empty list.

--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -1,14 +1,17 @@
 /** Owner of the fleet: claims its logs, runs its reducer and performs the resulting effects on hosts and waves. */
 import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import {
+  grantedServices,
   mayOrder,
   reduceFleet,
   restoreFleet,
+  selectServiceGrants,
   selectServiceHostRequests,
   type FleetEffect,
   type FleetEvent,
   type FleetParameters,
   type FleetState,
+  type ServiceGrants,
   type ServiceReport,
   type ServiceHostRequests,
   type WaveStatus,
@@ -31,6 +34,7 @@
   Store,
   WaveRequest,
 } from '../ports/index.js';
+import { termsOf } from '../node/workspace-terms.js';
 import { decodeFleetRecord, encodeFleetRecord } from './fleet-codec.js';
 
 const LONG_POLL_MILLISECONDS = 1_000;
@@ -68,6 +72,7 @@
   readonly requestServiceReport: (
     service: string,
     hostRequests: ServiceHostRequests,
+    grants: ServiceGrants | null,
     epoch: number,
     sequence: number,
   ) => Promise<ServiceReport | null>;
@@ -192,19 +197,38 @@
 
   const pendingServices = new Set<string>();
   let requestSequence = 0;
-  const updateService = async (service: string): Promise<void> => {
+  const updateService = async (service: string, sequence: number): Promise<void> => {
     const state = currentState();
-    if (state === null || claimed === null || pendingServices.has(service)) return;
+    if (state === null || claimed === null) return;
     pendingServices.add(service);
-    requestSequence += 1;
     const hostRequests = selectServiceHostRequests(state, service);
-    const report = await parts.requestServiceReport(service, hostRequests, claimed.epoch, requestSequence);
+    // The next fleet owner raises no limit until the proof of this one has expired.
+    const isProven = mayOrder({ ...state, now: clock.steadyNow() });
+    const grants = isProven ? selectServiceGrants(state, service) : null;
+    const report = await parts.requestServiceReport(service, hostRequests, grants, claimed.epoch, sequence);
     pendingServices.delete(service);
     if (report !== null) dispatch({ kind: 'service-reported', report });
   };
 
+  /** Exchanges host requests and grants for a report with each service that has answered the last request. */
+  const updateServices = (services: readonly string[]): void => {
+    const messages = services
+      .filter((service) => !pendingServices.has(service))
+      .map((service, index) => ({ service, sequence: requestSequence + index + 1 }));
+    requestSequence += messages.length;
+    dispatch({ kind: 'grants-due', messages });
+    messages.forEach(({ service, sequence }) => {
+      void updateService(service, sequence);
+    });
+  };
+
   const tick = (tickCount: number): void => {
-    const services = parts.configuration()?.services ?? [];
+    const configuration = parts.configuration();
+    const services = configuration?.services ?? [];
+    if (configuration !== null) {
+      const { version, workspaces } = configuration;
+      dispatch({ kind: 'workspaces-configured', version, workspaces: workspaces.map(termsOf) });
+    }
     dispatch({
       kind: 'pools-known',
       pools: services.map(({ name, isStandby }) => ({ pool: name, isStandby })),
@@ -219,11 +243,8 @@
       }),
     );
     if (tickCount % TICKS_PER_HOST_LIST === 0) void listHosts();
-    services
-      .filter((service) => !service.isStandby)
-      .forEach(({ name }) => {
-        void updateService(name);
-      });
+    const state = currentState();
+    if (state !== null) updateServices(grantedServices(state));
     dispatch({ kind: 'ticked' });
   };
 
@@ -259,6 +280,7 @@
       timeOfDay: clock.now(),
       claimedAt: claimed.claimedAt,
       provenAt: claimed.provenAt,
+      fencingEpoch: claimed.epoch,
       records: decodeReadable(claimed.records, decodeFleetRecord, writeEvent, { subject: 'fleet' }),
     });
     journal = openJournal({
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -6,7 +6,7 @@
 import { createFrontend } from '../frontend/frontend.js';
 import { createSubmissionWriter } from '../frontend/submission-writer.js';
 import { monitorEventLoop } from '../measure/event-loop-monitor.js';
-import { createServiceOwner } from '../owner/service-owner.js';
+import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
 import { createOwnerClient } from '../peers/owner-client.js';
 import { createOwnerDirectory } from '../peers/owner-directory.js';
 import { parsePeerRequest } from '../peers/messages.js';
@@ -16,6 +16,7 @@
   HostService,
   OperatorFeed,
   PeerNetwork,
+  QueueConfiguration,
   Store,
   WorkerOrders,
   WorkerRegister,
@@ -32,6 +33,7 @@
 import { watchStoreReadiness } from './store-readiness.js';
 import { watchStore } from './watched-store.js';
 import type { SteadyClock } from './steady-clock.js';
+import { termsOf } from './workspace-terms.js';
 import { startWorkerUpdates, type WorkerUpdates } from './worker-updates.js';
 
 /** Time for which a stopping process continues to serve, so that the load balancer notices and sends no new callers. */
@@ -64,6 +66,13 @@
   readonly stop: () => Promise<void>;
 }
 
+/** Passes the workspaces of the configuration to a service owner. */
+function sendWorkspaces(owner: ServiceOwner, configuration: QueueConfiguration | null): void {
+  if (configuration === null) return;
+  const { version, workspaces } = configuration;
+  owner.dispatch({ kind: 'workspaces-configured', version, workspaces: workspaces.map(termsOf) });
+}
+
 /** Starts a process. Rejects if its peer port is in use. */
 export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
   const { settings, clock, writeEvent, measures, feed, hosts, peers } = parts;
@@ -77,7 +86,10 @@
     feed,
     clock,
     writeEvent,
-    onConfiguration: layoutManager.ensureInboxes,
+    onConfiguration: (configuration) => {
+      layoutManager.ensureInboxes(configuration);
+      logs.services().forEach((owner) => sendWorkspaces(owner, configuration));
+    },
     onWave: (wave) => writeEvent('waveAsked', { ...wave }),
   });
 
@@ -141,7 +153,10 @@
         writeEvent,
         measures,
         requestHostList: () => workerUpdates.reportSuspectWorker(),
-        onClaimed: () => workerUpdates.sendWorkers(owner),
+        onClaimed: () => {
+          sendWorkspaces(owner, configurationFollower.current());
+          workerUpdates.sendWorkers(owner);
+        },
         onOwnershipEnded: onGivenUp,
       });
       return owner;
@@ -160,8 +175,9 @@
         measures,
         configuration: configurationFollower.current,
         waves: configurationFollower.waves,
-        requestServiceReport: async (service, requests, epoch, sequence) => {
-          const request = { kind: 'service-report' as const, service, ...requests, epoch, sequence };
+        requestServiceReport: async (service, requests, grants, epoch, sequence) => {
+          const kind = 'service-report' as const;
+          const request = { kind, service, ...requests, grants, epoch, sequence };
           const response = await ownerClient.requestOnce(subjectOfService(service), request);
           return response?.kind === 'service-report' ? response.report : null;
         },
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -24,6 +24,27 @@
   jobId: z.string(),
 });
 
+const resources = z.object({
+  milliCores: z.number(),
+  memoryMegabytes: z.number(),
+  accelerators: z.number(),
+});
+
+/** Null for no limit. */
+const resourceCap = z.object({
+  milliCores: z.number().nullable(),
+  memoryMegabytes: z.number().nullable(),
+  accelerators: z.number().nullable(),
+});
+
+const serviceGrants = z.object({
+  ownerEpoch: z.number(),
+  cappedVersion: z.number(),
+  workspaces: z
+    .array(z.object({ workspace: z.string(), limit: resourceCap, cap: resourceCap, weight: z.number() }))
+    .readonly(),
+});
+
 /** Sent by the fleet owner: the hosts that a service owner should release or take back, and a request for its report. */
 const serviceReportRequest = z.object({
   kind: z.literal('service-report'),
@@ -33,6 +54,8 @@
   /** Epoch of the fleet owner and number of the request: delayed requests that are older than the last are ignored. */
   epoch: z.number(),
   sequence: z.number(),
+  /** Null if the fleet owner grants nothing with this request; earlier versions send none. */
+  grants: serviceGrants.nullable().default(null),
 });
 
 /** Requests the hosts of a pool from the fleet owner. */
@@ -57,7 +80,7 @@
   state: z.enum(['up', 'moving', 'upkeep', 'down']),
   dataCentre: z.string(),
   rack: z.string(),
-  capacity: z.object({ milliCores: z.number(), memoryMegabytes: z.number(), accelerators: z.number() }),
+  capacity: resources,
   workerId: z.string().nullable(),
 });
 
@@ -125,6 +148,25 @@
       offeredMilliCores: z.number(),
       leastHosts: z.number(),
       missingHosts: z.number(),
+      workspaces: z
+        .array(
+          z.object({
+            workspace: z.string(),
+            running: resources,
+            waiting: resources,
+            largestStart: resources,
+            granted: resourceCap,
+          }),
+        )
+        .default([]),
+      grants: z
+        .object({
+          ownerEpoch: z.number(),
+          epoch: z.number(),
+          sequence: z.number(),
+          provenSequence: z.number(),
+        })
+        .default({ ownerEpoch: 0, epoch: 0, sequence: 0, provenSequence: 0 }),
     }),
   }),
   z.object({ kind: z.literal('hosts-of-pool'), hosts: z.array(host), ageMilliseconds: z.number() }),
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -30,9 +30,9 @@
 /** Passes the hosts that the fleet owner requests to the service owner, and returns the report of the service. */
 function answerServiceReport(
   owner: ServiceOwner,
-  { releases, returns, epoch, sequence }: Extract<PeerRequest, { readonly kind: 'service-report' }>,
+  { releases, returns, epoch, sequence, grants }: Extract<PeerRequest, { readonly kind: 'service-report' }>,
 ): PeerResponse {
-  owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence });
+  owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence, grants });
   const report = owner.select('report-asked', selectServiceReport);
   return report === null ? NOT_OWNER : { kind: 'service-report', report };
 }
--- a/packages/scheduling/src/__tests__/fleet-harness.ts
+++ b/packages/scheduling/src/__tests__/fleet-harness.ts
@@ -50,6 +50,8 @@
     offeredMilliCores: 0,
     leastHosts: 0,
     missingHosts: 0,
+    workspaces: [],
+    grants: { ownerEpoch: 1, epoch: 1, sequence: 0, provenSequence: 0 },
     ...fields,
   };
 }
@@ -71,6 +73,7 @@
 export function createFleetHarness(
   records: readonly FleetRecord[] = [],
   pools: readonly string[] = ['quotes'],
+  fleetEpoch = 1,
 ): FleetHarness {
   let now = CLAIMED_AT;
   let offset = 100;
@@ -81,6 +84,7 @@
     claimedAt: now,
     provenAt: now,
     records,
+    fencingEpoch: fleetEpoch,
   });
   const step = (body: Body): readonly FleetEffect[] => {
     const timeOfDay = new Date(DAY + now - CLAIMED_AT);
--- a/packages/scheduling/src/__tests__/waiting-queue.test.ts
+++ b/packages/scheduling/src/__tests__/waiting-queue.test.ts
@@ -7,6 +7,7 @@
 } from '../state/waiting-queue.js';
 
 const NEEDS = { milliCores: 500, memoryMegabytes: 64, accelerators: 0 };
+const LOAD = { tasks: 1, workspace: null, taskNeeds: NEEDS, startNeeds: NEEDS, needs: NEEDS };
 
 const NOW = 1_000;
 
@@ -16,9 +17,9 @@
 
 describe('the queue of waiting steps', ({ it }) => {
   it('sums up the waiting tasks, also after a step has changed', (t) => {
-    const six = setWaitingStep(EMPTY_WAITING_QUEUE, keyOf('a'), { tasks: 6, needs: NEEDS });
-    const two = setWaitingStep(six, keyOf('a'), { tasks: 2, needs: NEEDS });
-    const one = setWaitingStep(two, keyOf('a'), { tasks: 1, needs: NEEDS });
+    const six = setWaitingStep(EMPTY_WAITING_QUEUE, keyOf('a'), { ...LOAD, tasks: 6 });
+    const two = setWaitingStep(six, keyOf('a'), { ...LOAD, tasks: 2 });
+    const one = setWaitingStep(two, keyOf('a'), { ...LOAD, tasks: 1 });
     t.deepEqual(six.total, { tasks: 6, milliCores: 3_000 });
     t.deepEqual(two.total, { tasks: 2, milliCores: 1_000 });
     t.deepEqual(one.total, { tasks: 1, milliCores: 500 });
@@ -34,7 +35,7 @@
       keyOf('lasting', { isLasting: true, startBy: NOW + 900 }),
     ];
     const queue = keys.reduce(
-      (filled, key) => setWaitingStep(filled, key, { tasks: 1, needs: NEEDS }),
+      (filled, key) => setWaitingStep(filled, key, { ...LOAD, tasks: 1 }),
       EMPTY_WAITING_QUEUE,
     );
     const order = [...waitingInOrder(queue, NOW)].map(([{ jobId }]) => jobId);
--- a/packages/scheduling/src/decide/placement/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -7,7 +7,7 @@
 import type { ServiceState, StepState, WorkerState } from '../../state/service-state.js';
 import { addRun, findTask, isTaskWaiting } from '../../state/tasks.js';
 import { NO_PLACEMENT_CHANGES } from '../../state/placement-changes.js';
-import type { WaitingKey } from '../../state/waiting-queue.js';
+import type { WaitingEntry, WaitingKey } from '../../state/waiting-queue.js';
 import {
   findWaitingStep,
   longestWaitMilliseconds,
@@ -28,6 +28,8 @@
   type EligibleWorkers,
 } from './eligible-workers.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
+import { fitsLimit } from '../shares/workspace-limits.js';
+import { startNeedsOf } from '../../state/workspaces.js';
 import { newRun } from './new-run.js';
 import { updateService } from '../../state/update.js';
 
@@ -82,6 +84,7 @@
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
     if (isTaskWaiting(task) && !task.isQuarantined) {
+      if (!fitsLimit(next, waiting.job.request.workspace, waiting.request.needs)) return next;
       const chosen = chooseWorker(waiting.request, task, eligible, counts);
       if (chosen === null) return next;
       incrementCount(counts, chosen);
@@ -114,6 +117,7 @@
 ): ServiceStep<ServiceState> {
   const { tasks } = waiting.step;
   if (tasks.some((task) => task.runs.length > 0 || task.isQuarantined)) return state;
+  if (!fitsLimit(state, waiting.job.request.workspace, startNeedsOf(waiting.request))) return state;
   const chosenWorkers = chooseGangWorkers(waiting, eligible) ?? [];
   const runNumber = Math.max(...tasks.map((task) => task.lastRun)) + 1;
   let next = state;
@@ -143,6 +147,23 @@
   return steps === 0 || gangs === 0;
 }
 
+/** Steps of workspaces at their limit that one event may skip. */
+const SKIPPED_STEPS_PER_EVENT = 4_096;
+
+/** Yields the waiting steps in queue order, without those of workspaces that may have no more running now. */
+function* startableSteps(
+  state: ServiceState,
+  current: () => ServiceState,
+): Generator<WaitingEntry, void, void> {
+  let skipped = 0;
+  for (const entry of orderWaitingSteps(state)) {
+    const [, { workspace, startNeeds }] = entry;
+    if (fitsLimit(current(), workspace, startNeeds)) yield entry;
+    else skipped += 1;
+    if (skipped >= SKIPPED_STEPS_PER_EVENT) return;
+  }
+}
+
 /** Places steps in queue order: newly waiting steps on any worker, all others on workers with freed capacity. */
 function* placeInOrder(
   state: ServiceState,
@@ -156,7 +177,7 @@
       : narrowEligibleWorkers(allWorkers, ({ listing }) => freedWorkerIds.has(listing.workerId));
   const budget: PlacementBudget = { steps: STEPS_PER_EVENT, gangs: GANGS_PER_EVENT };
   let next = state;
-  for (const [key, { needs }] of orderWaitingSteps(state)) {
+  for (const [key, { needs }] of startableSteps(state, () => next)) {
     if (budget.steps === 0 || !fitsOnAny(allWorkers ?? freedWorkers, state.waiting.minimumNeeds)) return next;
     budget.steps -= 1;
     const eligible = allWorkers !== null && newlyWaiting.has(key) ? allWorkers : freedWorkers;
@@ -181,7 +202,7 @@
   const budget: PlacementBudget = { steps: STEPS_PER_FULL_SCAN, gangs: GANGS_PER_FULL_SCAN };
   let position = 0;
   let next = updateService(state, { scannedSteps: 0 });
-  for (const [key, { needs }] of orderWaitingSteps(state)) {
+  for (const [key, { needs }] of startableSteps(state, () => next)) {
     if (!fitsOnAny(eligible, state.waiting.minimumNeeds)) return next;
     if (isExhausted(budget)) return updateService(next, { scannedSteps: position });
     position += 1;
--- a/packages/scheduling/src/fleet/event.ts
+++ b/packages/scheduling/src/fleet/event.ts
@@ -1,5 +1,6 @@
 /** Events that the fleet owner handles and effects that it requests. */
 import type { HostListing } from '../model/worker.js';
+import type { WorkspaceTerms } from '../model/workspace.js';
 import type { ServiceReport } from '../model/service-report.js';
 import type { SchedulingFields } from '../state/effect.js';
 import type { Instant } from '../model/instant.js';
@@ -56,6 +57,16 @@
       readonly status: WaveStatus;
       readonly isStored: boolean;
     }
+  | {
+      readonly kind: 'workspaces-configured';
+      readonly version: number;
+      readonly workspaces: readonly WorkspaceTerms[];
+    }
+  | {
+      /** Messages are about to be sent to services. */
+      readonly kind: 'grants-due';
+      readonly messages: readonly { readonly service: string; readonly sequence: number }[];
+    }
   | { readonly kind: 'ownership-lost' }
   /** The process shuts down and hands the fleet over. */
   | { readonly kind: 'resign-requested' }
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -2,6 +2,12 @@
 import { Map as PersistentMap } from 'immutable';
 import type { Instant } from '../model/instant.js';
 import type { FleetEvent, FleetStep } from './event.js';
+import {
+  handleFleetWorkspacesConfigured,
+  handleGrantsDue,
+  initialGrants,
+  recordGrantReport,
+} from './grants.js';
 import { handleFleetHostsListed } from './hosts.js';
 import {
   addRecord,
@@ -25,6 +31,8 @@
   readonly claimedAt: Instant;
   readonly provenAt: Instant;
   readonly records: readonly FleetRecord[];
+  /** Epoch of the new owner; 1, the default, for the first owner of the fleet. */
+  readonly fencingEpoch?: number;
 }
 
 function restoreWave(
@@ -100,6 +108,12 @@
     inheritedOrders: PersistentMap(open),
     isSuperseded: false,
     isResigning: false,
+    grants: initialGrants(
+      parts.fencingEpoch ?? 1,
+      claimedAt,
+      parameters.ownershipProofMilliseconds,
+      records.at(-1)?.kind === 'fleet-resigned',
+    ),
   };
 }
 
@@ -156,7 +170,11 @@
     case 'hosts-listed':
       return yield* handleFleetHostsListed(state, event);
     case 'service-reported':
-      return handleServiceReported(state, event);
+      return handleServiceReported(recordGrantReport(state, event.report), event);
+    case 'workspaces-configured':
+      return handleFleetWorkspacesConfigured(state, event);
+    case 'grants-due':
+      return handleGrantsDue(state, event);
     case 'fleet-records-stored':
       return yield* handleFleetRecordsStored(state, event);
     case 'host-order-settled':
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -3,6 +3,7 @@
 import type { HostListing } from '../model/worker.js';
 import type { ServiceReport } from '../model/service-report.js';
 import type { Instant } from '../model/instant.js';
+import type { FleetGrants } from './grant-state.js';
 
 /** Action on a host: a move to another pool, or maintenance for a wave. */
 export type HostAction =
@@ -137,4 +138,5 @@
   readonly isSuperseded: boolean;
   /** The fleet is being handed over; no more orders are sent. */
   readonly isResigning: boolean;
+  readonly grants: FleetGrants;
 }
--- a/packages/scheduling/src/fleet/update.ts
+++ b/packages/scheduling/src/fleet/update.ts
@@ -24,6 +24,7 @@
     inheritedOrders: state.inheritedOrders,
     isSuperseded: state.isSuperseded,
     isResigning: state.isResigning,
+    grants: state.grants,
     ...changes,
   };
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -26,5 +26,6 @@
   PoolConfiguration,
   WaveStatus,
 } from './fleet/state.js';
+export { grantedServices, selectServiceGrants } from './fleet/grants.js';
 export { mayOrder } from './fleet/orders.js';
 export { selectServiceHostRequests, type ServiceHostRequests } from './fleet/requested-actions.js';
--- a/packages/scheduling/src/model/resources.ts
+++ b/packages/scheduling/src/model/resources.ts
@@ -66,3 +66,12 @@
   );
   return Math.max(0, fitting);
 }
+
+/** Returns an amount of each resource, `times` times. */
+export function multiplyResources(amount: Resources, times: number): Resources {
+  return {
+    milliCores: amount.milliCores * times,
+    memoryMegabytes: amount.memoryMegabytes * times,
+    accelerators: amount.accelerators * times,
+  };
+}
--- a/packages/scheduling/src/model/service-report.ts
+++ b/packages/scheduling/src/model/service-report.ts
@@ -1,5 +1,7 @@
 /** Report of one service to the fleet owner: its load, its demand and the progress of requested hosts. */
 
+import type { GrantAcknowledgement, WorkspaceUse } from './workspace.js';
+
 /** Progress of the release of a host. */
 export type ReleaseProgress = 'released' | 'draining';
 
@@ -30,4 +32,8 @@
   readonly leastHosts: number;
   /** Number of additional hosts that waiting gangs or lasting tasks need. */
   readonly missingHosts: number;
+  /** What each workspace has running and waiting, with the limit that the service owner applies. */
+  readonly workspaces: readonly WorkspaceUse[];
+  /** The grants in force at the service owner. */
+  readonly grants: GrantAcknowledgement;
 }
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -4,6 +4,7 @@
 import { countFitting, type Resources } from '../model/resources.js';
 import type { HostLoad, ServiceReport } from '../model/service-report.js';
 import { estimateOfferedMilliCores } from '../state/arrivals.js';
+import { selectWorkspaceUse, sumWithheldMilliCores } from '../decide/shares/workspace-limits.js';
 import { selectReleaseProgress } from './release.js';
 import type { JobState, ServiceState, StepState, WorkerState } from '../state/service-state.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
@@ -105,10 +106,17 @@
     hosts: [...state.workers.values()]
       .filter((worker) => !worker.isTerminated)
       .map((worker) => hostLoadOf(state, worker)),
-    waitingMilliCores: state.waiting.total.milliCores,
+    // Hosts can't help tasks that their workspace's limit keeps waiting.
+    waitingMilliCores: Math.max(0, state.waiting.total.milliCores - sumWithheldMilliCores(state)),
     lastingMilliCores: sumLastingMilliCores(state),
     offeredMilliCores: estimateOfferedMilliCores(state.arrivals, state.now),
     leastHosts: minimumHosts(state),
     missingHosts: countMissingHosts(state),
+    workspaces: selectWorkspaceUse(state),
+    grants: {
+      ownerEpoch: state.fencingEpoch,
+      ...state.lastFleetMessage,
+      provenSequence: state.workspaces.provenSequence,
+    },
   };
 }
--- a/packages/scheduling/src/service/quarantine.ts
+++ b/packages/scheduling/src/service/quarantine.ts
@@ -1,5 +1,7 @@
 /** Runs quarantined tasks alone: on workers that are kept free of all other tasks for them. */
 import { Map as PersistentMap } from 'immutable';
+import { fitsLimit } from '../decide/shares/workspace-limits.js';
+import { multiplyResources } from '../model/resources.js';
 import type { ServiceStep } from '../state/effect.js';
 import { mayIssueOrders } from '../state/lease.js';
 import { updateQuarantine } from '../state/quarantine-state.js';
@@ -130,8 +132,10 @@
   let next = state;
   for (const suspect of waiting) {
     if (isFull(isolation)) return next;
+    const needs = multiplyResources(suspect.request.needs, suspect.members.length);
+    const isWithinLimit = fitsLimit(next, suspect.job.request.workspace, needs);
     const free = candidates.filter(({ worker }) => !isolated.has(worker.listing.workerId));
-    const chosen = planIsolation(suspect, free);
+    const chosen = isWithinLimit ? planIsolation(suspect, free) : null;
     const isAllowed = chosen !== null && mayIsolate(isolation, chosen, state.now - suspect.waitingSince);
     if (isAllowed) {
       for (const { worker } of chosen) isolated.set(worker.listing.workerId, suspect.isolationId);
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -22,6 +22,7 @@
 import { handleWorkerReported, handleWorkerSilent } from './reports.js';
 import { considerWorker } from '../state/worker-index.js';
 import { handleHostsListed, handleWorkersListed, renewDueLeases } from './workers.js';
+import { endIdleOversizedJobs, endOversizedJob, handleWorkspacesConfigured } from './workspace-grants.js';
 import { updateService } from '../state/update.js';
 
 function* giveUpOwnership(state: ServiceState, reason: string): ServiceStep<ServiceState> {
@@ -53,7 +54,8 @@
 ): ServiceStep<ServiceState> {
   switch (record.kind) {
     case 'job-accepted':
-      return record.request.service === state.service ? yield* acceptJob(state, record.request) : state;
+      if (record.request.service !== state.service) return state;
+      return yield* endOversizedJob(yield* acceptJob(state, record.request), record.request.jobId);
     case 'job-cancelled':
       return yield* cancelJob(state, record.jobId);
     case 'ownership-claimed':
@@ -126,7 +128,7 @@
   const state = updateService(before, { ticks: { count: before.ticks.count + 1, lastAt: before.now } });
   let next = yield* renewDueLeases(yield* dropLapsedRuns(state));
   next = yield* stopObsoleteRuns(next);
-  next = yield* ejectUnhealthyWorkers(next);
+  next = yield* endIdleOversizedJobs(yield* ejectUnhealthyWorkers(next));
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
   const remembered = markQuarantineStale(yield* forgetJobs(next));
@@ -163,6 +165,8 @@
         : yield* handleStopSettled(state, event);
     case 'hosts-wished':
       return yield* handleHostRequests(state, event);
+    case 'workspaces-configured':
+      return handleWorkspacesConfigured(state, event);
     case 'stop-requested':
       return updateService(state, { isStopping: true });
     default:
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -23,6 +23,7 @@
 import { reserveForRelocation, runsOnWorker } from '../state/tasks.js';
 import { considerWorker, setWorker } from '../state/worker-index.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
+import { applyGrants, trackProof } from './workspace-grants.js';
 import { updateService, updateWorker } from '../state/update.js';
 
 /** Time for which tasks without checkpoints may delay the maintenance of their host. */
@@ -220,9 +221,11 @@
   event: ServiceEventOf<'hosts-wished'>,
 ): ServiceStep<ServiceState> {
   if (isOutdated(state, event)) return state;
-  let next: ServiceState = updateService(state, {
-    lastFleetMessage: { epoch: event.epoch, sequence: event.sequence },
+  const { epoch, sequence, grants } = event;
+  let next: ServiceState = updateService(trackProof(state, epoch, sequence), {
+    lastFleetMessage: { epoch, sequence },
   });
+  if (grants !== undefined && grants !== null) next = yield* applyGrants(next, grants);
   for (const hostId of event.returns) next = yield* returnHost(next, hostId);
   for (const request of event.releases) next = yield* requestHost(next, request);
   return yield* drainLeavingWorkers(next);
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -16,6 +16,8 @@
 } from '../state/quarantine-state.js';
 import { allTasks, isTaskWaiting } from '../state/tasks.js';
 import { EMPTY_WAITING_QUEUE } from '../state/waiting-queue.js';
+import { countRuns } from '../state/workspaces.js';
+import { NO_WORKSPACES } from '../state/workspaces-state.js';
 import type { Instant } from '../model/instant.js';
 import type {
   JobState,
@@ -81,6 +83,7 @@
     restartedWorkerId: null,
     isStopping: false,
     quarantine: EMPTY_QUARANTINE,
+    workspaces: NO_WORKSPACES,
   };
 }
 
@@ -214,6 +217,9 @@
     const job = restoreJob(state, request, progress.get(jobId));
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
+  for (const [key, { runs }, , { request }] of [...allTasks(state)]) {
+    state = countRuns(state, request, key.step, runs.length);
+  }
   const keysWithRuns = [...allTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [key] : []));
   const restored = [...state.jobs.values()];
   const jobIdsOf = (jobs: readonly JobState[]): readonly string[] => jobs.map(({ request }) => request.jobId);
--- a/packages/scheduling/src/state/event.ts
+++ b/packages/scheduling/src/state/event.ts
@@ -3,6 +3,7 @@
 import type { StoredServiceRecord } from '../model/records.js';
 import type { HostListing, WorkerListing, WorkerReport } from '../model/worker.js';
 import type { Instant } from '../model/instant.js';
+import type { ServiceGrants, WorkspaceTerms } from '../model/workspace.js';
 
 /** Outcome of an order to start a run. */
 export type StartOutcome =
@@ -83,6 +84,14 @@
       /** Epoch of the fleet owner and number of its message. Messages older than the newest applied one are ignored. */
       readonly epoch: number;
       readonly sequence: number;
+      /** Absent or null if the fleet owner grants nothing with this message; earlier grants stay in force. */
+      readonly grants?: ServiceGrants | null;
+    }
+  | {
+      /** The workspaces of the configuration in force in this process. */
+      readonly kind: 'workspaces-configured';
+      readonly version: number;
+      readonly workspaces: readonly WorkspaceTerms[];
     }
   | { readonly kind: 'stop-requested' }
 );
--- a/packages/scheduling/src/state/job-index.ts
+++ b/packages/scheduling/src/state/job-index.ts
@@ -10,6 +10,7 @@
   type WaitingLoad,
 } from './waiting-queue.js';
 import { updateService } from './update.js';
+import { replaceWaitingShare, startNeedsOf } from './workspaces.js';
 
 interface QueueEntry {
   readonly key: WaitingKey;
@@ -39,7 +40,14 @@
     occurrence: occurrence.occurrence,
     step: index,
   };
-  return { key, load: { tasks: step.waitingCount, needs: reservedResourcesOf(request) } };
+  const load: WaitingLoad = {
+    tasks: step.waitingCount,
+    workspace: job.request.workspace,
+    taskNeeds: request.needs,
+    startNeeds: startNeedsOf(request),
+    needs: reservedResourcesOf(request),
+  };
+  return { key, load };
 }
 
 function replaceEntry(
@@ -49,11 +57,12 @@
 ): ServiceState {
   const hasLeftPosition = before !== null && (after === null || !isSameQueuePosition(before.key, after.key));
   const withoutOld = hasLeftPosition ? setWaitingStep(state.waiting, before.key, null) : state.waiting;
-  if (after === null) return updateService(state, { waiting: withoutOld });
+  const shared = replaceWaitingShare(state, before?.load ?? null, after?.load ?? null);
+  if (after === null) return updateService(shared, { waiting: withoutOld });
   const waiting = setWaitingStep(withoutOld, after.key, after.load);
-  if (after.load.tasks <= (before?.load.tasks ?? 0)) return updateService(state, { waiting });
+  if (after.load.tasks <= (before?.load.tasks ?? 0)) return updateService(shared, { waiting });
   const newlyWaitingSteps = state.placementChanges.newlyWaitingSteps.set(waitingIdOf(after.key), after.key);
-  return updateService(state, {
+  return updateService(shared, {
     waiting,
     placementChanges: { ...state.placementChanges, newlyWaitingSteps },
   });
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -13,6 +13,7 @@
 import type { SchedulingParameters } from './parameters.js';
 import type { CrashEvidence, QuarantineState } from './quarantine-state.js';
 import type { WaitingKey, WaitingQueue } from './waiting-queue.js';
+import type { WorkspacesState } from './workspaces-state.js';
 
 /** Phase of a run, from placement to stop. */
 export type RunPhase =
@@ -267,4 +268,5 @@
   readonly restartedWorkerId: string | null;
   readonly isStopping: boolean;
   readonly quarantine: QuarantineState;
+  readonly workspaces: WorkspacesState;
 }
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -17,6 +17,7 @@
   WorkerState,
 } from './service-state.js';
 import { considerWorker, setWorker } from './worker-index.js';
+import { countRuns } from './workspaces.js';
 import {
   updateJob,
   updateOccurrence,
@@ -174,7 +175,7 @@
       lastRun: Math.max(task.lastRun, run.run),
     }),
   );
-  const marked = markJobChanged(state, changed);
+  const marked = countRuns(markJobChanged(state, changed), job.request, key.step, 1);
   return reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step));
 }
 
@@ -214,7 +215,9 @@
       }),
     ),
   );
-  const freed = releaseCapacity(markJobChanged(state, changed), key, run, request);
+  const removedCount = (before?.runs ?? []).filter((other) => isSameRun(other, run)).length;
+  const counted = countRuns(markJobChanged(state, changed), job.request, key.step, -removedCount);
+  const freed = releaseCapacity(counted, key, run, request);
   const tracked = trackRemovedRun(freed, key, run, before, findTask(freed, key));
   const cleared = clearOrphan(clearReservation(tracked, key), key);
   if (!job.hasGang) return cleared;
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -53,6 +53,7 @@
     restartedWorkerId: state.restartedWorkerId,
     isStopping: state.isStopping,
     quarantine: state.quarantine,
+    workspaces: state.workspaces,
     ...changes,
   };
 }
--- a/packages/scheduling/src/state/waiting-queue.ts
+++ b/packages/scheduling/src/state/waiting-queue.ts
@@ -21,6 +21,12 @@
 /** Waiting tasks of one step. */
 export interface WaitingLoad {
   readonly tasks: number;
+  /** Workspace of the job; null for none. */
+  readonly workspace: string | null;
+  /** Need of one task, with the cores also if it uses spare capacity. */
+  readonly taskNeeds: Resources;
+  /** What has to start at once: one task, or all tasks of a gang. */
+  readonly startNeeds: Resources;
   /** Capacity that one of these tasks takes on its worker. */
   readonly needs: Resources;
 }
