Learn which images slow each other down and keep them apart

Operators report that some tasks slow each other down on one worker. Nothing decided on the tails and durations that workers report.

Among the workers with room, placement prefers those without images in conflict with that of the task, before best fit.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -185,6 +185,16 @@
     level: 'info',
     message: 'every host of a maintenance wave has started its maintenance',
   },
+  interferenceFound: {
+    number: 591,
+    level: 'info',
+    message: 'tasks of one image slow down tasks of another; they are kept apart',
+  },
+  interferenceDropped: {
+    number: 592,
+    level: 'info',
+    message: 'tasks of two images are no longer known to interfere',
+  },
   invariantViolated: { number: 901, level: 'error', message: 'invariant violated' },
   unexpectedError: { number: 902, level: 'error', message: 'unexpected error' },
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
--- a/packages/scheduling/src/decide/placement/choose-worker.ts
+++ b/packages/scheduling/src/decide/placement/choose-worker.ts
@@ -2,6 +2,7 @@
 import type { StepRequest } from '../../model/job.js';
 import { reservedResourcesOf } from '../../model/step-needs.js';
 import type { StepState, TaskState, WorkerState } from '../../state/service-state.js';
+import { interferenceWith } from '../interference/avoidance.js';
 import { hasRequiredLabel } from './eligibility.js';
 import { fitsOn, freeMilliCoresOn, type EligibleWorkers } from './eligible-workers.js';
 
@@ -29,7 +30,8 @@
 
 /**
  * Orders workers by preference for a task: workers on which it has not failed first, then workers that are not being
- * drained, then workers near its data, then workers with the fewest free cores.
+ * drained, then workers near its data, then workers without tasks that it would slow down or that would slow it down,
+ * then workers with the fewest free cores.
  */
 function compareWorkers(
   request: StepRequest,
@@ -39,10 +41,12 @@
   const isAvoided = ({ listing }: WorkerState): number =>
     Number(task.avoidedWorkers.includes(listing.workerId));
   const isDrained = ({ drainState }: WorkerState): number => Number(drainState.kind === 'leaving');
+  const interferenceOn = interferenceWith(request, eligible);
   return (left, right) =>
     isAvoided(left) - isAvoided(right) ||
     isDrained(left) - isDrained(right) ||
     Number(isNearData(request, right)) - Number(isNearData(request, left)) ||
+    interferenceOn(left) - interferenceOn(right) ||
     freeMilliCoresOn(eligible, left) - freeMilliCoresOn(eligible, right);
 }
 
--- a/packages/scheduling/src/decide/placement/eligible-workers.ts
+++ b/packages/scheduling/src/decide/placement/eligible-workers.ts
@@ -6,6 +6,9 @@
   subtractResources,
   type Resources,
 } from '../../model/resources.js';
+import type { StepRequest } from '../../model/job.js';
+import { reservedResourcesOf } from '../../model/step-needs.js';
+import type { InterferenceState } from '../../state/interference-state.js';
 import type { ServiceState, WorkerState } from '../../state/service-state.js';
 import { freeCapacityOf, isEligible, isEligibleForOverdueTask } from './eligibility.js';
 
@@ -16,14 +19,19 @@
   readonly freeCapacity: Map<string, Resources>;
   /** Upper bound of the free capacity of any worker, per resource; computed before any task is placed. */
   readonly maximumFreeCapacity: Resources;
+  readonly interference: InterferenceState;
+  /** Images of the tasks placed meanwhile, by worker id. */
+  readonly placedImages: Map<string, readonly string[]>;
 }
 
 function eligibleWorkersOf(
   workers: readonly WorkerState[],
   freeCapacity: Map<string, Resources>,
+  images: Pick<EligibleWorkers, 'interference' | 'placedImages'>,
 ): EligibleWorkers {
   const free = workers.map((worker) => freeCapacityOn(freeCapacity, worker));
-  return { workers, freeCapacity, maximumFreeCapacity: free.reduce(maximumResources, NO_RESOURCES) };
+  const maximumFreeCapacity = free.reduce(maximumResources, NO_RESOURCES);
+  return { workers, freeCapacity, maximumFreeCapacity, ...images };
 }
 
 function freeCapacityOn(freeCapacity: ReadonlyMap<string, Resources>, { listing }: WorkerState): Resources {
@@ -46,7 +54,8 @@
   const workers = known.filter((worker) => mayTakeTask(state, worker));
   const freeCapacity = new Map(workers.map((worker) => [worker.listing.workerId, freeCapacityOf(worker)]));
   subtractReservations(state, freeCapacity);
-  return eligibleWorkersOf(workers, freeCapacity);
+  const { interference } = state;
+  return eligibleWorkersOf(workers, freeCapacity, { interference, placedImages: new Map() });
 }
 
 /** Returns every worker that may get a lasting task that found no other worker for long. */
@@ -67,21 +76,23 @@
   );
 }
 
-/** Returns the eligible workers that match; both share one record of free capacity. */
+/** Returns the eligible workers that match; both share one record of free capacity and placed images. */
 export function narrowEligibleWorkers(
-  { workers, freeCapacity }: EligibleWorkers,
+  { workers, freeCapacity, interference, placedImages }: EligibleWorkers,
   matches: (worker: WorkerState) => boolean,
 ): EligibleWorkers {
-  return eligibleWorkersOf(workers.filter(matches), freeCapacity);
+  return eligibleWorkersOf(workers.filter(matches), freeCapacity, { interference, placedImages });
 }
 
 /** Copies eligible workers, so that a trial placement leaves the original unchanged. */
-export function copyEligibleWorkers({
-  workers,
-  freeCapacity,
-  maximumFreeCapacity,
-}: EligibleWorkers): EligibleWorkers {
-  return { workers, freeCapacity: new Map(freeCapacity), maximumFreeCapacity };
+export function copyEligibleWorkers(eligible: EligibleWorkers): EligibleWorkers {
+  return {
+    workers: eligible.workers,
+    freeCapacity: new Map(eligible.freeCapacity),
+    maximumFreeCapacity: eligible.maximumFreeCapacity,
+    interference: eligible.interference,
+    placedImages: new Map(eligible.placedImages),
+  };
 }
 
 /** Returns whether a worker has enough free capacity. */
@@ -102,11 +113,16 @@
   return freeCapacityOn(eligible.freeCapacity, worker).milliCores;
 }
 
-/** Reserves capacity of a worker. */
-export function reserveCapacity(
-  { freeCapacity }: EligibleWorkers,
+/** Reserves capacity of a worker for a task of a step. */
+export function reserveForStep(
+  { freeCapacity, interference, placedImages }: EligibleWorkers,
   worker: WorkerState,
-  needs: Resources,
+  request: StepRequest,
 ): void {
-  freeCapacity.set(worker.listing.workerId, subtractResources(freeCapacityOn(freeCapacity, worker), needs));
+  const { workerId } = worker.listing;
+  const free = freeCapacityOn(freeCapacity, worker);
+  freeCapacity.set(workerId, subtractResources(free, reservedResourcesOf(request)));
+  if (request.image !== null && interference.conflicts.has(request.image)) {
+    placedImages.set(workerId, [...(placedImages.get(workerId) ?? []), request.image]);
+  }
 }
--- a/packages/scheduling/src/decide/placement/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -24,7 +24,7 @@
   fitsOnAny,
   narrowEligibleWorkers,
   eligibleWorkersAmong,
-  reserveCapacity,
+  reserveForStep,
   type EligibleWorkers,
 } from './eligible-workers.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
@@ -56,7 +56,7 @@
   eligible: EligibleWorkers,
 ): ServiceStep<ServiceState> {
   const freeMilliCores = freeMilliCoresOn(eligible, chosen);
-  reserveCapacity(eligible, chosen, reservedResourcesOf(waiting.request));
+  reserveForStep(eligible, chosen, waiting.request);
   const placed = addRun(state, key, newRun(state.now, chosen, runNumber));
   const run = findTask(placed, key)?.runs.at(-1);
   if (run === undefined) return state;
@@ -100,7 +100,7 @@
     const chosen = chooseWorker(waiting.request, task, trial, counts);
     if (chosen === null) return null;
     incrementCount(counts, chosen);
-    reserveCapacity(trial, chosen, reservedResourcesOf(waiting.request));
+    reserveForStep(trial, chosen, waiting.request);
     chosenWorkers.push(chosen);
   }
   return chosenWorkers;
--- a/packages/scheduling/src/decide/placement/relocation.ts
+++ b/packages/scheduling/src/decide/placement/relocation.ts
@@ -3,14 +3,14 @@
  * its share first, so that no more tasks are stopped than other workers can take.
  */
 import { taskIdOf, type StepRequest, type TaskKey } from '../../model/job.js';
-import { reservedResourcesOf, stepRequestOf } from '../../model/step-needs.js';
+import { stepRequestOf } from '../../model/step-needs.js';
 import type { ServiceState, StepState, TaskState, WorkerState } from '../../state/service-state.js';
 import { isTaskWaiting, runsOnWorker } from '../../state/tasks.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
 import {
   allEligibleWorkers,
   narrowEligibleWorkers,
-  reserveCapacity,
+  reserveForStep,
   type EligibleWorkers,
 } from './eligible-workers.js';
 import { findWaitingStep, orderWaitingSteps, taskKeyOf } from '../order/waiting-order.js';
@@ -48,7 +48,7 @@
   const chosen = chooseWorker(request, task, relocation.eligible, counts);
   if (chosen === null) return null;
   incrementCount(counts, chosen);
-  reserveCapacity(relocation.eligible, chosen, reservedResourcesOf(request));
+  reserveForStep(relocation.eligible, chosen, request);
   return chosen;
 }
 
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -4,6 +4,7 @@
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
 import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
+import { NO_INTERFERENCE } from '../state/interference-state.js';
 import type { SchedulingParameters } from '../state/parameters.js';
 import { NO_PLACEMENT_CHANGES } from '../state/placement-changes.js';
 import {
@@ -81,6 +82,7 @@
     restartedWorkerId: null,
     isStopping: false,
     quarantine: EMPTY_QUARANTINE,
+    interference: NO_INTERFERENCE,
   };
 }
 
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -1,6 +1,7 @@
 /** Applies the ends of runs to their tasks, steps and jobs. */
 import type { RunEnd, TaskKey } from '../model/job.js';
 import type { ServiceStep } from '../state/effect.js';
+import { learnFromEnd } from './interference.js';
 import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
 import { orderStop } from './runs.js';
 import { runLogFields } from '../state/run-log-fields.js';
@@ -134,7 +135,7 @@
   yield { kind: 'log', decision: 'taskEnded', fields: { ...runLogFields(key, run), end } };
   const started = markJobStarted(state, key.jobId);
   if (findTask(started, key)?.isDone === true) return yield* handleLateEnd(removeRun(started, key, run), key);
-  if (end === 'done') return yield* handleTaskDone(started, key, run);
+  if (end === 'done') return yield* handleTaskDone(yield* learnFromEnd(started, key, run), key, run);
   if (end === 'failed') return yield* handleTaskFailed(started, key, run, checkpoint);
   return removeRun(started, key, run, (task) => keepCheckpoint(task, checkpoint));
 }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -1,5 +1,5 @@
 /** Tracks workers: their entries in the register, their incarnations and their leases. */
-import { Map as PersistentMap } from 'immutable';
+import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
 import { taskIdOf } from '../model/job.js';
 import { NO_RESOURCES } from '../model/resources.js';
 import type { HostListing, WorkerListing } from '../model/worker.js';
@@ -48,6 +48,8 @@
     committed: NO_RESOURCES,
     lastingCount: 0,
     tasks: PersistentMap(),
+    images: PersistentMap(),
+    servingTaskIds: PersistentSet(),
     cooldownUntil: 0,
     consecutiveFailures: 0,
     consecutiveCooldowns: 0,
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -20,6 +20,8 @@
   | 'workerBack'
   | 'workerEjected'
   | 'leaseLapsed'
+  | 'interferenceFound'
+  | 'interferenceDropped'
   | 'releaseBegun'
   | 'releaseWithdrawn'
   | 'hostReleased'
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -10,6 +10,7 @@
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
 import type { Arrival } from './arrivals.js';
+import type { InterferenceState } from './interference-state.js';
 import type { SchedulingParameters } from './parameters.js';
 import type { CrashEvidence, QuarantineState } from './quarantine-state.js';
 import type { WaitingKey, WaitingQueue } from './waiting-queue.js';
@@ -137,6 +138,13 @@
   readonly needs: Resources;
 }
 
+/** Runs of one image on a worker. */
+export interface ImageUse {
+  readonly runs: number;
+  /** Number of these runs that use spare capacity. */
+  readonly fillingRuns: number;
+}
+
 /** State of one worker. */
 export interface WorkerState {
   readonly listing: WorkerListing;
@@ -167,6 +175,10 @@
   readonly lastingCount: number;
   /** Keys of the tasks with a run on the worker, by task id. */
   readonly tasks: PersistentMap<string, TaskKey>;
+  /** Runs by image, of steps that name one. */
+  readonly images: PersistentMap<string, ImageUse>;
+  /** Ids of the tasks on the worker whose step has a target for their tail. */
+  readonly servingTaskIds: PersistentSet<string>;
   /** No task is placed on the worker before this time. */
   readonly cooldownUntil: Instant;
   /** Number of failed runs since the last success; drives ejection. */
@@ -267,4 +279,5 @@
   readonly restartedWorkerId: string | null;
   readonly isStopping: boolean;
   readonly quarantine: QuarantineState;
+  readonly interference: InterferenceState;
 }
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -16,6 +16,7 @@
   TaskState,
   WorkerState,
 } from './service-state.js';
+import { isServing, withImage } from './image-use.js';
 import { considerWorker, setWorker } from './worker-index.js';
 import {
   updateJob,
@@ -141,6 +142,8 @@
       committed: addResources(worker.committed, reservedResourcesOf(step)),
       lastingCount: worker.lastingCount + Number(step.isLasting),
       tasks: worker.tasks.set(taskIdOf(key), key),
+      images: withImage(worker.images, step, 1),
+      servingTaskIds: isServing(step) ? worker.servingTaskIds.add(taskIdOf(key)) : worker.servingTaskIds,
     }),
   );
 }
@@ -154,6 +157,8 @@
       committed: subtractResources(worker.committed, reservedResourcesOf(step)),
       lastingCount: worker.lastingCount - Number(step.isLasting),
       tasks: worker.tasks.remove(taskIdOf(key)),
+      images: withImage(worker.images, step, -1),
+      servingTaskIds: isServing(step) ? worker.servingTaskIds.remove(taskIdOf(key)) : worker.servingTaskIds,
     }),
   );
 }
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -53,6 +53,7 @@
     restartedWorkerId: state.restartedWorkerId,
     isStopping: state.isStopping,
     quarantine: state.quarantine,
+    interference: state.interference,
     ...changes,
   };
 }
@@ -158,6 +159,8 @@
     committed: worker.committed,
     lastingCount: worker.lastingCount,
     tasks: worker.tasks,
+    images: worker.images,
+    servingTaskIds: worker.servingTaskIds,
     cooldownUntil: worker.cooldownUntil,
     consecutiveFailures: worker.consecutiveFailures,
     consecutiveCooldowns: worker.consecutiveCooldowns,
