Pace filling tasks beside serving tasks near their target

Filling tasks disturb serving tasks by amounts that change within seconds, so that a serving task may stay over its target while they work on.

The service decides one pace for the filling tasks of a worker from the tails in its reports: slower by a factor, faster by a fixed step, with a band without changes and a memory of the paces that were too fast. An unanswered order is sent again, and one that was executed late is corrected. Time lost by a pace counts neither as a stall nor as an absence.

--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -319,6 +319,13 @@
           (worker) => worker.stop(given),
           () => 'unanswered',
         ),
+      paceRun: (given) =>
+        toWorker(
+          endpoint,
+          given.address,
+          (worker) => worker.pace(given),
+          () => 'unanswered',
+        ),
       closeConnections: () => undefined,
     }),
     registerFor: (endpoint) => {
--- a/packages/fleet-emulator/src/model-worker-types.ts
+++ b/packages/fleet-emulator/src/model-worker-types.ts
@@ -1,15 +1,33 @@
 /** The model of one life of a worker, as callers and observers see it. */
-import type { Resources, StartOutcome, StopOutcome, TaskKey, WorkerListing } from '@baobabdeck/scheduling';
-import type { RenewLeaseOrder, RenewLeaseOutcome, StartRunOrder, StopRunOrder } from '@baobabdeck/scheduler';
+import type {
+  PaceOutcome,
+  Resources,
+  StartOutcome,
+  StopOutcome,
+  TaskKey,
+  WorkerListing,
+} from '@baobabdeck/scheduling';
+import type {
+  PaceRunOrder,
+  RenewLeaseOrder,
+  RenewLeaseOutcome,
+  StartRunOrder,
+  StopRunOrder,
+} from '@baobabdeck/scheduler';
 
 /** A run on a worker. */
 export interface ModelRun {
   readonly task: TaskKey;
   readonly run: number;
   readonly startedAt: number;
-  /** Since when it works; null while a gang waits. */
+  /** Since when it works at its present pace; null while a gang waits. */
   workingSince: number | null;
-  readonly resumedMilliseconds: number;
+  /** When it began to work, at any pace; null before that. */
+  firstWorkedAt: number | null;
+  /** Work done before `workingSince`, at full speed. */
+  workedMilliseconds: number;
+  /** Share of full speed at which it works, from 0 to 1. */
+  share: number;
   isStopping: boolean;
 }
 
@@ -42,6 +60,7 @@
     readonly clockMilliseconds: number | null;
   };
   readonly stop: (order: StopRunOrder) => StopOutcome;
+  readonly pace: (order: PaceRunOrder) => PaceOutcome;
   /** Ends this life: everything on it ends, and no one hears of it. */
   readonly end: () => void;
 }
--- a/packages/fleet-emulator/src/model-worker.ts
+++ b/packages/fleet-emulator/src/model-worker.ts
@@ -3,13 +3,20 @@
   fits,
   taskIdOf,
   type EndedReport,
+  type PaceOutcome,
   type RunEnd,
   type StartOutcome,
   type StopOutcome,
   type TaskKey,
   type WorkerListing,
 } from '@baobabdeck/scheduling';
-import type { RenewLeaseOrder, RenewLeaseOutcome, StartRunOrder, StopRunOrder } from '@baobabdeck/scheduler';
+import type {
+  PaceRunOrder,
+  RenewLeaseOrder,
+  RenewLeaseOutcome,
+  StartRunOrder,
+  StopRunOrder,
+} from '@baobabdeck/scheduler';
 import type { GangHall, GangMember } from './gang-hall.js';
 import type { ModelRun, ModelWorker, WorkerMood } from './model-worker-types.js';
 import { stepOfTask, sumOfNeeds, type JobPlans } from './job-plans.js';
@@ -18,6 +25,9 @@
 
 const MAXIMUM_LEASE_MILLISECONDS = 10_000;
 const STOP_MILLISECONDS = 200;
+/** Time until a pace is effective. */
+const PACE_MILLISECONDS = 100;
+
 const GANG_TIMEOUT_MILLISECONDS = 3_000;
 const CHECKPOINT_MILLISECONDS = 500;
 
@@ -74,8 +84,8 @@
   const clock = (): number => Math.round((time.now() - bornAt) * parts.clockRate);
   const workedOf = (run: ModelRun): number =>
     run.workingSince === null
-      ? run.resumedMilliseconds
-      : run.resumedMilliseconds + time.now() - run.workingSince;
+      ? run.workedMilliseconds
+      : run.workedMilliseconds + (time.now() - run.workingSince) * run.share;
 
   const checkpointOf = (run: ModelRun): string =>
     stepOfTask(plans, run.task)?.savesCheckpoints === true && workedOf(run) >= CHECKPOINT_MILLISECONDS
@@ -125,12 +135,28 @@
 
   const work = (run: ModelRun): void => {
     run.workingSince = time.now();
+    run.firstWorkedAt ??= time.now();
     if (mood.isHanging || crashDelayOf(run) !== null) return;
     const step = stepOfTask(plans, run.task);
     const plan = plans.get(run.task.jobId)?.taskPlan(run.task);
     if (step === null || plan === undefined) return;
     const needed = step.isLasting ? LASTING_MILLISECONDS : plan.runMilliseconds;
-    time.after(Math.max(1, needed - run.resumedMilliseconds), () => finish(run));
+    if (run.share === 0) return;
+    const { share, workingSince } = run;
+    time.after(Math.max(1, (needed - run.workedMilliseconds) / share), () => {
+      // A change of its pace since then has scheduled its end anew.
+      if (run.share === share && run.workingSince === workingSince) finish(run);
+    });
+  };
+
+  const changePace = (run: ModelRun, percent: number): void => {
+    if (run.workingSince === null) {
+      run.share = percent / FULL_PERCENT;
+      return;
+    }
+    run.workedMilliseconds = workedOf(run);
+    run.share = percent / FULL_PERCENT;
+    work(run);
   };
 
   /** Crashes the worker after the run's delay, if its task does so and the run has not ended by then. */
@@ -162,7 +188,9 @@
       run: order.run,
       startedAt: time.now(),
       workingSince: null,
-      resumedMilliseconds: checkpointMilliseconds(order.checkpoint),
+      firstWorkedAt: null,
+      workedMilliseconds: checkpointMilliseconds(order.checkpoint),
+      share: 1,
       isStopping: false,
     };
     const step = stepOfTask(plans, order.task);
@@ -210,6 +238,19 @@
     return 'accepted';
   };
 
+  const pace = (order: PaceRunOrder): PaceOutcome => {
+    checkLease();
+    if (order.workerId !== parts.listing.workerId) return 'other-incarnation';
+    if (order.fencingEpoch < fence) return 'fenced';
+    fence = order.fencingEpoch;
+    const run = running.get(taskIdOf(order.task))?.run;
+    if (run?.run !== order.run) return 'gone';
+    time.after(PACE_MILLISECONDS, () => {
+      if (isUp && running.get(taskIdOf(order.task))?.run === run) changePace(run, order.percent);
+    });
+    return 'accepted';
+  };
+
   const forget = (through: number): void => {
     const over = ended.filter((one) => one.number <= through);
     over.forEach(({ number, task, run }) => {
@@ -221,7 +262,10 @@
 
   const percentOf = (run: ModelRun): number => {
     if (run.workingSince === null) return 0;
-    const share = (time.now() - run.workingSince) / STARTUP_MILLISECONDS;
+    const share = Math.min(
+      run.share,
+      (time.now() - (run.firstWorkedAt ?? time.now())) / STARTUP_MILLISECONDS,
+    );
     return Math.min(FULL_PERCENT, Math.floor(share * FULL_PERCENT));
   };
 
@@ -279,6 +323,7 @@
     renew,
     start,
     stop,
+    pace,
     end: () => {
       isUp = false;
       [...running.values()].forEach(({ run, member }) => {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -195,6 +195,12 @@
     level: 'info',
     message: 'tasks of two images are no longer known to interfere',
   },
+  workerPaceChanged: {
+    number: 593,
+    level: 'info',
+    message: 'pace of the filling tasks on a worker changed',
+  },
+  paceUnanswered: { number: 594, level: 'info', message: 'pace order was not answered; it is sent again' },
   invariantViolated: { number: 901, level: 'error', message: 'invariant violated' },
   unexpectedError: { number: 902, level: 'error', message: 'unexpected error' },
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
--- a/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
+++ b/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
@@ -52,6 +52,7 @@
         return Promise.resolve({ outcome: 'no-room', clockMilliseconds: null });
       },
       stopRun: () => Promise.resolve('accepted'),
+      paceRun: () => Promise.resolve('gone'),
       closeConnections: () => undefined,
     };
     const workers = measureWorkers(innerWorkers, clock, {
--- a/packages/scheduler/src/measure/measured-workers.ts
+++ b/packages/scheduler/src/measure/measured-workers.ts
@@ -39,5 +39,11 @@
         () => workers.stopRun(order),
         (outcome) => outcome,
       ),
+    paceRun: (order) =>
+      measure(
+        'pace-run',
+        () => workers.paceRun(order),
+        (outcome) => outcome,
+      ),
   };
 }
--- a/packages/scheduler/src/owner/worker-effects.ts
+++ b/packages/scheduler/src/owner/worker-effects.ts
@@ -5,7 +5,7 @@
 import type { ServiceEventBody } from './service-event.js';
 
 type EffectOf<K extends ServiceEffect['kind']> = Extract<ServiceEffect, { readonly kind: K }>;
-type WorkerEffect = EffectOf<'renew-lease' | 'start-run' | 'stop-run'>;
+type WorkerEffect = EffectOf<'renew-lease' | 'start-run' | 'stop-run' | 'pace-run'>;
 type Dispatch = (event: ServiceEventBody) => void;
 
 async function renewLease(
@@ -55,6 +55,23 @@
   dispatch({ kind: 'stop-settled', address, outcome });
 }
 
+async function paceRun(
+  effect: EffectOf<'pace-run'>,
+  workers: WorkerOrders,
+  dispatch: Dispatch,
+): Promise<void> {
+  const { address, percent } = effect;
+  const outcome = await workers.paceRun({
+    workerId: address.workerId,
+    address: effect.workerAddress,
+    fencingEpoch: effect.fencingEpoch,
+    task: address.task,
+    run: address.run,
+    percent,
+  });
+  dispatch({ kind: 'pace-settled', address, percent, outcome });
+}
+
 /** Performs one effect on a worker after its delay, unless the owner is closed by then. */
 export async function performWorkerEffect(
   effect: WorkerEffect,
@@ -67,5 +84,6 @@
   if (!isOpen()) return;
   if (effect.kind === 'renew-lease') await renewLease(effect, workers, clock, dispatch);
   else if (effect.kind === 'start-run') await startRun(effect, workers, dispatch);
+  else if (effect.kind === 'pace-run') await paceRun(effect, workers, dispatch);
   else await stopRun(effect, workers, dispatch);
 }
--- a/packages/scheduler/src/ports/workers.ts
+++ b/packages/scheduler/src/ports/workers.ts
@@ -1,5 +1,12 @@
 /** The register of workers, and orders to workers. */
-import type { StartOutcome, StopOutcome, TaskKey, WorkerListing, WorkerReport } from '@baobabdeck/scheduling';
+import type {
+  PaceOutcome,
+  StartOutcome,
+  StopOutcome,
+  TaskKey,
+  WorkerListing,
+  WorkerReport,
+} from '@baobabdeck/scheduling';
 
 /** A change of the register: a worker's newest entry, or its removal. */
 export type RegisterChange =
@@ -48,6 +55,13 @@
   readonly run: number;
 }
 
+/** An order to set the share of full speed at which a run works, in percent from 0 to 100. */
+export interface PaceRunOrder extends WorkerOrderBase {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly percent: number;
+}
+
 /** The result of a lease renewal. */
 export type RenewLeaseOutcome =
   | { readonly kind: 'reported'; readonly report: WorkerReport }
@@ -62,6 +76,7 @@
     order: StartRunOrder,
   ) => Promise<{ readonly outcome: StartOutcome; readonly clockMilliseconds: number | null }>;
   readonly stopRun: (order: StopRunOrder) => Promise<StopOutcome>;
+  readonly paceRun: (order: PaceRunOrder) => Promise<PaceOutcome>;
   /** Closes the connections to a worker that no longer exists. */
   readonly closeConnections: (address: string) => void;
 }
--- a/packages/scheduling/src/decide/interference/observe.ts
+++ b/packages/scheduling/src/decide/interference/observe.ts
@@ -5,6 +5,7 @@
 import type { ImageUse, Run, ServiceState, TaskState, WorkerState } from '../../state/service-state.js';
 import type { Neighbour } from './estimate.js';
 import type { Sample } from './learn.js';
+import { FULL_PACE_PERCENT, isPaceSettled } from './pacing.js';
 
 /** Time over which workers measure a tail; a worker's tails are sampled once in it. */
 const TAIL_WINDOW_MILLISECONDS = 500;
@@ -16,6 +17,11 @@
   return runs > fillingRuns ? 1 : fillingShare;
 }
 
+/** Returns the share of full speed at which the filling tasks of a worker work, from 0 to 1. */
+function fillingShareOf({ pacing }: WorkerState): number {
+  return (pacing?.percent ?? FULL_PACE_PERCENT) / FULL_PACE_PERCENT;
+}
+
 /** Returns the images beside one run of an image on a worker, without those whose tasks are paused. */
 function neighboursOf({ images }: WorkerState, image: string, fillingShare: number): readonly Neighbour[] {
   return [...images].flatMap(([other, use]) => {
@@ -41,7 +47,8 @@
   const target = request?.tailTargetMilliseconds ?? null;
   if (request === undefined || request.image === null || target === null || load === null) return null;
   const { image } = request;
-  return { image, isServing: true, measure: load / target, neighbours: neighboursOf(worker, image, 1) };
+  const neighbours = neighboursOf(worker, image, fillingShareOf(worker));
+  return { image, isServing: true, measure: load / target, neighbours };
 }
 
 /** Returns a sample of each serving task in a report, if one is due. */
@@ -53,6 +60,7 @@
 ): readonly Sample[] {
   const { servingTaskIds } = worker;
   if (servingTaskIds.isEmpty() || !isTailSampleDue(state, previousReportAt)) return [];
+  if (!isPaceSettled(worker.pacing, state.now)) return [];
   const rows = running.filter(({ task, load }) => load !== null && servingTaskIds.has(taskIdOf(task)));
   return rows.flatMap((row) => tailSampleOf(state, worker, row) ?? []);
 }
@@ -78,5 +86,6 @@
   const sampledAt = state.interference.baselines.get(image)?.updatedAt ?? -Infinity;
   if (state.now - sampledAt < DURATION_SAMPLE_INTERVAL_MILLISECONDS) return null;
   const measure = state.now - run.startedAt;
-  return { image, isServing: false, measure, neighbours: neighboursOf(worker, image, 1) };
+  const neighbours = neighboursOf(worker, image, fillingShareOf(worker));
+  return { image, isServing: false, measure, neighbours };
 }
--- a/packages/scheduling/src/decide/placement/new-run.ts
+++ b/packages/scheduling/src/decide/placement/new-run.ts
@@ -20,5 +20,6 @@
     startedAt: null,
     speedPercent: 0,
     crash: null,
+    pace: null,
   };
 }
--- a/packages/scheduling/src/service/health.ts
+++ b/packages/scheduling/src/service/health.ts
@@ -6,6 +6,7 @@
 import type { TaskKey } from '../model/job.js';
 import type { ServiceStep } from '../state/effect.js';
 import { orderStop } from './runs.js';
+import { lostMillisecondsOf } from '../state/run-pace.js';
 import type { Run, ServiceState, WorkerState } from '../state/service-state.js';
 import { changeTask, findTask, runsOnWorker } from '../state/tasks.js';
 import { setWorker } from '../state/worker-index.js';
@@ -36,6 +37,7 @@
 interface RunAge {
   readonly key: TaskKey;
   readonly run: Run;
+  /** Time since its start, less what it lost by the pace that was ordered for it. */
   readonly ageMilliseconds: number;
   /** The caller's estimate, raised for each earlier stop of a stalled run of the task. */
   readonly expectedMilliseconds: number;
@@ -56,7 +58,7 @@
         yield {
           key,
           run,
-          ageMilliseconds: state.now - since,
+          ageMilliseconds: state.now - since - lostMillisecondsOf(run, state.now),
           expectedMilliseconds: request.estimatedMilliseconds * STALL_BACKOFF_FACTOR ** stalledRuns,
         };
       }
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -16,6 +16,7 @@
 import { considerEveryWorker } from '../state/placement-changes.js';
 import { drainLeavingWorkers, handleHostRequests } from './release.js';
 import { handleStartSettled, handleStopSettled, orderStop, workerOfRun } from './runs.js';
+import { handlePaceSettled } from './pacing.js';
 import type { Instant } from '../model/instant.js';
 import type { ServiceState } from '../state/service-state.js';
 import { findTask } from '../state/tasks.js';
@@ -159,6 +160,10 @@
       return event.outcome === 'fenced'
         ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
         : yield* handleStartSettled(state, event);
+    case 'pace-settled':
+      return event.outcome === 'fenced'
+        ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
+        : yield* handlePaceSettled(state, event);
     case 'stop-settled':
       return event.outcome === 'fenced'
         ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -12,6 +12,7 @@
 import type { HostReleaseRequest, ServiceEventOf } from '../state/event.js';
 import { mayIssueOrders } from '../state/lease.js';
 import { orderStop } from './runs.js';
+import { pacedPercentOf } from '../state/run-pace.js';
 import type {
   CapacityReservation,
   JobState,
@@ -31,13 +32,14 @@
 /** Time after which a request for a host expires unless it is repeated. */
 const REQUEST_TTL_MILLISECONDS = 2_000;
 
-/** Returns whether a run is known to run at full speed on a worker that answers. */
+/** Returns whether a run is known to run on a worker that answers, at full speed unless a pace was ordered for it. */
 function isRunningAtFullSpeed(state: ServiceState, run: Run): boolean {
   const FULL_SPEED_PERCENT = 100;
   const worker = state.workers.get(run.workerId);
   const isAnswering = worker !== undefined && !worker.isTerminated && worker.silentSince === null;
   const isKnown = run.phase === 'running' && run.startedAt !== null;
-  return isAnswering && isKnown && run.speedPercent === FULL_SPEED_PERCENT;
+  const isSlowedDown = pacedPercentOf(run) < FULL_SPEED_PERCENT;
+  return isAnswering && isKnown && (run.speedPercent === FULL_SPEED_PERCENT || isSlowedDown);
 }
 
 /** Counts the other tasks of a step that are not known to run at full speed. */
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -3,6 +3,7 @@
 import type { EndedReport, RunningReport, WorkerReport } from '../model/worker.js';
 import { clearSurvivors } from './crash-verdicts.js';
 import { learnFromReport } from './interference.js';
+import { paceFillingRuns } from './pacing.js';
 import type { ServiceStep } from '../state/effect.js';
 import { handleRunEnd } from './run-ends.js';
 import type { ServiceEventOf } from '../state/event.js';
@@ -146,7 +147,8 @@
   const ended = yield* processEnds(withClock, workerId, report.incarnation, report.ended);
   const running = yield* processRunning(ended, workerId, report, askedAt);
   const learned = yield* learnFromReport(running, workerId, report.running, worker.lastReportAt);
-  const cleared = clearSurvivors(learned, workerId);
+  const paced = yield* paceFillingRuns(learned, workerId, report.running);
+  const cleared = clearSurvivors(paced, workerId);
   const reported = cleared.workers.get(workerId);
   // A worker answers at once while it holds run ends that it may not discard. Renewal resumes once they are stored.
   const hasUnstoredEnds = reported !== undefined && reported.processedEnd > reported.storedEnd;
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -5,6 +5,8 @@
 import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
+import { fullPaceBudget } from '../state/pace-budget.js';
+import { inheritedPace } from '../state/run-pace.js';
 import type { SchedulingParameters } from '../state/parameters.js';
 import { NO_PLACEMENT_CHANGES } from '../state/placement-changes.js';
 import {
@@ -83,6 +85,7 @@
     isStopping: false,
     quarantine: EMPTY_QUARANTINE,
     interference: NO_INTERFERENCE,
+    paceBudget: fullPaceBudget(now),
   };
 }
 
@@ -98,6 +101,7 @@
     startedAt: null,
     speedPercent: 0,
     crash: null,
+    pace: inheritedPace(now),
   };
 }
 
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -50,6 +50,8 @@
     tasks: PersistentMap(),
     images: PersistentMap(),
     servingTaskIds: PersistentSet(),
+    fillingTaskIds: PersistentSet(),
+    pacing: null,
     cooldownUntil: 0,
     consecutiveFailures: 0,
     consecutiveCooldowns: 0,
@@ -84,6 +86,17 @@
   return yield* renewLeases(state, state.workers.keys());
 }
 
+/** Longest time between reports of a worker with filling tasks beside serving tasks. */
+const PACED_REPORT_WAIT_MILLISECONDS = 400;
+
+/** Returns how long a worker may wait for something to report. */
+function reportWaitMilliseconds({ parameters }: ServiceState, worker: WorkerState): number {
+  if (!worker.hasAcknowledgedEpoch) return 0;
+  const isPaced = !worker.fillingTaskIds.isEmpty() && !worker.servingTaskIds.isEmpty();
+  const { reportWaitMilliseconds: longest } = parameters;
+  return isPaced ? Math.min(longest, PACED_REPORT_WAIT_MILLISECONDS) : longest;
+}
+
 /** Renews a worker's lease and requests a report of its runs. */
 export function* renewLease(
   state: ServiceState,
@@ -103,7 +116,7 @@
     leaseUntil: leaseUntil > 0 ? leaseUntil : null,
     // After a silence another incarnation may answer under the same id. It numbers its run ends from 1 again.
     acknowledgedEnd: worker.silentSince === null ? worker.storedEnd : 0,
-    waitMilliseconds: worker.hasAcknowledgedEpoch ? state.parameters.reportWaitMilliseconds : 0,
+    waitMilliseconds: reportWaitMilliseconds(state, worker),
     delayMilliseconds,
   };
   return setWorker(state, updateWorker(renewed, { reportPending: true }));
@@ -154,7 +167,7 @@
   const acknowledgedAt = state.now;
   for (const [key, run] of carriedOver) {
     next = changeRun(next, key, run, (current) =>
-      updateRun(current, { incarnation, phase: 'running', acknowledgedAt }),
+      updateRun(current, { incarnation, phase: 'running', acknowledgedAt, pace: null }),
     );
   }
   const orphanTaskIds = next.orphanTaskIds.union(carriedOver.map(([key]) => taskIdOf(key)));
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -22,6 +22,8 @@
   | 'leaseLapsed'
   | 'interferenceFound'
   | 'interferenceDropped'
+  | 'workerPaceChanged'
+  | 'paceUnanswered'
   | 'releaseBegun'
   | 'releaseWithdrawn'
   | 'hostReleased'
@@ -68,6 +70,16 @@
       readonly fencingEpoch: number;
       readonly delayMilliseconds: number;
     }
+  | {
+      /** Sets the share of full speed at which a run works; answered by 'pace-settled'. */
+      readonly kind: 'pace-run';
+      readonly address: RunAddress;
+      readonly workerAddress: string;
+      readonly fencingEpoch: number;
+      /** From 0 to 100. */
+      readonly percent: number;
+      readonly delayMilliseconds: number;
+    }
   | { readonly kind: 'list-hosts' }
   /** Gives up the ownership. If `claimsAgain`, the service is claimed again at once, which raises the fencing epoch. */
   | { readonly kind: 'give-up-ownership'; readonly reason: string; readonly claimsAgain: boolean }
--- a/packages/scheduling/src/state/event.ts
+++ b/packages/scheduling/src/state/event.ts
@@ -27,6 +27,16 @@
 /** Outcome of an order to stop a run. */
 export type StopOutcome = 'accepted' | 'fenced' | 'other-incarnation' | 'unanswered';
 
+/** Outcome of an order to set the pace of a run. */
+export type PaceOutcome =
+  | 'accepted'
+  /** The worker does not have the run any more. */
+  | 'gone'
+  | 'fenced'
+  | 'other-incarnation'
+  /** No answer: the order may have been executed, or may still be. */
+  | 'unanswered';
+
 /** Address of one run on one incarnation of a worker. */
 export interface RunAddress {
   readonly task: TaskKey;
@@ -75,6 +85,12 @@
       readonly clockMilliseconds: number | null;
     }
   | { readonly kind: 'stop-settled'; readonly address: RunAddress; readonly outcome: StopOutcome }
+  | {
+      readonly kind: 'pace-settled';
+      readonly address: RunAddress;
+      readonly percent: number;
+      readonly outcome: PaceOutcome;
+    }
   | {
       /** The fleet owner requests hosts to be released, and returns hosts to the service. */
       readonly kind: 'hosts-wished';
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -11,6 +11,7 @@
 import type { WorkerListing } from '../model/worker.js';
 import type { Arrival } from './arrivals.js';
 import type { InterferenceState } from './interference-state.js';
+import type { PaceBudget } from './pace-budget.js';
 import type { SchedulingParameters } from './parameters.js';
 import type { CrashEvidence, QuarantineState } from './quarantine-state.js';
 import type { WaitingKey, WaitingQueue } from './waiting-queue.js';
@@ -25,6 +26,25 @@
   /** An order to stop was sent; it is retried until it is answered. */
   | 'stopping';
 
+/** Pace of a run of a filling task. */
+export interface RunPace {
+  /** Share of full speed that was last ordered, in percent. */
+  readonly percent: number;
+  readonly phase:
+    | 'sent'
+    /** The worker has answered. */
+    | 'settled'
+    /** The order was not answered and is sent again. */
+    | 'unanswered'
+    /** The run was restored; an earlier owner may have ordered any pace. */
+    | 'inherited';
+  readonly since: Instant;
+  /** Whether an order was not answered. It may be executed late, after newer ones. */
+  readonly hasUnansweredOrder: boolean;
+  /** Time that the run lost by its pace before `since`, in milliseconds at full speed. */
+  readonly lostMilliseconds: number;
+}
+
 /** One run of a task on one incarnation of a worker. */
 export interface Run {
   readonly run: number;
@@ -46,6 +66,8 @@
   readonly speedPercent: number;
   /** Crash of a worker that may have run it; it counts unless the run ends by itself on the next incarnation. */
   readonly crash: CrashEvidence | null;
+  /** Its pace; null if none was ever ordered. */
+  readonly pace: RunPace | null;
 }
 
 /** State of one task of a step. */
@@ -138,6 +160,21 @@
   readonly needs: Resources;
 }
 
+/** Pace of the filling tasks on a worker with serving tasks. */
+export interface WorkerPacing {
+  /** Share of full speed in percent, from 0 to 100. */
+  readonly percent: number;
+  readonly changedAt: Instant;
+  /** Since when a tail has been over its target in every report; null while none is. */
+  readonly overSince: Instant | null;
+  /** The last pace that was too fast, which is not tried again before `until`; null for none. */
+  readonly ceiling: {
+    readonly percent: number;
+    readonly milliseconds: number;
+    readonly until: Instant;
+  } | null;
+}
+
 /** Runs of one image on a worker. */
 export interface ImageUse {
   readonly runs: number;
@@ -179,6 +216,10 @@
   readonly images: PersistentMap<string, ImageUse>;
   /** Ids of the tasks on the worker whose step has a target for their tail. */
   readonly servingTaskIds: PersistentSet<string>;
+  /** Ids of the tasks on the worker that use spare capacity. */
+  readonly fillingTaskIds: PersistentSet<string>;
+  /** Null while it has no serving task beside filling tasks. */
+  readonly pacing: WorkerPacing | null;
   /** No task is placed on the worker before this time. */
   readonly cooldownUntil: Instant;
   /** Number of failed runs since the last success; drives ejection. */
@@ -280,4 +321,5 @@
   readonly isStopping: boolean;
   readonly quarantine: QuarantineState;
   readonly interference: InterferenceState;
+  readonly paceBudget: PaceBudget;
 }
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -144,6 +144,9 @@
       tasks: worker.tasks.set(taskIdOf(key), key),
       images: withImage(worker.images, step, 1),
       servingTaskIds: isServing(step) ? worker.servingTaskIds.add(taskIdOf(key)) : worker.servingTaskIds,
+      fillingTaskIds: step.usesSpareCapacity
+        ? worker.fillingTaskIds.add(taskIdOf(key))
+        : worker.fillingTaskIds,
     }),
   );
 }
@@ -158,7 +161,8 @@
       lastingCount: worker.lastingCount - Number(step.isLasting),
       tasks: worker.tasks.remove(taskIdOf(key)),
       images: withImage(worker.images, step, -1),
-      servingTaskIds: isServing(step) ? worker.servingTaskIds.remove(taskIdOf(key)) : worker.servingTaskIds,
+      servingTaskIds: worker.servingTaskIds.remove(taskIdOf(key)),
+      fillingTaskIds: worker.fillingTaskIds.remove(taskIdOf(key)),
     }),
   );
 }
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -54,6 +54,7 @@
     isStopping: state.isStopping,
     quarantine: state.quarantine,
     interference: state.interference,
+    paceBudget: state.paceBudget,
     ...changes,
   };
 }
@@ -136,6 +137,7 @@
     startedAt: run.startedAt,
     speedPercent: run.speedPercent,
     crash: run.crash,
+    pace: run.pace,
     ...changes,
   };
 }
@@ -161,6 +163,8 @@
     tasks: worker.tasks,
     images: worker.images,
     servingTaskIds: worker.servingTaskIds,
+    fillingTaskIds: worker.fillingTaskIds,
+    pacing: worker.pacing,
     cooldownUntil: worker.cooldownUntil,
     consecutiveFailures: worker.consecutiveFailures,
     consecutiveCooldowns: worker.consecutiveCooldowns,
