--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -198,6 +198,22 @@
     level: 'info',
     message: 'every host of a maintenance wave has started its maintenance',
   },
+  interferenceFound: {
+    number: 591,
+    level: 'info',
+    message: 'tasks of one image slow down tasks of another; they are kept apart',
+  },
+  interferenceDropped: {
+    number: 592,
+    level: 'info',
+    message: 'tasks of two images are no longer known to interfere',
+  },
+  workerPaceChanged: {
+    number: 593,
+    level: 'info',
+    message: 'pace of the filling tasks on a worker changed',
+  },
+  paceUnanswered: { number: 594, level: 'info', message: 'pace order was not answered; it is sent again' },
   invariantViolated: { number: 901, level: 'error', message: 'invariant violated' },
   unexpectedError: { number: 902, level: 'error', message: 'unexpected error' },
 } as const satisfies Readonly<Record<string, LogEventEntry>>;
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -8,6 +8,7 @@
 import { markQuarantineStale, placeQuarantinedTasks } from './quarantine.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEvent } from '../state/event.js';
+import { forgetOldInterference } from './interference.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
@@ -15,6 +16,7 @@
 import { considerEveryWorker } from '../state/placement-changes.js';
 import { drainLeavingWorkers, handleHostRequests } from './release.js';
 import { handleStartSettled, handleStopSettled, orderStop, workerOfRun } from './runs.js';
+import { handlePaceSettled } from './pacing.js';
 import type { Instant } from '../model/instant.js';
 import type { ServiceState } from '../state/service-state.js';
 import { findTask } from '../state/tasks.js';
@@ -131,6 +133,7 @@
   next = yield* endIdleOversizedJobs(yield* ejectUnhealthyWorkers(next));
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
+  if (isFullScanDue(next)) next = yield* forgetOldInterference(next);
   const remembered = markQuarantineStale(yield* forgetJobs(next));
   return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
@@ -159,6 +162,10 @@
       return event.outcome === 'fenced'
         ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
         : yield* handleStartSettled(state, event);
+    case 'pace-settled':
+      return event.outcome === 'fenced'
+        ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
+        : yield* handlePaceSettled(state, event);
     case 'stop-settled':
       return event.outcome === 'fenced'
         ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -4,6 +4,9 @@
 import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
 import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
+import { NO_INTERFERENCE } from '../state/interference-state.js';
+import { fullPaceBudget } from '../state/pace-budget.js';
+import { inheritedPace } from '../state/run-pace.js';
 import type { SchedulingParameters } from '../state/parameters.js';
 import { NO_PLACEMENT_CHANGES } from '../state/placement-changes.js';
 import {
@@ -84,6 +87,8 @@
     isStopping: false,
     quarantine: EMPTY_QUARANTINE,
     workspaces: NO_WORKSPACES,
+    interference: NO_INTERFERENCE,
+    paceBudget: fullPaceBudget(now),
   };
 }
 
@@ -99,6 +104,7 @@
     startedAt: null,
     speedPercent: 0,
     crash: null,
+    pace: inheritedPace(now),
   };
 }
 
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -16,6 +16,7 @@
   TaskState,
   WorkerState,
 } from './service-state.js';
+import { isServing, withImage } from './image-use.js';
 import { considerWorker, setWorker } from './worker-index.js';
 import { countRuns } from './workspaces.js';
 import {
@@ -142,6 +143,11 @@
       committed: addResources(worker.committed, reservedResourcesOf(step)),
       lastingCount: worker.lastingCount + Number(step.isLasting),
       tasks: worker.tasks.set(taskIdOf(key), key),
+      images: withImage(worker.images, step, 1),
+      servingTaskIds: isServing(step) ? worker.servingTaskIds.add(taskIdOf(key)) : worker.servingTaskIds,
+      fillingTaskIds: step.usesSpareCapacity
+        ? worker.fillingTaskIds.add(taskIdOf(key))
+        : worker.fillingTaskIds,
     }),
   );
 }
@@ -155,6 +161,9 @@
       committed: subtractResources(worker.committed, reservedResourcesOf(step)),
       lastingCount: worker.lastingCount - Number(step.isLasting),
       tasks: worker.tasks.remove(taskIdOf(key)),
+      images: withImage(worker.images, step, -1),
+      servingTaskIds: worker.servingTaskIds.remove(taskIdOf(key)),
+      fillingTaskIds: worker.fillingTaskIds.remove(taskIdOf(key)),
     }),
   );
 }
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -54,6 +54,8 @@
     isStopping: state.isStopping,
     quarantine: state.quarantine,
     workspaces: state.workspaces,
+    interference: state.interference,
+    paceBudget: state.paceBudget,
     ...changes,
   };
 }
@@ -136,6 +138,7 @@
     startedAt: run.startedAt,
     speedPercent: run.speedPercent,
     crash: run.crash,
+    pace: run.pace,
     ...changes,
   };
 }
@@ -159,6 +162,10 @@
     committed: worker.committed,
     lastingCount: worker.lastingCount,
     tasks: worker.tasks,
+    images: worker.images,
+    servingTaskIds: worker.servingTaskIds,
+    fillingTaskIds: worker.fillingTaskIds,
+    pacing: worker.pacing,
     cooldownUntil: worker.cooldownUntil,
     consecutiveFailures: worker.consecutiveFailures,
     consecutiveCooldowns: worker.consecutiveCooldowns,
