--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -5,6 +5,7 @@
 import { eventCost } from './experiments/event-cost.js';
 import { gateway } from './experiments/gateway.js';
 import { overload } from './experiments/overload.js';
+import { ownerBurst } from './experiments/owner-burst.js';
 import { recovery } from './experiments/recovery.js';
 import { rollout } from './experiments/rollout.js';
 import { shortWork } from './experiments/short-work.js';
@@ -23,4 +24,5 @@
   gateway,
   urgent,
   eventCost,
+  ownerBurst,
 ];
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -5,6 +5,8 @@
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
 export { warmUp, type WarmUpParts } from './warm-up/warm-up.js';
+export { startRelays, type Relays } from './relays/relays.js';
+export { formatMember, parseMember, type GroupMember } from './node/group-member.js';
 export { measureStore } from './measure/measured-store.js';
 export { NO_MEASURES } from './measure/no-measures.js';
 export { measureWorkers } from './measure/measured-workers.js';
