Publish workspaces with the product's own configuration

Cause: the product's own configuration had no workspaces.

The published configuration is read by everybody who reads the log, so that only digests are taken: a key in place of its digest is a fault, whose message does not show it. A key of two workspaces is fault 2011.

--- a/packages/command-line/src/commands/config/index.ts
+++ b/packages/command-line/src/commands/config/index.ts
@@ -33,12 +33,13 @@
     const output = { stdout: this.context.stdout, stderr: this.context.stderr, json: this.json };
     const checked = await readConfiguration(this.base, this.overlay);
     if (!checked.ok) return printFaults(output, checked.faults);
-    const { pools, services, racks } = checked.value;
+    const { pools, services, racks, workspaces } = checked.value;
     const hosts = Object.values(racks).reduce((sum, rack) => sum + rack.hosts.length, 0);
     const counts = {
       pools: Object.keys(pools).length,
       services: Object.keys(services).length,
       racks: Object.keys(racks).length,
+      workspaces: Object.keys(workspaces).length,
       hosts,
     };
     printResult(output, { faults: [], ...counts }, [
@@ -129,8 +130,9 @@
 
   async execute(): Promise<number> {
     return this.withFleet(({ configuration }) => {
-      const { version, offset, dataCentres, hardware, pools, services, racks, teams } = configuration;
-      const sections = { dataCentres, hardware, pools, services, racks, teams };
+      const { version, offset, dataCentres, hardware, pools, services, racks, teams, workspaces } =
+        configuration;
+      const sections = { dataCentres, hardware, pools, services, racks, teams, workspaces };
       const plain = Object.fromEntries(Object.entries(sections).map(([kind, map]) => [kind, map.toObject()]));
       const lines = Object.entries(sections).map(
         ([kind, map]) => `${kind}: ${[...map.keys()].sort().join(', ') || 'none'}`,
--- a/packages/command-line/src/index.test.ts
+++ b/packages/command-line/src/index.test.ts
@@ -44,6 +44,13 @@
 hosts = [{ id = "one", address = "127.0.0.1:1" }, { id = "two", address = "127.0.0.1:2" }]
 `;
 
+const DIGEST = 'a'.repeat(64);
+const KEY = 'key-of-red';
+
+function workspaceText(name: string, keyDigest: string): string {
+  return `[workspaces.${name}]\nkey-digests = ["${keyDigest}"]\n`;
+}
+
 async function check(
   t: ExecutionContext,
   base: string,
@@ -65,6 +72,7 @@
       [...codes],
     );
     t.false(result.stderr.includes('    at '), 'no stack trace');
+    t.false(result.stderr.includes(KEY), 'no key');
   } finally {
     await rm(directory, { recursive: true });
   }
@@ -110,6 +118,15 @@
     finds('a budget larger than the pool', (t) =>
       check(t, GOOD.replace('maximum-absent-hosts = 1', 'maximum-absent-hosts = 2'), null, [2007]),
     );
+    finds('a key of two workspaces', (t) =>
+      check(t, `${GOOD}${workspaceText('red', DIGEST)}${workspaceText('blue', DIGEST)}`, null, [2011]),
+    );
+    finds('none in workspaces with different keys', (t) =>
+      check(t, `${GOOD}${workspaceText('red', DIGEST)}${workspaceText('blue', 'b'.repeat(64))}`, null, []),
+    );
+    finds('a key in place of its digest, and does not show it', (t) =>
+      check(t, `${GOOD}${workspaceText('red', KEY)}`, null, [2004]),
+    );
     finds('a host and an address listed twice', (t) =>
       check(
         t,
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -23,6 +23,7 @@
   MaintenanceStartCommand,
   MaintenanceStatusCommand,
 } from './commands/maintenance/index.js';
+import { WorkspaceListCommand } from './commands/workspace/index.js';
 import { PoolListCommand, PoolShowCommand } from './commands/pool/index.js';
 import { StatusCommand } from './commands/status/index.js';
 import { EXIT_BAD_INPUT, EXIT_REFUSED } from './output.js';
@@ -48,6 +49,7 @@
   MaintenanceStartCommand,
   MaintenanceStatusCommand,
   PoolListCommand,
+  WorkspaceListCommand,
   PoolShowCommand,
   StatusCommand,
   Builtins.HelpCommand,
--- a/packages/core/src/fold/configuration.ts
+++ b/packages/core/src/fold/configuration.ts
@@ -17,8 +17,10 @@
       return { ...configuration, services: applySection(configuration.services, change) };
     case 'racks':
       return { ...configuration, racks: applySection(configuration.racks, change) };
-    default:
+    case 'teams':
       return { ...configuration, teams: applySection(configuration.teams, change) };
+    default:
+      return { ...configuration, workspaces: applySection(configuration.workspaces, change) };
   }
 }
 
--- a/packages/core/src/fold/fold-state.ts
+++ b/packages/core/src/fold/fold-state.ts
@@ -13,6 +13,7 @@
   RackSection,
   ServiceSection,
   TeamSection,
+  WorkspaceSection,
 } from '@baobabdeck/types';
 import {
   PersistentList,
@@ -34,6 +35,7 @@
   readonly services: PersistentMap<string, ServiceSection>;
   readonly racks: PersistentMap<string, RackSection>;
   readonly teams: PersistentMap<string, TeamSection>;
+  readonly workspaces: PersistentMap<string, WorkspaceSection>;
 }
 
 /** Permit to drain a host: its purpose, and when it was given. */
@@ -204,6 +206,7 @@
         services: PersistentMap(),
         racks: PersistentMap(),
         teams: PersistentMap(),
+        workspaces: PersistentMap(),
       },
       hosts: PersistentMap(),
       pools: PersistentMap(),
--- a/packages/core/src/snapshot/index.ts
+++ b/packages/core/src/snapshot/index.ts
@@ -97,7 +97,11 @@
 
 /** Restores the fleet state that `snapshotFleet` wrote. Throws SnapshotShapeError for another shape. */
 export function restoreFleet(text: string): FleetState {
-  const fleet = { ...emptyFoldState().fleet, ...(read(text) as FleetState) };
+  const empty = emptyFoldState().fleet;
+  const stored = read(text) as FleetState;
+  // Snapshots of earlier versions lack the kinds of sections that were added since.
+  const configuration = { ...empty.configuration, ...stored.configuration };
+  const fleet = { ...empty, ...stored, configuration };
   const history = fleet.history.map((entries) => PersistentList<HistoryEntry>(entries));
   return { ...fleet, history };
 }
--- a/packages/errors/src/result-codes.ts
+++ b/packages/errors/src/result-codes.ts
@@ -56,6 +56,7 @@
   duplicateHost: { code: 2008, status: 400, title: 'A host or an address is listed twice' },
   invalidUsage: { code: 2009, status: 400, title: 'The command was called wrongly' },
   unknownSubject: { code: 2010, status: 404, title: 'Nothing has this name' },
+  duplicateKey: { code: 2011, status: 400, title: 'A key is listed twice' },
   versionMismatch: { code: 3001, status: 409, title: 'Another configuration was published first' },
   repeatedCommand: { code: 3002, status: 200, title: 'The command was accepted before' },
   staleCommand: {
--- a/packages/platform/src/record-schema.ts
+++ b/packages/platform/src/record-schema.ts
@@ -50,6 +50,16 @@
     }),
   ),
   sectionOf('teams', z.object({ coresQuota: count, acceleratorsQuota: count })),
+  sectionOf(
+    'workspaces',
+    z.object({
+      keyDigests: z.array(text),
+      weight: z.number().min(0),
+      maximumCores: count.nullable(),
+      maximumMemoryGigabytes: count.nullable(),
+      maximumAccelerators: count.nullable(),
+    }),
+  ),
 ]);
 
 const identity = z.object({
--- a/packages/settings/src/check-references.ts
+++ b/packages/settings/src/check-references.ts
@@ -76,6 +76,23 @@
   });
 }
 
+/** Finds digests that are listed twice: the caller of such a key would belong to two workspaces. */
+function findDuplicateKeys(fleet: FleetFile, file: string): readonly SettingsFault[] {
+  const places = new Map<string, string>();
+  return Object.entries(fleet.workspaces).flatMap(([name, workspace]) =>
+    workspace['key-digests'].flatMap((digest, index) => {
+      const place = `workspaces.${name}.key-digests.${index}`;
+      const earlier = places.get(digest);
+      if (earlier === undefined) {
+        places.set(digest, place);
+        return [];
+      }
+      const detail = `The key is already listed at ${earlier}`;
+      return [faultOf('duplicateKey', file, place, detail, 'A key belongs to one workspace')];
+    }),
+  );
+}
+
 function findBudgetFaults(
   fleet: FleetFile,
   hosts: readonly HostSetting[],
@@ -119,6 +136,7 @@
     ...findMissingReferences(fleet, file),
     ...findDuplicateHosts(hosts, 'id', file),
     ...findDuplicateHosts(hosts, 'address', file),
+    ...findDuplicateKeys(fleet, file),
     ...findBudgetFaults(fleet, hosts, file),
   ];
 }
--- a/packages/settings/src/check-schema.ts
+++ b/packages/settings/src/check-schema.ts
@@ -18,6 +18,15 @@
   return `found ${text.length > LONGEST_SHOWN ? `${text.slice(0, LONGEST_SHOWN)}…` : text}`;
 }
 
+/** Settings whose value may be a secret by mistake, such as a key in place of its digest. */
+const HIDDEN_SETTINGS: ReadonlySet<PropertyKey> = new Set(['key-digests']);
+
+function describeFoundAt(data: unknown, path: readonly PropertyKey[]): string {
+  return path.some((key) => HIDDEN_SETTINGS.has(key))
+    ? 'found another value, which is not shown'
+    : describeFound(readPath(data, path));
+}
+
 function faultsOfIssue(issue: z.core.$ZodIssue, data: unknown, file: string): readonly SettingsFault[] {
   const place = issue.path.map(String).join('.') || '(top level)';
   if (issue.code === 'unrecognized_keys') {
@@ -31,7 +40,7 @@
       ),
     );
   }
-  const detail = `${issue.message}, ${describeFound(readPath(data, issue.path))}`;
+  const detail = `${issue.message}, ${describeFoundAt(data, issue.path)}`;
   return [
     faultOf('invalidSetting', file, place, detail, 'docs/SETTINGS.md gives the unit and range of each key'),
   ];
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -49,6 +49,19 @@
 
 const team = z.strictObject({ 'cores-quota': count, 'accelerators-quota': count.default(0) });
 
+/** A digest, not a key: the published configuration can be read by everybody who reads the log. */
+const keyDigest = z
+  .string()
+  .regex(/^[0-9a-f]{64}$/, 'expected the SHA-256 digest of a key, 64 hexadecimal digits');
+
+const workspace = z.strictObject({
+  'key-digests': z.array(keyDigest).default([]),
+  weight: z.number().positive().default(1),
+  'maximum-cores': positive.nullable().default(null),
+  'maximum-memory-gb': positive.nullable().default(null),
+  'maximum-accelerators': positive.nullable().default(null),
+});
+
 const sections = {
   'data-centres': z.record(name, dataCentre).default({}),
   hardware: z.record(name, hardware).default({}),
@@ -56,6 +69,7 @@
   services: z.record(name, service).default({}),
   racks: z.record(name, rack).default({}),
   teams: z.record(name, team).default({}),
+  workspaces: z.record(name, workspace).default({}),
 };
 
 /** Schema of a complete fleet file: the base with its overlay merged in. */
--- a/packages/settings/src/to-configuration.ts
+++ b/packages/settings/src/to-configuration.ts
@@ -46,5 +46,12 @@
       coresQuota: section['cores-quota'],
       acceleratorsQuota: section['accelerators-quota'],
     })),
+    workspaces: mapValues(fleet.workspaces, (section) => ({
+      keyDigests: section['key-digests'],
+      weight: section.weight,
+      maximumCores: section['maximum-cores'],
+      maximumMemoryGigabytes: section['maximum-memory-gb'],
+      maximumAccelerators: section['maximum-accelerators'],
+    })),
   };
 }
--- a/packages/types/src/configuration.ts
+++ b/packages/types/src/configuration.ts
@@ -66,6 +66,17 @@
   readonly acceleratorsQuota: number;
 }
 
+/** A workspace: callers that share keys, a share of the capacity and a limit on what they run. Holds no plain key. */
+export interface WorkspaceSection {
+  /** SHA-256 digests of the keys, as 64 hexadecimal digits each. */
+  readonly keyDigests: readonly string[];
+  readonly weight: number;
+  /** Limits on what the workspace runs at once; null for no limit. */
+  readonly maximumCores: number | null;
+  readonly maximumMemoryGigabytes: number | null;
+  readonly maximumAccelerators: number | null;
+}
+
 /** All sections, by section kind and name. */
 export interface Configuration {
   readonly dataCentres: Readonly<Record<string, DataCentreSection>>;
@@ -74,6 +85,7 @@
   readonly services: Readonly<Record<string, ServiceSection>>;
   readonly racks: Readonly<Record<string, RackSection>>;
   readonly teams: Readonly<Record<string, TeamSection>>;
+  readonly workspaces: Readonly<Record<string, WorkspaceSection>>;
 }
 
 /** Name of a section kind. */
@@ -87,6 +99,7 @@
   'services',
   'racks',
   'teams',
+  'workspaces',
 ];
 
 /** A change to one section in a published configuration: set, or removed if `section` is null. */
@@ -106,4 +119,5 @@
   services: {},
   racks: {},
   teams: {},
+  workspaces: {},
 };
