Assert the caps of workspaces in the emulator, show use beside limit

The limits on workspaces had no test with whole processes. The emulator now gives jobs to workspaces, changes caps among all troubles, and asserts at each start that a workspace stays within cap x 1.1 plus one task over all model workers. A variant that gives each service the whole cap makes the assertion fire.

--- a/packages/fleet-emulator/src/__tests__/referee.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee.test.ts
@@ -89,6 +89,7 @@
     plans: new Map([['a', plan]]),
     hosts: () => new Map([host, other].map((one) => [one.hostId, one])),
     lastTroubleAt: () => 0,
+    workspaces: null,
   });
   const remove = (task: TaskKey, run: number): void => {
     const index = running.findIndex((one) => one.task === task && one.run === run);
--- a/packages/fleet-emulator/src/index.ts
+++ b/packages/fleet-emulator/src/index.ts
@@ -11,6 +11,8 @@
   SMALL_PLAY,
   TROUBLED_SHRINKING_PLAY,
   UNEVEN_PLAY,
+  WHOLE_CAPS_PLAY,
+  WORKSPACE_PLAY,
   type PlayOptions,
 } from './random-play.js';
 export type { RuleName, Violation } from './sightings.js';
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -4,6 +4,7 @@
 import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
 import { resultOf, type PlayResult } from './play-result.js';
 import { beginTrouble, CAPACITY_TROUBLE_KINDS, TROUBLE_KINDS, type TroubleKind } from './troubles.js';
+import { grantWholeCaps, PLAYED_WORKSPACES } from './workspace-play.js';
 import { createWorld, type WorldSize } from './world.js';
 
 /** What to play. */
@@ -78,6 +79,20 @@
   kinds: TROUBLE_KINDS.flatMap((kind) => [kind, ...CAPACITY_TROUBLE_KINDS]),
 };
 
+/** Workspaces whose caps bind and change, among all troubles. */
+export const WORKSPACE_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: { ...SMALL_PLAY.size, services: 3, nodes: 4, workspaces: PLAYED_WORKSPACES },
+  kinds: TROUBLE_KINDS.flatMap((kind, index) => (index % 2 === 0 ? [kind, 'caps-changed'] : [kind])),
+};
+
+/** The same where every service gets the whole cap, which the assertion on caps must notice. */
+export const WHOLE_CAPS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...WORKSPACE_PLAY,
+  size: { ...WORKSPACE_PLAY.size, changePeerRequest: grantWholeCaps },
+  kinds: [],
+};
+
 /** The same with callers who ask how many jobs wait. */
 export const COUNTING_PLAY: Omit<PlayOptions, 'seed'> = { ...SMALL_PLAY, countMilliseconds: 400 };
 
--- a/packages/fleet-emulator/src/referee-types.ts
+++ b/packages/fleet-emulator/src/referee-types.ts
@@ -1,9 +1,11 @@
 /** The referee of a play and what it is made of. */
 import type { JobStatus } from '@baobabdeck/scheduling';
+import type { Workspace } from '@baobabdeck/scheduler';
 import type { JobPlans } from './job-plans.js';
 import type { HostObserver, ModelHost } from './model-fleet.js';
 import type { WorkerObserver } from './observer.js';
 import type { Violation } from './sightings.js';
+import type { PlayedWorkspaces } from './workspace-play.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** What the rules hear. */
@@ -28,6 +30,8 @@
   /** Jobs that were done within three times their objective, as a share of those that were handed in. */
   readonly servedShare: () => number;
   readonly checkServed: (floor: number) => void;
+  /** The operator has published other caps of workspaces. */
+  readonly onCapsChanged: (workspaces: readonly Workspace[]) => void;
   readonly violations: readonly Violation[];
   readonly counts: () => PlayCounts;
 }
@@ -52,4 +56,6 @@
   readonly hosts: () => ReadonlyMap<string, ModelHost>;
   /** When a trouble last began or ended. */
   readonly lastTroubleAt: () => number;
+  /** Null for a play without workspaces. */
+  readonly workspaces: PlayedWorkspaces | null;
 }
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -5,6 +5,7 @@
 import type { Referee, RefereeParts } from './referee-types.js';
 import { createRestRules } from './rest-rules.js';
 import { createSightings } from './sightings.js';
+import { createWorkspaceRules } from './workspace-rules.js';
 import { createTaskRules } from './task-rules.js';
 
 /** Creates a referee that has seen nothing. */
@@ -14,6 +15,7 @@
   const { jobs, jobOf } = sightings;
   const taskRules = createTaskRules(parts, sightings);
   const capacityRules = createCapacityRules(parts, sightings);
+  const workspaceRules = createWorkspaceRules(parts, sightings, parts.workspaces);
   const hostRules = createHostRules(parts, sightings, taskRules.onStop);
   const jobRules = createJobRules(parts, sightings);
   const restRules = createRestRules(parts, sightings);
@@ -24,7 +26,9 @@
     onStart: (started) => {
       taskRules.onStart(started);
       capacityRules.onStart(started);
+      workspaceRules.onStart(started);
     },
+    onCapsChanged: workspaceRules.onCapsChanged,
     onCapacityChange: capacityRules.onCapacityChange,
     onStatusShown: jobRules.onStatusShown,
     onPendingCounted: jobRules.onPendingCounted,
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -15,6 +15,7 @@
   | 'refused-never-runs'
   | 'spread-kept'
   | 'capacity-kept'
+  | 'workspace-within-cap'
   | 'absent-within-limit'
   | 'wave-within-limit'
   | 'one-holder-a-host'
--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -1,6 +1,7 @@
 /** Everything that can go wrong, one by one; each ends by itself. */
 import { HOST_SERVICE } from './model-fleet.js';
 import { STORE } from './model-store.js';
+import { changeCaps } from './workspace-play.js';
 import type { World } from './world.js';
 
 /** A kind of trouble. */
@@ -28,7 +29,8 @@
   | 'answers-lost'
   | 'host-orders-late'
   | 'wave'
-  | 'shrinking-worker';
+  | 'shrinking-worker'
+  | 'caps-changed';
 
 /** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
@@ -181,6 +183,9 @@
     case 'shrinking-worker':
       fleet.shrink(host, random.uniform() * LARGEST_SHRUNK_SHARE, lasting);
       break;
+    case 'caps-changed':
+      world.referee.onCapsChanged(changeCaps(world.operator, random));
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -17,6 +17,7 @@
 import { STORE, type ModelStore } from './model-store.js';
 import type { Endpoint, Network } from './network.js';
 import type { Processor } from './processor.js';
+import { withWorkspaces, type PlayedWorkspaces } from './workspace-play.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** What the operator has published. */
@@ -37,6 +38,9 @@
   readonly processor: Processor;
   /** Answers of peers by their address. */
   readonly switchboard: Map<string, (content: unknown) => Promise<unknown>>;
+  /** Null for a play without workspaces. */
+  readonly workspaces: PlayedWorkspaces | null;
+  readonly changePeerRequest: (content: unknown) => unknown;
   readonly onLog: (name: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -163,7 +167,8 @@
       network.call<unknown>({
         from: endpoint,
         to: address,
-        execute: () => parts.switchboard.get(address)?.(structuredClone(content)) ?? null,
+        execute: () =>
+          parts.switchboard.get(address)?.(parts.changePeerRequest(structuredClone(content))) ?? null,
         timeoutMilliseconds,
         unanswered: () => null,
       }),
@@ -173,7 +178,8 @@
 
   const boot = async (ofLife: number): Promise<void> => {
     const endpoint = endpointOf(ofLife);
-    const storePort: Store = store.portFor(endpoint);
+    const plainStore: Store = store.portFor(endpoint);
+    const storePort = parts.workspaces === null ? plainStore : withWorkspaces(plainStore, parts.workspaces);
     const node = await startNode({
       settings,
       incarnation: `${name}-${ofLife}`,
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -10,6 +10,7 @@
 import type { Referee } from './referee-types.js';
 import { createReferee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
+import type { PlayedWorkspaces } from './workspace-play.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
 
 /** The pool whose hosts are off. */
@@ -29,6 +30,10 @@
   readonly hostCapacity?: HostListing['capacity'];
   /** Whether workers refuse starts that do not fit into their capacity; they do where left out. */
   readonly workersGuardCapacity?: boolean;
+  /** Workspaces of the jobs; none where left out. */
+  readonly workspaces?: PlayedWorkspaces;
+  /** Changes requests between processes; they stay as they are where left out. */
+  readonly changePeerRequest?: (content: unknown) => unknown;
 }
 
 /** A whole system in virtual time. */
@@ -161,6 +166,7 @@
     plans,
     hosts: () => fleet?.hosts ?? new Map(),
     lastTroubleAt: () => world?.lastTroubleAt ?? 0,
+    workspaces: size.workspaces ?? null,
   });
   const guardsCapacity = size.workersGuardCapacity ?? true;
   const models = createModelFleet({
@@ -175,7 +181,10 @@
   });
   fleet = models;
   const operator: OperatorDesk = {
-    configuration: configurationOf(size.services, guardsCapacity),
+    configuration: {
+      ...configurationOf(size.services, guardsCapacity),
+      workspaces: size.workspaces?.workspaces ?? [],
+    },
     waves: [],
     onWaveStatus: (wave, status) => {
       if (status === 'completed') referee.onWaveCompleted(wave);
@@ -203,6 +212,8 @@
       operator,
       settings: settingsOf(index, milliCoresOf(index)),
       switchboard,
+      workspaces: size.workspaces ?? null,
+      changePeerRequest: size.changePeerRequest ?? ((content) => content),
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
         const text = err instanceof Error ? (err.stack ?? err.message) : '';
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,6 +1,7 @@
 /** The scheduler process; the platform is passed in through the interfaces in `ports`. */
 export { startNode, type NodeParts, type SchedulerNode } from './node/node.js';
 export { SCHEDULER_GROUP } from './node/membership.js';
+export { decodeRecord, encodeRecord } from './owner/record-codec.js';
 export type { SchedulerSettings } from './node/settings.js';
 export { createTcpNetwork } from './peers/tcp-network.js';
 export { machineClock, type SteadyClock } from './node/steady-clock.js';
--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,5 +1,11 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
-import type { FleetState, ServiceState, TaskState } from '@baobabdeck/scheduling';
+import {
+  selectWorkspaceUse,
+  type FleetState,
+  type ServiceState,
+  type TaskState,
+  type WorkspaceUse,
+} from '@baobabdeck/scheduling';
 import type { OwnedLogs } from './owned-logs.js';
 
 /** One service that this process owns. */
@@ -13,6 +19,8 @@
   readonly leavingHosts: readonly string[];
   /** Age of the last proof of ownership, in milliseconds. */
   readonly provenAgoMilliseconds: number;
+  /** Use beside limit of each workspace with runs, waiting tasks or a grant. */
+  readonly workspaces: readonly WorkspaceUse[];
 }
 
 /** Status of this process. */
@@ -41,6 +49,7 @@
       drainState.kind === 'leaving' ? [listing.hostId] : [],
     ),
     provenAgoMilliseconds: Math.round(now - state.provenAt),
+    workspaces: selectWorkspaceUse(state),
   };
 }
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -7,6 +7,7 @@
 export * from './model/workspace.js';
 export type { SchedulingDecision, SchedulingFields, ServiceEffect, ServiceStep } from './state/effect.js';
 export type { RunAddress, ServiceEvent, ServiceEventOf, StartOutcome, StopOutcome } from './state/event.js';
+export { selectWorkspaceUse } from './decide/shares/workspace-limits.js';
 export { selectServiceReport } from './service/demand.js';
 export { selectReleaseProgress } from './service/release.js';
 export type { SchedulingParameters } from './state/parameters.js';
