--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -1,6 +1,7 @@
 /** Everything that can go wrong, one by one; each ends by itself. */
 import { HOST_SERVICE } from './model-fleet.js';
 import { STORE } from './model-store.js';
+import { changeCaps } from './workspace-play.js';
 import type { World } from './world.js';
 
 /** A kind of trouble. */
@@ -31,7 +32,8 @@
   | 'shrinking-worker'
   | 'cut-nodes'
   | 'peers-late'
-  | 'peer-answers-lost';
+  | 'peer-answers-lost'
+  | 'caps-changed';
 
 /** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
@@ -212,6 +214,9 @@
     case 'peer-answers-lost':
       setFor(world, conditions.lostAnswers, someOf(world, namesOf(nodes), 0.4), 0.2, lasting);
       break;
+    case 'caps-changed':
+      world.referee.onCapsChanged(changeCaps(world.operator, random));
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -17,6 +17,7 @@
 import { STORE, type ModelStore } from './model-store.js';
 import type { Endpoint, Network } from './network.js';
 import type { Processor } from './processor.js';
+import { withWorkspaces, type PlayedWorkspaces } from './workspace-play.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** What the operator has published. */
@@ -39,6 +40,8 @@
   readonly switchboard: Map<string, (content: unknown) => Promise<unknown>>;
   /** Changes what the process sends to others. */
   readonly alterPeerRequest: (content: unknown) => unknown;
+  /** Null for a play without workspaces. */
+  readonly workspaces: PlayedWorkspaces | null;
   readonly onLog: (name: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -176,7 +179,8 @@
 
   const boot = async (ofLife: number): Promise<void> => {
     const endpoint = endpointOf(ofLife);
-    const storePort: Store = store.portFor(endpoint);
+    const plainStore: Store = store.portFor(endpoint);
+    const storePort = parts.workspaces === null ? plainStore : withWorkspaces(plainStore, parts.workspaces);
     const node = await startNode({
       settings,
       incarnation: `${name}-${ofLife}`,
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -10,6 +10,7 @@
 import type { Referee } from './referee-types.js';
 import { createReferee } from './referee.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
+import type { PlayedWorkspaces } from './workspace-play.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
 
 /** The pool whose hosts are off. */
@@ -33,6 +34,8 @@
   readonly relays?: RelayMode;
   /** Changes what processes send each other; as a broken version of them would. */
   readonly alterPeerRequest?: (content: unknown) => unknown;
+  /** Workspaces of the jobs; none where left out. */
+  readonly workspaces?: PlayedWorkspaces;
 }
 
 /** A whole system in virtual time. */
@@ -167,6 +170,7 @@
     plans,
     hosts: () => fleet?.hosts ?? new Map(),
     lastTroubleAt: () => world?.lastTroubleAt ?? 0,
+    workspaces: size.workspaces ?? null,
   });
   const guardsCapacity = size.workersGuardCapacity ?? true;
   const models = createModelFleet({
@@ -181,7 +185,10 @@
   });
   fleet = models;
   const operator: OperatorDesk = {
-    configuration: configurationOf(size.services, guardsCapacity),
+    configuration: {
+      ...configurationOf(size.services, guardsCapacity),
+      workspaces: size.workspaces?.workspaces ?? [],
+    },
     waves: [],
     onWaveStatus: (wave, status) => {
       if (status === 'completed') referee.onWaveCompleted(wave);
@@ -210,6 +217,7 @@
       settings: settingsOf(index, milliCoresOf(index), size.relays ?? 'off'),
       switchboard,
       alterPeerRequest: size.alterPeerRequest ?? ((content) => content),
+      workspaces: size.workspaces ?? null,
       onLog: (name, fields) => {
         const { err, ...rest } = fields;
         const text = err instanceof Error ? (err.stack ?? err.message) : '';
--- a/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
+++ b/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
@@ -51,6 +51,10 @@
       calls.push(order);
       return Promise.resolve('accepted');
     },
+    paceRun: (order) => {
+      calls.push(order);
+      return Promise.resolve('accepted');
+    },
     renewLease: (order) => {
       calls.push(order);
       return Promise.resolve({ kind: 'reported', report: REPORT });
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,6 +14,7 @@
   StartOutcome,
   StopOutcome,
 } from './state/event.js';
+export { selectWorkspaceUse } from './decide/shares/workspace-limits.js';
 export { selectServiceReport } from './service/demand.js';
 export { selectReleaseProgress } from './service/release.js';
 export type { SchedulingParameters } from './state/parameters.js';
