Assert the limit on harm in the emulator, record the model and show it

Model workers report tails that filling tasks beside them make longer, and obey paces.

'status' lists the worst pairs with their evidence and the workers whose filling tasks are slowed down.

--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -16,6 +16,7 @@
 import { createModelWorker } from './model-worker.js';
 import type { Endpoint, Network } from './network.js';
 import type { WorkerObserver } from './observer.js';
+import type { Disturbance } from './tail-meter.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** The name of the service for hosts on the network. */
@@ -86,6 +87,10 @@
   readonly isStandby: (pool: string) => boolean;
   /** Workers refuse starts that do not fit into their capacity. */
   readonly guardsCapacity: boolean;
+  /** How filling tasks disturb serving tasks; null for workers that report no tails. */
+  readonly disturbance: Disturbance | null;
+  /** Workers acknowledge pace orders and carry none out. */
+  readonly ignoresPaces: boolean;
   readonly observer: WorkerObserver & HostObserver;
   /** The store is away: the register does not change. */
   readonly isStoreDown: () => boolean;
@@ -151,6 +156,8 @@
       },
       clockRate: 1 - random.uniform() * 0.02,
       plans: parts.plans,
+      disturbance: parts.disturbance,
+      ignoresPaces: parts.ignoresPaces,
       gangs,
       observer,
       chance: random.chance,
--- a/packages/fleet-emulator/src/model-worker.ts
+++ b/packages/fleet-emulator/src/model-worker.ts
@@ -21,6 +21,7 @@
 import type { ModelRun, ModelWorker, WorkerMood } from './model-worker-types.js';
 import { stepOfTask, sumOfNeeds, type JobPlans } from './job-plans.js';
 import type { WorkerObserver } from './observer.js';
+import { createTailMeter, type Disturbance, type TailMeter } from './tail-meter.js';
 import type { VirtualTime } from './virtual-time.js';
 
 const MAXIMUM_LEASE_MILLISECONDS = 10_000;
@@ -51,6 +52,10 @@
   readonly crashHost: () => void;
   /** It refuses starts that do not fit into its capacity. */
   readonly guardsCapacity: boolean;
+  /** How filling tasks disturb serving tasks; null for a worker that reports no tails. */
+  readonly disturbance: Disturbance | null;
+  /** It acknowledges pace orders and carries none out. */
+  readonly ignoresPaces: boolean;
 }
 
 type StartAnswer = ReturnType<ModelWorker['start']>;
@@ -80,6 +85,7 @@
   let leaseUntil = 0;
   let { capacity } = parts.listing;
   let isUp = true;
+  let tailMeter: TailMeter | null = null;
 
   const clock = (): number => Math.round((time.now() - bornAt) * parts.clockRate);
   const workedOf = (run: ModelRun): number =>
@@ -245,6 +251,7 @@
     fence = order.fencingEpoch;
     const run = running.get(taskIdOf(order.task))?.run;
     if (run?.run !== order.run) return 'gone';
+    if (parts.ignoresPaces) return 'accepted';
     time.after(PACE_MILLISECONDS, () => {
       if (isUp && running.get(taskIdOf(order.task))?.run === run) changePace(run, order.percent);
     });
@@ -279,7 +286,7 @@
         run: run.run,
         checkpoint: checkpointOf(run),
         percent: percentOf(run),
-        load: null,
+        load: tailMeter?.tailOf(run) ?? null,
       })),
       ended: ended.slice(),
     },
@@ -340,5 +347,8 @@
       running.clear();
     },
   };
+  if (parts.disturbance !== null) {
+    tailMeter = createTailMeter({ time, plans, disturbance: parts.disturbance, observer, worker });
+  }
   return worker;
 }
--- a/packages/fleet-emulator/src/observer.ts
+++ b/packages/fleet-emulator/src/observer.ts
@@ -24,6 +24,18 @@
   readonly isSilent: boolean;
 }
 
+/** A tail of a serving task, in milliseconds. */
+export interface ObservedTail {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly tail: number;
+  /** What it would be without filling tasks. */
+  readonly quietTail: number;
+  readonly target: number;
+  /** Filling tasks beside it work. */
+  readonly hasWorkingFillers: boolean;
+}
+
 /** Sees what workers see. */
 export interface WorkerObserver {
   readonly onStart: (start: ObservedStart) => void;
@@ -34,6 +46,7 @@
   readonly onCrash: (worker: ModelWorker, task: TaskKey, run: number) => void;
   /** The capacity of a worker is about to change. */
   readonly onCapacityChange: (worker: ModelWorker) => void;
+  readonly onTail: (tail: ObservedTail) => void;
   /** The worker may forget an end. */
   readonly onForgotten: (worker: ModelWorker, task: TaskKey, run: number, wasLapsedSince: boolean) => void;
 }
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -1,5 +1,6 @@
 /** Checks the rules after every event, by what callers, workers and hosts saw and by nothing else. */
 import { createCapacityRules } from './capacity-rules.js';
+import { createHarmRules } from './harm-rules.js';
 import { createHostRules } from './host-rules.js';
 import { createJobRules } from './job-rules.js';
 import type { Referee, RefereeParts } from './referee-types.js';
@@ -25,6 +26,7 @@
       taskRules.onStart(started);
       capacityRules.onStart(started);
     },
+    ...createHarmRules(parts, sightings),
     onCapacityChange: capacityRules.onCapacityChange,
     onStatusShown: jobRules.onStatusShown,
     onPendingCounted: jobRules.onPendingCounted,
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -24,6 +24,7 @@
   | 'work-goes-on'
   | 'nothing-waits-beside-room'
   | 'enough-is-served'
+  | 'harm-within-limit'
   | 'wave-truly-completed';
 
 /** A broken rule. */
--- a/packages/fleet-emulator/src/task-rules.ts
+++ b/packages/fleet-emulator/src/task-rules.ts
@@ -20,7 +20,7 @@
 export function createTaskRules(
   { time, plans, lastTroubleAt }: RefereeParts,
   sightings: Sightings,
-): Omit<WorkerObserver, 'onCapacityChange'> {
+): Omit<WorkerObserver, 'onCapacityChange' | 'onTail'> {
   const { report, jobOf, runsOf, isOn, tasksOfStep, isStepDone } = sightings;
 
   const checkOnce = (key: TaskKey, started: ObservedStart): void => {
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -9,6 +9,7 @@
 import { createNetwork, type Network } from './network.js';
 import type { Referee } from './referee-types.js';
 import { createReferee } from './referee.js';
+import type { Disturbance } from './tail-meter.js';
 import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
 
@@ -29,6 +30,10 @@
   readonly hostCapacity?: HostListing['capacity'];
   /** Whether workers refuse starts that do not fit into their capacity; they do where left out. */
   readonly workersGuardCapacity?: boolean;
+  /** How filling tasks disturb serving tasks; workers report no tails where left out. */
+  readonly disturbance?: Disturbance;
+  /** Whether workers acknowledge pace orders and carry none out; they obey where left out. */
+  readonly workersIgnorePaces?: boolean;
 }
 
 /** A whole system in virtual time. */
@@ -170,6 +175,8 @@
     plans,
     isStandby: (pool) => pool === STANDBY_POOL,
     guardsCapacity,
+    disturbance: size.disturbance ?? null,
+    ignoresPaces: size.workersIgnorePaces ?? false,
     observer: referee,
     isStoreDown: () => store.isDown,
   });
--- a/packages/scheduler/src/__tests__/record-codec.test.ts
+++ b/packages/scheduler/src/__tests__/record-codec.test.ts
@@ -19,6 +19,36 @@
     t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
   });
 
+  it('keeps the model of interference, and reads none of another version', (t) => {
+    const baseline = {
+      image: 'shop',
+      isServing: true,
+      mean: -0.7,
+      variance: 0.002,
+      noise: 0.01,
+      samples: 40,
+    };
+    const pair = {
+      slowed: 'shop',
+      beside: 'batch',
+      effect: 0.4,
+      variance: 0.003,
+      samples: 20,
+      firstSample: 5,
+    };
+    const model = {
+      recordedAt: new Date('2026-01-01T00:00:00Z'),
+      baselines: [{ ...baseline, ageMilliseconds: 100 }],
+      pairs: [{ ...pair, isHarmful: true, ageMilliseconds: 200 }],
+    };
+    const record = { kind: 'interference-learned' as const, model };
+    const [keyed] = encodeRecord(record);
+    if (keyed === undefined) throw new Error('Expected a keyed record');
+    t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
+    const value = new Encoder({ useRecords: false }).encode({ version: 2 });
+    t.is(decodeRecord({ ...keyed, value, offset: 3 }).kind, 'unreadable');
+  });
+
   it('keeps the crashes and the quarantine of a task', (t) => {
     const task = {
       index: 2,
--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,5 +1,12 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
-import type { FleetState, ServiceState, TaskState } from '@baobabdeck/scheduling';
+import {
+  selectSlowedWorkers,
+  selectWorstPairs,
+  type FleetState,
+  type ServiceState,
+  type TaskState,
+  type WorstPair,
+} from '@baobabdeck/scheduling';
 import type { OwnedLogs } from './owned-logs.js';
 
 /** One service that this process owns. */
@@ -13,6 +20,10 @@
   readonly leavingHosts: readonly string[];
   /** Age of the last proof of ownership, in milliseconds. */
   readonly provenAgoMilliseconds: number;
+  /** Pairs of images that are known to interfere, worst first, with the evidence. */
+  readonly worstInterference: readonly WorstPair[];
+  /** Workers whose filling tasks are slowed down, with their pace. */
+  readonly slowedWorkers: ReturnType<typeof selectSlowedWorkers>;
 }
 
 /** Status of this process. */
@@ -41,6 +52,8 @@
       drainState.kind === 'leaving' ? [listing.hostId] : [],
     ),
     provenAgoMilliseconds: Math.round(now - state.provenAt),
+    worstInterference: selectWorstPairs(state),
+    slowedWorkers: selectSlowedWorkers(state),
   };
 }
 
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -1,6 +1,7 @@
 /** Encodes service records as keyed records of the store: one key per subject, values in CBOR. */
 import { Decoder, Encoder } from 'cbor-x';
 import type {
+  InterferenceRecord,
   JobProgress,
   JobRequest,
   ServiceRecord,
@@ -19,6 +20,8 @@
 const CANCEL_PREFIX = 'cancel/';
 const PROGRESS_PREFIX = 'progress/';
 const RELEASE_PREFIX = 'release/';
+const INTERFERENCE_PREFIX = 'interference/';
+const INTERFERENCE_KEY = `${INTERFERENCE_PREFIX}model`;
 
 /** Job request whose times are milliseconds since 1970. */
 type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition' | 'workspace'> & {
@@ -55,6 +58,12 @@
   hasStarted?: boolean,
 ];
 
+/** Model of interference with its time in milliseconds since 1970. */
+type EncodedInterference = Omit<InterferenceRecord, 'recordedAt'> & {
+  readonly version: number;
+  readonly recordedAt: number;
+};
+
 function encodeRequest(request: JobRequest): EncodedRequest {
   const { acceptedAt, repetition } = request;
   return {
@@ -106,6 +115,21 @@
   return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted };
 }
 
+function encodeInterference({ recordedAt, baselines, pairs }: InterferenceRecord): EncodedInterference {
+  return { version: 1, recordedAt: recordedAt.getTime(), baselines, pairs };
+}
+
+/** @throws {RangeError} if the record has another version */
+function decodeInterference({
+  version,
+  recordedAt,
+  baselines,
+  pairs,
+}: EncodedInterference): InterferenceRecord {
+  if (version !== 1) throw new RangeError(`Expected version 1 of the model, found ${version}`);
+  return { recordedAt: new Date(recordedAt), baselines, pairs };
+}
+
 /** Encodes a service record as keyed records; a null value deletes the key. */
 export function encodeRecord(record: ServiceRecord): readonly KeyedRecord[] {
   switch (record.kind) {
@@ -125,6 +149,8 @@
       return [{ key: RELEASE_PREFIX + record.workerId, value: encoder.encode(record.incarnation) }];
     case 'worker-returned':
       return [{ key: RELEASE_PREFIX + record.workerId, value: null }];
+    case 'interference-learned':
+      return [{ key: INTERFERENCE_KEY, value: encoder.encode(encodeInterference(record.model)) }];
     case 'ownership-claimed':
       return [{ key: OWNER_KEY, value: encoder.encode(record.owner) }];
     default:
@@ -152,6 +178,8 @@
       return { kind: 'job-progress', jobId: subject, progress: decodeProgress(content as EncodedProgress) };
     case RELEASE_PREFIX:
       return { kind: 'worker-released', workerId: subject, incarnation: Number(content) };
+    case INTERFERENCE_PREFIX:
+      return { kind: 'interference-learned', model: decodeInterference(content as EncodedInterference) };
     default:
       throw new RangeError(`Expected the key of a service record, found ${key}`);
   }
--- a/packages/scheduling/src/__tests__/interference-placement.test.ts
+++ b/packages/scheduling/src/__tests__/interference-placement.test.ts
@@ -186,6 +186,22 @@
     t.is(service.harness.state().interference, NO_INTERFERENCE);
   });
 
+  it('keeps what it has learned over a change of owner', (t) => {
+    const service = createReportingService(['w1', 'w2', 'w3'], harmedTail);
+    startShopAndBatch(service);
+    service.report(60);
+    const records = service.harness.records();
+    const learned = records.filter(({ record }) => record.kind === 'interference-learned');
+    // The model is recorded when its findings change, not with each sample.
+    t.true(learned.length >= 1 && learned.length <= 3);
+    const { interference } = createServiceHarness(records).state();
+    t.deepEqual(
+      interference.conflicts.get('batch')?.map(({ image }) => image),
+      ['shop'],
+    );
+    t.true(interference.pairs.every(({ updatedAt }) => updatedAt <= createServiceHarness().state().now));
+  });
+
   it('learns from the durations of runs that end', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1', 'w2']);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -16,6 +16,7 @@
 } from './state/event.js';
 export { selectServiceReport } from './service/demand.js';
 export { selectReleaseProgress } from './service/release.js';
+export { selectSlowedWorkers, selectWorstPairs, type WorstPair } from './decide/interference/worst-pairs.js';
 export type { SchedulingParameters } from './state/parameters.js';
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreInput } from './service/restore.js';
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -45,6 +45,30 @@
   readonly hasStarted: boolean;
 }
 
+/** Recorded model of the interference between images. */
+export interface InterferenceRecord {
+  readonly recordedAt: Date;
+  readonly baselines: readonly {
+    readonly image: string;
+    readonly isServing: boolean;
+    readonly mean: number;
+    readonly variance: number;
+    readonly noise: number;
+    readonly samples: number;
+    readonly ageMilliseconds: number;
+  }[];
+  readonly pairs: readonly {
+    readonly slowed: string;
+    readonly beside: string;
+    readonly effect: number;
+    readonly variance: number;
+    readonly samples: number;
+    readonly firstSample: number;
+    readonly isHarmful: boolean;
+    readonly ageMilliseconds: number;
+  }[];
+}
+
 /** Content of a record, by its subject. */
 export type ServiceRecord =
   | { readonly kind: 'job-accepted'; readonly request: JobRequest }
@@ -53,6 +77,7 @@
   | { readonly kind: 'job-forgotten'; readonly jobId: string }
   | { readonly kind: 'worker-released'; readonly workerId: string; readonly incarnation: number }
   | { readonly kind: 'worker-returned'; readonly workerId: string }
+  | { readonly kind: 'interference-learned'; readonly model: InterferenceRecord }
   | { readonly kind: 'ownership-claimed'; readonly owner: string };
 
 /** A record with its offset. */
--- a/packages/scheduling/src/service/interference.ts
+++ b/packages/scheduling/src/service/interference.ts
@@ -53,7 +53,18 @@
   return sample === null ? state : yield* learn(state, [sample]);
 }
 
-/** Drops findings that are too old. */
-export function* forgetOldInterference(state: ServiceState): ServiceStep<ServiceState> {
-  return yield* applyLearned(state, dropOldFindings(state.interference, state.now));
+/** Time between two records of the model. */
+const RECORD_INTERVAL_MILLISECONDS = 5_000;
+
+/** Marks the model to be recorded if it has changed what it means for the placement of tasks. */
+function markInterferenceDue(state: ServiceState): ServiceState {
+  const { recordedInterference: recorded, interference, now } = state;
+  const isChanged = interference.conflicts !== recorded.conflicts;
+  if (!isChanged || recorded.isDue || now - recorded.at < RECORD_INTERVAL_MILLISECONDS) return state;
+  return updateService(state, { recordedInterference: { ...recorded, isDue: true } });
+}
+
+/** Drops findings that are too old, and has the model recorded if it has changed. */
+export function* reviewInterference(state: ServiceState): ServiceStep<ServiceState> {
+  return markInterferenceDue(yield* applyLearned(state, dropOldFindings(state.interference, state.now)));
 }
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -3,6 +3,7 @@
  */
 import { Map as PersistentMap } from 'immutable';
 import type { JobProgress, ServiceRecord, TaskProgress } from '../model/records.js';
+import { recordOf } from '../decide/interference/record.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEventOf } from '../state/event.js';
 import { runsOfJob } from './jobs.js';
@@ -71,12 +72,24 @@
   return next;
 }
 
+function interferenceRecords(state: ServiceState): readonly ServiceRecord[] {
+  if (!state.recordedInterference.isDue) return [];
+  const model = recordOf(state.interference, state.now, state.timeOfDay);
+  return [{ kind: 'interference-learned', model }];
+}
+
+function markInterferenceRecorded(state: ServiceState): ServiceState['recordedInterference'] {
+  const { recordedInterference: recorded, interference, now } = state;
+  return recorded.isDue ? { conflicts: interference.conflicts, at: now, isDue: false } : recorded;
+}
+
 /** Stores the pending changes, unless an append is in flight. */
 export function* flushOutbox(state: ServiceState): ServiceStep<ServiceState> {
   if (state.appendInFlight !== null || state.isSuperseded) return state;
   const hasNothing =
     state.dirtyJobIds.isEmpty() &&
     state.forgottenJobIds.isEmpty() &&
+    !state.recordedInterference.isDue &&
     state.pendingReleaseRecords.length === 0;
   if (hasNothing) return markEndsStored(state, unstoredEndsOf(state));
   const jobIds = state.dirtyJobIds.take(JOBS_PER_BATCH);
@@ -88,6 +101,7 @@
       progress: progressOf(job),
     })),
     ...state.pendingReleaseRecords,
+    ...interferenceRecords(state),
     ...state.forgottenJobIds.toArray().map((jobId) => ({ kind: 'job-forgotten' as const, jobId })),
   ];
   const appendId = state.nextAppendId;
@@ -105,6 +119,7 @@
     dirtyJobIds: state.dirtyJobIds.subtract(jobIds),
     forgottenJobIds: state.forgottenJobIds.clear(),
     pendingReleaseRecords: [],
+    recordedInterference: markInterferenceRecorded(state),
   });
 }
 
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -8,7 +8,7 @@
 import { markQuarantineStale, placeQuarantinedTasks } from './quarantine.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEvent } from '../state/event.js';
-import { forgetOldInterference } from './interference.js';
+import { reviewInterference } from './interference.js';
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
@@ -131,7 +131,7 @@
   next = yield* ejectUnhealthyWorkers(next);
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
-  if (isFullScanDue(next)) next = yield* forgetOldInterference(next);
+  if (isFullScanDue(next)) next = yield* reviewInterference(next);
   const remembered = markQuarantineStale(yield* forgetJobs(next));
   return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -1,7 +1,8 @@
 /** Builds the state of a new owner from the records of the service. */
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
 import { taskIdOf, type JobRequest } from '../model/job.js';
-import type { JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
+import { restoreInterference } from '../decide/interference/record.js';
+import type { InterferenceRecord, JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
 import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
@@ -86,6 +87,7 @@
     quarantine: EMPTY_QUARANTINE,
     interference: NO_INTERFERENCE,
     paceBudget: fullPaceBudget(now),
+    recordedInterference: { conflicts: NO_INTERFERENCE.conflicts, at: -Infinity, isDue: false },
   };
 }
 
@@ -177,6 +179,7 @@
   readonly progress: Map<string, JobProgress>;
   readonly cancelled: Set<string>;
   readonly released: Map<string, number>;
+  readonly interference: InterferenceRecord | null;
 }
 
 function groupRecords(records: readonly StoredServiceRecord[]): RecordsByKind {
@@ -184,6 +187,7 @@
   const progress = new Map<string, JobProgress>();
   const cancelled = new Set<string>();
   const released = new Map<string, number>();
+  let interference: InterferenceRecord | null = null;
   for (const { record } of records) {
     if (record.kind === 'job-accepted' && !requests.has(record.request.jobId)) {
       requests.set(record.request.jobId, record.request);
@@ -192,8 +196,9 @@
     if (record.kind === 'job-cancelled') cancelled.add(record.jobId);
     if (record.kind === 'worker-released') released.set(record.workerId, record.incarnation);
     if (record.kind === 'worker-returned') released.delete(record.workerId);
+    if (record.kind === 'interference-learned') interference = record.model;
   }
-  return { requests, progress, cancelled, released };
+  return { requests, progress, cancelled, released, interference };
 }
 
 /** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
@@ -209,13 +214,21 @@
   });
 }
 
+function withRestoredInterference(state: ServiceState, record: InterferenceRecord): ServiceState {
+  const interference = restoreInterference(record, state.now, state.timeOfDay);
+  const { conflicts } = interference;
+  const recordedInterference = { conflicts, at: state.now, isDue: false };
+  return updateService(state, { interference, recordedInterference });
+}
+
 /** Builds the state of a new owner. The caller still has to apply the returned cancellations. */
 export function restoreService(input: RestoreInput): {
   readonly state: ServiceState;
   readonly cancelledJobIds: readonly string[];
 } {
-  const { requests, progress, cancelled, released } = groupRecords(input.records);
+  const { requests, progress, cancelled, released, interference } = groupRecords(input.records);
   let state = updateService(emptyState(input), { releasedWorkers: PersistentMap(released) });
+  if (interference !== null) state = withRestoredInterference(state, interference);
   for (const [jobId, request] of requests) {
     const job = restoreJob(state, request, progress.get(jobId));
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -322,4 +322,10 @@
   readonly quarantine: QuarantineState;
   readonly interference: InterferenceState;
   readonly paceBudget: PaceBudget;
+  /** The conflicts that are recorded, when they were, and whether the model is to be recorded with the next batch. */
+  readonly recordedInterference: {
+    readonly conflicts: InterferenceState['conflicts'];
+    readonly at: Instant;
+    readonly isDue: boolean;
+  };
 }
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -55,6 +55,7 @@
     quarantine: state.quarantine,
     interference: state.interference,
     paceBudget: state.paceBudget,
+    recordedInterference: state.recordedInterference,
     ...changes,
   };
 }
