--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,11 +1,14 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
 import type { RelayStatus } from '../relays/relays.js';
 import {
+  selectSlowedWorkers,
   selectWorkspaceUse,
+  selectWorstPairs,
   type FleetState,
   type ServiceState,
   type TaskState,
   type WorkspaceUse,
+  type WorstPair,
 } from '@baobabdeck/scheduling';
 import type { OwnedLogs } from './owned-logs.js';
 
@@ -22,6 +25,10 @@
   readonly provenAgoMilliseconds: number;
   /** Use beside limit of each workspace with runs, waiting tasks or a grant. */
   readonly workspaces: readonly WorkspaceUse[];
+  /** Pairs of images that are known to interfere, worst first, with the evidence. */
+  readonly worstInterference: readonly WorstPair[];
+  /** Workers whose filling tasks are slowed down, with their pace. */
+  readonly slowedWorkers: ReturnType<typeof selectSlowedWorkers>;
 }
 
 /** Status of this process. */
@@ -53,6 +60,8 @@
     ),
     provenAgoMilliseconds: Math.round(now - state.provenAt),
     workspaces: selectWorkspaceUse(state),
+    worstInterference: selectWorstPairs(state),
+    slowedWorkers: selectSlowedWorkers(state),
   };
 }
 
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -324,4 +324,10 @@
   readonly workspaces: WorkspacesState;
   readonly interference: InterferenceState;
   readonly paceBudget: PaceBudget;
+  /** The conflicts that are recorded, when they were, and whether the model is to be recorded with the next batch. */
+  readonly recordedInterference: {
+    readonly conflicts: InterferenceState['conflicts'];
+    readonly at: Instant;
+    readonly isDue: boolean;
+  };
 }
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -56,6 +56,7 @@
     workspaces: state.workspaces,
     interference: state.interference,
     paceBudget: state.paceBudget,
+    recordedInterference: state.recordedInterference,
     ...changes,
   };
 }
