Complete maintenance waves within their duration

Cause: a host that was requested for a wave held a place of its limit on hosts down while its tasks ended, and for good if it could not be drained. Hosts with lasting tasks came last, although their steps let go of one task after the other.

Change: only hosts that are or may be down hold places; a released host waits for one. A wave that is behind its pace drains half its limit ahead, an overdue drain no longer keeps others from being drained, and one host with lasting tasks is drained in each pool from the beginning. Moves take hosts last that a wave is still to take, and none of a wave that is late.

--- a/packages/scheduling/src/__tests__/maintenance-waves.test.ts
+++ b/packages/scheduling/src/__tests__/maintenance-waves.test.ts
@@ -121,4 +121,96 @@
     }
     t.true(requestedOnce.size > 1, `requested ${[...requestedOnce].join(', ')}`);
   });
+
+  it('lets a drained host wait until fewer hosts than the limit are down', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2', 'h3', 'h4'];
+    const listHosts = (state: 'up' | 'upkeep', downId: string): void => {
+      harness.list(
+        ...hosts.map((hostId) => hostOf(hostId, 'quotes', { state: hostId === downId ? state : 'up' })),
+      );
+    };
+    const reportReleased = () => {
+      const { hosts: known } = harness.state();
+      const loads = hosts.map((hostId) =>
+        loadOf(hostId, { release: known.get(hostId)?.requestedAction == null ? null : 'released' }),
+      );
+      return ordersOf(harness.dispatch({ kind: 'service-reported', report: reportOf(loads) }));
+    };
+    listHosts('up', 'h1');
+    reportReleased();
+    requestWave(harness, hosts, 1);
+    // The wave is behind its schedule by then, so that a second host is drained ahead.
+    harness.advance(8_000);
+    harness.advance(125);
+    const requested = harness.state().hosts.count(({ requestedAction }) => requestedAction !== null);
+    t.is(requested, 2);
+    const [first] = reportReleased();
+    if (first === undefined) {
+      t.fail();
+      return;
+    }
+    t.deepEqual(reportReleased(), []);
+    harness.settle(first, 'accepted');
+    listHosts('upkeep', first.hostId);
+    t.deepEqual(reportReleased(), []);
+    harness.advance(125);
+    listHosts('up', first.hostId);
+    t.is(reportReleased().length, 1);
+  });
+
+  it('counts a host as down that is requested again after an order of an earlier owner', (t) => {
+    const ordered: FleetRecord = {
+      kind: 'host-ordered',
+      hostId: 'h1',
+      what: { kind: 'maintain', wave: 1 },
+      isAccepted: false,
+      recordedAt: new Date(DAY - 60_000),
+    };
+    const harness = createFleetHarness([ordered]);
+    harness.list(hostOf('h1', 'quotes'), hostOf('h2', 'spare'));
+    requestWave(harness, ['h1', 'h2'], 1);
+    t.deepEqual(ordersOf(harness.advance(5_100)), []);
+    t.is(harness.state().hosts.get('h1')?.requestedAction?.what.kind, 'maintain');
+    t.deepEqual(ordersOf(harness.advance(125)), []);
+  });
+
+  it('leaves a host to a wave that is behind its schedule instead of moving it', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2'];
+    harness.list(
+      ...hosts.map((hostId) => hostOf(hostId, 'quotes')),
+      hostOf('h3', 'spare'),
+      hostOf('h4', 'spare'),
+    );
+    requestWave(harness, ['h3'], 0);
+    harness.advance(15_000);
+    const waitingMilliCores = 100_000;
+    const report = reportOf(
+      hosts.map((hostId) => loadOf(hostId)),
+      { waitingMilliCores },
+    );
+    harness.dispatch({ kind: 'service-reported', report });
+    t.deepEqual(
+      ordersOf(harness.advance(125)).map(({ hostId }) => hostId),
+      ['h4'],
+    );
+  });
+
+  it('moves hosts that no wave has yet to take before the others', (t) => {
+    const harness = createFleetHarness();
+    const hosts = ['h1', 'h2'];
+    harness.list(
+      ...hosts.map((hostId) => hostOf(hostId, 'quotes')),
+      hostOf('h3', 'spare'),
+      hostOf('h4', 'spare'),
+    );
+    requestWave(harness, ['h3'], 0);
+    const report = reportOf(
+      hosts.map((hostId) => loadOf(hostId)),
+      { waitingMilliCores: 10_000 },
+    );
+    harness.dispatch({ kind: 'service-reported', report });
+    t.is(ordersOf(harness.advance(125))[0]?.hostId, 'h4');
+  });
 });
--- a/packages/scheduling/src/fleet/orders.ts
+++ b/packages/scheduling/src/fleet/orders.ts
@@ -54,10 +54,15 @@
 }
 
 /** Requests an action on a host. A host that is switched off gets its order at once; any other is drained first. */
-export function requestHostAction(state: FleetState, host: HostState, what: HostAction): FleetState {
+export function requestHostAction(
+  state: FleetState,
+  host: HostState,
+  what: HostAction,
+  isResumed = false,
+): FleetState {
   return isStandbyPool(state, host.listing.pool)
     ? beginOrder(state, host, what)
-    : setHost(state, updateHost(host, { requestedAction: { what, since: state.now } }));
+    : setHost(state, updateHost(host, { requestedAction: { what, since: state.now, isResumed } }));
 }
 
 /** Returns whether ownership was proven recently enough to send orders and the fleet is not being handed over. */
--- a/packages/scheduling/src/fleet/pools.ts
+++ b/packages/scheduling/src/fleet/pools.ts
@@ -6,6 +6,7 @@
 import { balanceOf, missingHostsOf, type PoolBalance } from './pool-demand.js';
 import type { FleetState, HostState } from './state.js';
 import { updateFleet } from './update.js';
+import { pendingWaveHosts, selectMovable } from './wave-schedule.js';
 
 /** Time for which a pool must have had a surplus before a host of it moves to standby. */
 const SURPLUS_DELAY_MILLISECONDS = 2_500;
@@ -29,9 +30,10 @@
 }
 
 function freeStandbyHosts(state: FleetState): readonly HostState[] {
-  return [...state.hosts.values()].filter(
+  const free = [...state.hosts.values()].filter(
     (host) => isStandbyPool(state, host.listing.pool) && isFree(state, host),
   );
+  return selectMovable(free, ({ listing }) => listing.hostId, pendingWaveHosts(state));
 }
 
 function compareLoads(one: HostLoad, other: HostLoad): number {
@@ -47,7 +49,7 @@
   const loads = [...received.report.hosts]
     .filter((load) => load.isSound && load.release === null && load.lastingCount === 0)
     .sort(compareLoads);
-  for (const load of loads) {
+  for (const load of selectMovable(loads, ({ hostId }) => hostId, pendingWaveHosts(state))) {
     const host = state.hosts.get(load.hostId);
     if (host !== undefined && host.listing.pool === pool && isFree(state, host)) return host;
   }
--- a/packages/scheduling/src/fleet/reduce.ts
+++ b/packages/scheduling/src/fleet/reduce.ts
@@ -121,7 +121,7 @@
     if (host !== undefined && host.order === null) {
       state = isMoveCarriedOut(host, what)
         ? addRecord(state, { kind: 'host-settled', hostId })
-        : requestHostAction(state, host, what);
+        : requestHostAction(state, host, what, true);
     }
   }
   return state;
--- a/packages/scheduling/src/fleet/requested-actions.ts
+++ b/packages/scheduling/src/fleet/requested-actions.ts
@@ -3,6 +3,7 @@
 import { beginOrder, earlierOrdersExpireAt, mayOrder, setHost } from './orders.js';
 import type { FleetState, HostAction, HostState } from './state.js';
 import { updateFleet, updateHost } from './update.js';
+import { mayBeginRequestedAction } from './wave-places.js';
 
 /** Time after which the request to move a host that is still busy is dropped. */
 const MOVE_REQUEST_TIMEOUT_MILLISECONDS = 4_000;
@@ -30,7 +31,9 @@
       host.cooldownUntil <= next.now &&
       host.listing.pool === report.service &&
       host.listing.workerId === workerId;
-    if (isReady && release === 'released') next = beginOrder(next, host, host.requestedAction.what);
+    if (isReady && release === 'released' && mayBeginRequestedAction(next, host)) {
+      next = beginOrder(next, host, host.requestedAction.what);
+    }
   }
   return next;
 }
--- a/packages/scheduling/src/fleet/state.ts
+++ b/packages/scheduling/src/fleet/state.ts
@@ -23,6 +23,8 @@
 export interface RequestedHostAction {
   readonly what: HostAction;
   readonly since: Instant;
+  /** An earlier owner may have sent an order for it, which may still be carried out. */
+  readonly isResumed: boolean;
 }
 
 /** State of one host. */
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -4,9 +4,8 @@
 import { isStandbyPool, mayOrder, recordWave, requestHostAction } from './orders.js';
 import type { FleetState, HostState, WaveState } from './state.js';
 import { updateFleet } from './update.js';
-
-/** Share of a wave's duration in which it should finish; the remainder is left for stragglers. */
-const TARGET_SHARE = 0.7;
+import { hostsOfWave, isDrainOverdue, isRequestedFor, roomOfWave } from './wave-places.js';
+import { isBehindSchedule } from './wave-schedule.js';
 
 /** Share of a pool's hosts that may be unavailable at once while a wave is on schedule. */
 const UNHURRIED_POOL_SHARE = 0.25;
@@ -39,23 +38,6 @@
   return recordWave(state, begun);
 }
 
-/** Returns whether a host is or may be down for a wave, by an order of this owner or of an earlier one. */
-function isDownFor(state: FleetState, host: HostState, { wave, hostIds }: WaveState): boolean {
-  const { hostId } = host.listing;
-  const what = host.order?.what ?? state.inheritedOrders.get(hostId);
-  const isOrdered = what?.kind === 'maintain' && what.wave === wave;
-  return isOrdered || (host.listing.state === 'upkeep' && hostIds.includes(hostId));
-}
-
-function isRequestedFor(host: HostState, wave: number): boolean {
-  const what = host.requestedAction?.what;
-  return what?.kind === 'maintain' && what.wave === wave;
-}
-
-function hostsOf(state: FleetState, wave: WaveState): readonly HostState[] {
-  return wave.hostIds.flatMap((hostId) => state.hosts.get(hostId) ?? []);
-}
-
 function loadOf(state: FleetState, host: HostState): HostLoad | null {
   const hosts = state.reports.get(host.listing.pool)?.report.hosts ?? [];
   return hosts.find((load) => load.hostId === host.listing.hostId) ?? null;
@@ -74,14 +56,6 @@
   return busy / capacity + load.taskCount * TASK_WEIGHT + load.lastingCount * LASTING_WEIGHT;
 }
 
-/** Returns whether fewer hosts have begun maintenance than an even pace to the end of the target time requires. */
-function isBehindSchedule(state: FleetState, wave: WaveState, left: number): boolean {
-  const elapsed = state.timeOfDay.getTime() - wave.seenSince.getTime();
-  const target = wave.durationMilliseconds * TARGET_SHARE;
-  const expected = wave.hostIds.length * (1 - elapsed / target);
-  return left > Math.ceil(expected);
-}
-
 function wouldExceedPoolShare(state: FleetState, wave: WaveState, host: HostState): boolean {
   const { pool } = host.listing;
   const ofPool = state.hosts.filter((one) => one.listing.pool === pool);
@@ -89,33 +63,69 @@
   return away + 1 > Math.max(1, Math.floor(ofPool.size * UNHURRIED_POOL_SHARE));
 }
 
+/**
+ * Returns whether a wave may take a host now. A wave that is behind its schedule also takes hosts that are only
+ * requested for a move, since the move would delay their maintenance.
+ */
+function isReady(state: FleetState, host: HostState, isHurried: boolean): boolean {
+  const { order, requestedAction, listing, cooldownUntil } = host;
+  const isMoveRequested = requestedAction?.what.kind === 'move' && !requestedAction.isResumed;
+  const isUnrequested = requestedAction === null || (isHurried && isMoveRequested);
+  return order === null && isUnrequested && listing.state === 'up' && cooldownUntil <= state.now;
+}
+
+/** Returns whether a host has lasting tasks, whose steps may let go of one after the other only. */
+function hasLastingTasks(state: FleetState, host: HostState): boolean {
+  return (loadOf(state, host)?.lastingCount ?? 0) > 0;
+}
+
+/** Returns the pools in which a host with lasting tasks is being drained for a wave and is not overdue. */
+function poolsWithSlowDrain(state: FleetState, wave: WaveState): ReadonlySet<string> {
+  const slow = hostsOfWave(state, wave).filter(
+    (host) => isRequestedFor(host, wave.wave) && hasLastingTasks(state, host) && !isDrainOverdue(state, host),
+  );
+  return new Set(slow.map(({ listing }) => listing.pool));
+}
+
+function* requestMaintenance(
+  state: FleetState,
+  host: HostState,
+  { wave }: WaveState,
+  isHurried: boolean,
+): FleetStep<FleetState> {
+  const { hostId, pool } = host.listing;
+  yield { kind: 'log', decision: 'hostWanted', fields: { hostId, pool, wave, isHurried } };
+  return requestHostAction(state, host, { kind: 'maintain', wave });
+}
+
+/**
+ * Takes the next hosts of a wave: hosts that are off fill free places, and others are drained. Hosts with lasting tasks
+ * take longest to drain, so one in each pool is drained at all times, in addition to the others.
+ */
 function* selectHosts(state: FleetState, wave: WaveState): FleetStep<FleetState> {
-  const hosts = hostsOf(state, wave);
-  const taken = hosts.filter(
-    (host) => isDownFor(state, host, wave) || isRequestedFor(host, wave.wave),
-  ).length;
-  const left = hosts.filter((host) => !wave.begunHostIds.has(host.listing.hostId));
+  const left = hostsOfWave(state, wave).filter(({ listing }) => !wave.begunHostIds.has(listing.hostId));
   const isHurried = isBehindSchedule(state, wave, left.length);
   const ready = left
-    .filter(
-      (host) =>
-        host.order === null &&
-        host.requestedAction === null &&
-        host.listing.state === 'up' &&
-        host.cooldownUntil <= state.now,
-    )
+    .filter((host) => isReady(state, host, isHurried))
     .sort((one, other) => disruptionOf(state, one) - disruptionOf(state, other));
   let next = state;
-  let free = wave.maximumDown - taken;
+  let { drains, idleHosts } = roomOfWave(state, wave, isHurried);
+  const slowPools = new Set(poolsWithSlowDrain(state, wave));
   for (const host of ready) {
-    if (free <= 0) break;
-    const isOff = isStandbyPool(next, host.listing.pool);
-    if (isOff || isHurried || !wouldExceedPoolShare(next, wave, host)) {
-      const what = { kind: 'maintain' as const, wave: wave.wave };
-      const { hostId, pool } = host.listing;
-      yield { kind: 'log', decision: 'hostWanted', fields: { hostId, pool, wave: wave.wave, isHurried } };
-      next = requestHostAction(next, host, what);
-      free -= 1;
+    const { pool } = host.listing;
+    if (isStandbyPool(next, pool)) {
+      if (idleHosts > 0) {
+        next = yield* requestMaintenance(next, host, wave, isHurried);
+        idleHosts -= 1;
+        drains -= 1;
+      }
+    } else if (isHurried || !wouldExceedPoolShare(next, wave, host)) {
+      const isNextSlow = !slowPools.has(pool) && hasLastingTasks(state, host);
+      if (drains > 0 || isNextSlow) {
+        next = yield* requestMaintenance(next, host, wave, isHurried);
+        if (isNextSlow) slowPools.add(pool);
+        else drains -= 1;
+      }
     }
   }
   return next;
@@ -124,7 +134,7 @@
 function isFinished(state: FleetState, wave: WaveState): boolean {
   if (state.listedAt === null || state.listedAt < wave.seenAt) return false;
   // A host that is no longer listed has left the platform, so the wave does not wait for its maintenance.
-  return hostsOf(state, wave).every((host) => wave.begunHostIds.has(host.listing.hostId));
+  return hostsOfWave(state, wave).every((host) => wave.begunHostIds.has(host.listing.hostId));
 }
 
 function* advanceWave(state: FleetState, wave: WaveState): FleetStep<FleetState> {
