--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,5 +1,4 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
-import type { RelayStatus } from '../relays/relays.js';
 import {
   selectSlowedWorkers,
   selectWorkspaceUse,
@@ -10,6 +9,7 @@
   type WorkspaceUse,
   type WorstPair,
 } from '@baobabdeck/scheduling';
+import type { RelayStatus } from '../relays/relays.js';
 import type { OwnedLogs } from './owned-logs.js';
 
 /** One service that this process owns. */
