Replace figurative wording in comments of grants, waves and the emulator

Change: comments, a test title and two local names use the terms of the field; no behaviour changes.

--- a/packages/fleet-emulator/src/__tests__/harm.test.ts
+++ b/packages/fleet-emulator/src/__tests__/harm.test.ts
@@ -13,7 +13,7 @@
       t.true(world.log.some((line) => line.includes('workerPaceChanged')));
     });
 
-    it(`are not over their target for long once an owner hears the workers, with seed ${seed}`, async (t) => {
+    it(`stay below the limit on harm while an owner receives the reports of workers, with seed ${seed}`, async (t) => {
       const { violations, errors } = await playHarm({
         seed,
         kinds: ['kill-node', 'freeze-node'],
--- a/packages/fleet-emulator/src/capacity-rules.ts
+++ b/packages/fleet-emulator/src/capacity-rules.ts
@@ -12,7 +12,7 @@
 /** Time for which a worker may still be filled up to the capacity that it had. */
 const FORMER_CAPACITY_MILLISECONDS = 3_000 + REPORT_INTERVAL_MILLISECONDS;
 
-/** What the rule hears. */
+/** Observations that the rule receives. */
 export type CapacityRules = Pick<WorkerObserver, 'onStart' | 'onCapacityChange'>;
 
 /** A capacity that a worker had. */
--- a/packages/fleet-emulator/src/harm-rules.ts
+++ b/packages/fleet-emulator/src/harm-rules.ts
@@ -7,7 +7,7 @@
 /** Longest time for which a serving task may be over its target without a break because of filling tasks. */
 const HARM_MILLISECONDS = 4_500;
 
-/** Time after a trouble within which a service has an owner that hears its workers again. */
+/** Time after a trouble within which an owner of the service receives the reports of its workers again. */
 const TAKEOVER_MILLISECONDS = 8_000;
 
 /** Creates the rule. */
--- a/packages/fleet-emulator/src/workspace-rules.ts
+++ b/packages/fleet-emulator/src/workspace-rules.ts
@@ -16,7 +16,7 @@
  */
 const FORMER_CAP_MILLISECONDS = 15_000;
 
-/** What the rule hears. */
+/** Observations that the rule receives. */
 export interface WorkspaceRules {
   readonly onStart: (started: ObservedStart) => void;
   readonly onCapsChanged: (workspaces: readonly Workspace[]) => void;
--- a/packages/scheduling/src/fleet/grants.ts
+++ b/packages/scheduling/src/fleet/grants.ts
@@ -146,10 +146,10 @@
   return [...configured, ...removed];
 }
 
-/** Returns the highest limit that may be in force; a service owner may take a workspace for uncapped until it is told. */
+/** Returns the highest limit that may be in force. A workspace may count as uncapped until the owner acknowledges its cap. */
 function limitInForce(grants: FleetGrants, known: ServiceGrantState, workspace: string): Resources {
-  const isToldCapped = known.acknowledgedVersion >= (grants.cappedSince.get(workspace) ?? 0);
-  return isToldCapped ? (known.limits.get(workspace) ?? NO_RESOURCES) : UNLIMITED;
+  const hasAcknowledgedCap = known.acknowledgedVersion >= (grants.cappedSince.get(workspace) ?? 0);
+  return hasAcknowledgedCap ? (known.limits.get(workspace) ?? NO_RESOURCES) : UNLIMITED;
 }
 
 function holdingOf(state: FleetState, service: string, workspace: string): ServiceHolding {
@@ -178,7 +178,7 @@
   }
 }
 
-/** Tells a service owner of uncapped workspaces that it does not know to be so, such as those that were removed. */
+/** Lifts the limits of workspaces that are no longer capped, such as those that were removed. */
 function planUncapped(
   state: FleetState,
   service: string,
@@ -186,11 +186,11 @@
   plan: Plan,
 ): void {
   const { uses, sent } = serviceStateOf(state, service);
-  const told = new Set(sent?.workspaces.map(({ workspace }) => workspace));
+  const sentWorkspaces = new Set(sent?.workspaces.map(({ workspace }) => workspace));
   for (const { workspace, granted } of uses.values()) {
     const known = terms.get(workspace);
     const isLimited = known !== undefined && isCapped(known.cap);
-    if (!isLimited && (isCapped(granted) || told.has(workspace))) {
+    if (!isLimited && (isCapped(granted) || sentWorkspaces.has(workspace))) {
       const grant = { workspace, limit: NO_CAP, cap: NO_CAP, weight: known?.weight ?? 1 };
       plan.get(service)?.set(workspace, grant);
     }
--- a/packages/scheduling/src/fleet/waves.ts
+++ b/packages/scheduling/src/fleet/waves.ts
@@ -74,7 +74,7 @@
   return order === null && isUnrequested && listing.state === 'up' && cooldownUntil <= state.now;
 }
 
-/** Returns whether a host has lasting tasks, whose steps may let go of one after the other only. */
+/** Returns whether a host has lasting tasks, of whose steps only a limited number may be absent at once. */
 function hasLastingTasks(state: FleetState, host: HostState): boolean {
   return (loadOf(state, host)?.lastingCount ?? 0) > 0;
 }
