Name the acknowledged end in the worker stand-in of owner-burst

Cause: a parameter had the platform's name outside platform/. Change: a local rename; the fields on the wire stay, since the stand-in answers the platform's client.

--- a/packages/bench/src/owner-burst/child.ts
+++ b/packages/bench/src/owner-burst/child.ts
@@ -58,8 +58,8 @@
     }, RUN_MILLISECONDS);
   };
 
-  const hold = async (lastSeen: number, waitMilliseconds: number): Promise<unknown> => {
-    ended = ended.filter((row) => row[ENDED_FIELDS_NUMBER] > lastSeen);
+  const hold = async (acknowledgedEnd: number, waitMilliseconds: number): Promise<unknown> => {
+    ended = ended.filter((row) => row[ENDED_FIELDS_NUMBER] > acknowledgedEnd);
     if (ended.length === 0) {
       await new Promise<void>((resolve) => {
         wake = resolve;
