Review case 3: a cap that is lowered for 5 s fails accepted submissions

Cause: a submission with a work unit above the newest cap of its tenant ends as failed at once, since such a work unit is taken as one that can never start.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -135,6 +135,7 @@
   processes,
   services,
   routes,
+  tenants = null,
   bounds = BOUNDS,
   disturbOrder = () => null,
 }) {
@@ -149,7 +150,7 @@
   let workerCount = 0;
   let requestCount = 0;
 
-  const writeConfig = () => {
+  const writeConfig = (ofTenants = tenants) => {
     store.write('keyed.op', 'config', {
       version,
       routes: routes.map((route) => ({
@@ -170,6 +171,7 @@
         standby: false,
         ...service,
       })),
+      ...(ofTenants === null ? {} : { tenants: ofTenants }),
       limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
     });
     version += 3;
@@ -282,7 +284,10 @@
     return nodes.find(({ peer }) => text.includes(`|${peer}|`)) ?? null;
   };
 
-  const request = async (node, { method, route, id = '', body = null, deadlineMs = 3000, agent }) => {
+  const request = async (
+    node,
+    { method, route, id = '', body = null, deadlineMs = 3000, agent, headers },
+  ) => {
     const { host, pathPrefix } = routes.find(({ name }) => name === route);
     requestCount += 1;
     const number = requestCount;
@@ -294,8 +299,9 @@
       body,
       deadlineMs,
       agent,
+      headers,
     });
-    const fields = { number, node: node.name, method, id, kind2: answer.kind, status: answer.status };
+    const fields = { number, node: node.name, method, id, outcome: answer.kind, status: answer.status };
     note('answered', { ...fields, body: answer.body, ms: Math.round(answer.milliseconds) });
     return answer;
   };
@@ -312,10 +318,10 @@
     ownerOf,
     request,
     /** Submits a job until it is accepted; returns the last answer. */
-    submit: async ({ node = nodes[0], route, id, body, workMs, endOf }) => {
+    submit: async ({ node = nodes[0], route, id, body, workMs, endOf, headers }) => {
       jobs.set(id, { id, body, workMs, endOf });
       for (let attempt = 0; ; attempt += 1) {
-        const answer = await request(node, { method: 'POST', route, id, body });
+        const answer = await request(node, { method: 'POST', route, id, body, headers });
         if (answer.status === 200 || attempt === 4) return answer;
         await sleep(500);
       }
