--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -5,11 +5,11 @@
 
 const LOOPBACK = '127.0.0.1';
 
-/** Listens on a free port of the loopback address and returns the address. */
-export async function listen(server) {
+/** Listens on a port of the loopback address, by default a free one, and returns the address. */
+export async function listen(server, wantedPort = 0) {
   await new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(0, LOOPBACK, resolve);
+    server.listen(wantedPort, LOOPBACK, resolve);
   });
   Object.assign(server, { keepAliveTimeout: 120_000 });
   return `${LOOPBACK}:${server.address().port}`;
--- a/review/lib/workers.mjs
+++ b/review/lib/workers.mjs
@@ -31,6 +31,7 @@
   gangs,
   note,
   disturb = () => null,
+  port = 0,
 }) {
   const born = Date.now();
   const bornAt = performance.now();
@@ -223,7 +224,7 @@
         };
         waiters.add(finish);
         setTimeout(finish, waitMs);
-        response.on('close', finish);
+        response?.on('close', finish);
       });
     }
     return accept(lists());
@@ -248,7 +249,12 @@
       return;
     }
     const order = body.length === 0 ? {} : JSON.parse(body.toString('utf8'));
-    const trouble = disturb(request.url);
+    const trouble = disturb(request.url, order, id);
+    if (trouble?.kind === 'kept') {
+      // The order gets no answer; the case carries it out later, on whatever life then has the id.
+      trouble.keep(order);
+      return;
+    }
     if (trouble?.kind === 'late') {
       // The order gets no answer and is carried out late, if this life still runs.
       setTimeout(() => {
@@ -264,7 +270,7 @@
   const server = createServer((request, response) => {
     answer(request, response).catch((error) => note('stand-in-fault', { error: String(error) }));
   });
-  const address = await listen(server);
+  const address = await listen(server, port);
 
   return {
     id,
@@ -272,6 +278,9 @@
     service,
     zone,
     address,
+    port: Number(address.split(':')[1]),
+    /** Carries out an order that was kept back. */
+    carryOut: (url, order) => carryOut(url, { ...order, waitMs: 0 }, null),
     runningTasks: () => [...running.keys()],
     isGone: () => isGone,
     setMode: (next) => {
