Review: end the started processes also when a case cannot start

Cause: a case whose deployment did not become ready threw before it could stop its processes; two of them kept running after such a run.

Change: the processes are killed when the driver exits, on signals too, and none is started after the case has stopped.

Result: no process is left after a driver that exits during the case.

--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -66,6 +66,9 @@
 
 const HEARTBEAT_MS = 1500;
 
+/** Exit code of a case that could not run. */
+const CANNOT_RUN = 2;
+
 /** Resolves after a number of milliseconds. */
 export { sleep };
 
@@ -149,6 +152,7 @@
   let version = 1;
   let workerCount = 0;
   let requestCount = 0;
+  let isStopped = false;
 
   const writeConfig = (ofTenants = tenants) => {
     store.write('keyed.op', 'config', {
@@ -200,6 +204,7 @@
   };
 
   const launch = (node) => {
+    if (isStopped) return;
     const [program, ...words] = commandOfRole();
     const log = openSync(join(folder, `${node.name}.log`), 'a');
     const child = spawn(program === 'node' ? process.execPath : program, words, {
@@ -215,6 +220,10 @@
     note('process-started', { node: node.name, pid: child.pid });
   };
 
+  process.once('exit', () => nodes.forEach(({ child }) => child?.kill('SIGKILL')));
+  process.once('SIGTERM', () => process.exit(CANNOT_RUN));
+  process.once('SIGINT', () => process.exit(CANNOT_RUN));
+
   const addNode = async (index) => {
     const name = `frontend-zona-monza-${index + 1}`;
     const [frontend, readiness, peer, metrics] = [
@@ -327,6 +336,7 @@
       }
     },
     stop: async () => {
+      isStopped = true;
       const children = nodes.flatMap(({ child }) => child ?? []);
       children.forEach((child) => child.kill('SIGKILL'));
       await until(() => nodes.every(({ child }) => child === null), 3_000);
@@ -342,7 +352,7 @@
 export async function runCase({ folder, deployment, play }) {
   const record = openRecord(folder);
   let system = null;
-  let code = 2;
+  let code = CANNOT_RUN;
   try {
     system = await startSystem({ record, ...deployment });
     code = await play(system, record);
