--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,5 +1,6 @@
 /** A register entry from another writer, whose address is none, appears while submissions run. */
 import process from 'node:process';
+import { hasBeenIdle } from '../lib/judge.mjs';
 import { runCase, sleep, until } from '../lib/system.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
@@ -11,7 +12,6 @@
 const RESTART_MS = 500;
 const TRAFFIC_MS = 20_000;
 const SUBMIT_EVERY_MS = 500;
-const IDLE_MS = 3_000;
 
 /** The entry of a worker with one field of another type: its address is no address of IP version 4. */
 function foreignEntry(system) {
@@ -35,14 +35,6 @@
   return answers.find(({ status }) => status === 200)?.body?.state ?? null;
 }
 
-/** Whether nothing of a submission has run for 3 s. Its only step is ready from its acceptance on. */
-function hasBeenIdle(events, id, now) {
-  const own = events.filter(({ task }) => task?.startsWith(id));
-  const starts = own.filter(({ kind }) => kind === 'start').length;
-  const ends = own.filter(({ kind }) => kind === 'end' || kind === 'lost');
-  return starts === ends.length && ends.every(({ at }) => at < now - IDLE_MS);
-}
-
 async function play(system, { note, events, now }) {
   for (let index = 0; index < WORKERS; index += 1) await system.addWorker({ service: SERVICE });
   if (!(await until(() => system.ownerOf(SERVICE) !== null, 10_000))) return 2;
--- a/review/lib/judge.mjs
+++ b/review/lib/judge.mjs
@@ -43,3 +43,14 @@
   }
   return breaks;
 }
+
+/** Time for which a submission may have nothing running while capacity is free. */
+const IDLE_MS = 3_000;
+
+/** LOST: whether nothing of a submission with a single step has run for 3 s. */
+export function hasBeenIdle(events, id, now) {
+  const own = events.filter(({ task }) => task?.startsWith(id));
+  const starts = own.filter(({ kind }) => kind === 'start').length;
+  const ends = own.filter(({ kind }) => kind === 'end' || kind === 'lost');
+  return starts === ends.length && ends.every(({ at }) => at < now - IDLE_MS);
+}
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -4,15 +4,15 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
-import { join, resolve } from 'node:path';
+import { join, resolve as resolvePath } from 'node:path';
 import process from 'node:process';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { call, listen } from './http.mjs';
+import { call } from './http.mjs';
 import { startStore } from './store.mjs';
 import { startFleet, startWorker } from './workers.mjs';
 
-const ROOT = resolve(import.meta.dirname, '../..');
+const ROOT = resolvePath(import.meta.dirname, '../..');
 
 /** The bounds and limits of `colla-brianza`, as `fleetbench wire` shows them. */
 export const BOUNDS = {
@@ -97,13 +97,30 @@
   };
 }
 
-async function freePort() {
+/** Ports below those that the system gives to outgoing connections, which could take a port before its process starts. */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+
+let nextPort = FIRST_PORT + ((process.pid * 16) % PORTS);
+
+async function isFree(port) {
   const server = createServer();
-  await listen(server);
-  const { port } = server.address();
+  const isListening = await new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
+  if (!isListening) return false;
   server.close();
   await once(server, 'close');
-  return port;
+  return true;
+}
+
+async function freePort() {
+  for (;;) {
+    const port = nextPort;
+    nextPort = FIRST_PORT + ((nextPort + 1 - FIRST_PORT) % PORTS);
+    if (await isFree(port)) return port;
+  }
 }
 
 /** The words of `run` of the role in the deploy file. */
