--- a/packages/bench/src/experiments/owner-burst.ts
+++ b/packages/bench/src/experiments/owner-burst.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
 import {
+  createBackgroundWork,
   createTcpNetwork,
   formatMember,
   machineClock,
@@ -145,6 +146,9 @@
   const relays = startRelays({
     mode: count === 0 ? 'off' : 'always',
     clock: machineClock,
+    background: createBackgroundWork(machineClock, (activity, error) => {
+      throw new Error(`unexpected error in ${activity}`, { cause: error });
+    }),
     writeEvent: (name) => {
       if (name === 'relayFailed') failures += 1;
     },
--- a/packages/bench/src/owner-burst/child.ts
+++ b/packages/bench/src/owner-burst/child.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import {
+  createBackgroundWork,
   createTcpNetwork,
   formatMember,
   machineClock,
@@ -98,6 +99,9 @@
   const relays = startRelays({
     mode: 'always',
     clock: machineClock,
+    background: createBackgroundWork(machineClock, (activity, error) => {
+      throw new Error(`unexpected error in ${activity}`, { cause: error });
+    }),
     writeEvent: () => undefined,
     measures: NO_MEASURES,
     self: { nodeName, peerAddress, incarnation: 'first', milliCores: RELAY_MILLI_CORES },
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -22,6 +22,7 @@
   readonly appends: Counter<'stream' | 'result'>;
   readonly peerMessages: Counter<'direction' | 'kind'>;
   readonly invariantViolations: Counter<'invariant'>;
+  readonly unexpectedErrors: Counter<'activity'>;
   readonly configurationVersion: Gauge;
   readonly foldedOffset: Gauge<'stream'>;
   readonly ready: Gauge;
@@ -75,6 +76,7 @@
     reduceSeconds: histogram('reduce_seconds', 'Time of one step of the reducer', ['event'], STEP_BUCKETS),
     appends: counter('appends_total', 'Appends to the log by stream and result', ['stream', 'result']),
     peerMessages: counter('peer_messages_total', 'Messages between processes', ['direction', 'kind']),
+    unexpectedErrors: counter('unexpected_errors_total', 'Errors that no code expects', ['activity']),
     invariantViolations: counter('invariant_violations_total', 'Violations of invariants', ['invariant']),
     configurationVersion: gauge('configuration_version', 'Version of the configuration in force', []),
     foldedOffset: gauge('folded_offset', 'Next offset to fold', ['stream']),
--- a/packages/peer-protocol/src/call-server.ts
+++ b/packages/peer-protocol/src/call-server.ts
@@ -40,7 +40,9 @@
     for (const content of contents) {
       const frame = readCallFrame(content);
       if (frame === null) reject('a frame holds no call');
-      else void answerOne(socket, frame, answer);
+      else {
+        answerOne(socket, frame, answer).catch((error: unknown) => reject(`no answer: ${String(error)}`));
+      }
     }
     if (fault !== null) reject(`frame ${fault}`);
   });
--- a/packages/scheduler/src/__tests__/authenticate.test.ts
+++ b/packages/scheduler/src/__tests__/authenticate.test.ts
@@ -5,6 +5,7 @@
 import { recordUnauthenticatedCalls } from '../frontend/unauthenticated-calls.js';
 import type { Queue, QueueConfiguration, Workspace } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
+import { createTestBackground } from './test-background.js';
 
 const QUEUE: Queue = {
   name: 'quotes',
@@ -103,7 +104,11 @@
   it('has one line a second for a flood of calls, by queue and reason, and counts each call', async (t) => {
     const clock = createManualClock();
     const lines: unknown[] = [];
-    const record = recordUnauthenticatedCalls(clock, (_name, fields) => lines.push(fields));
+    const record = recordUnauthenticatedCalls(
+      clock,
+      (_name, fields) => lines.push(fields),
+      createTestBackground(clock),
+    );
     for (let call = 0; call < 50; call += 1) record('quotes', 'unknown-key');
     record('quotes', 'no-header');
     t.deepEqual(lines, [
--- a/packages/scheduler/src/__tests__/configuration.test.ts
+++ b/packages/scheduler/src/__tests__/configuration.test.ts
@@ -11,6 +11,7 @@
   QueueConfiguration,
 } from '../ports/index.js';
 import { createManualClock, type ManualClock } from './manual-clock.js';
+import { createTestBackground } from './test-background.js';
 
 const CONFIGURATION_APPLY_MILLISECONDS = 3_000;
 
@@ -119,12 +120,14 @@
   const follower = followConfiguration({
     feed: model.feed,
     clock,
+    background: createTestBackground(clock),
     writeEvent: (name) => lines.push(name),
     onConfiguration: () => undefined,
     onWave: () => undefined,
   });
   const authenticate = authenticateCallers({
     clock,
+    background: createTestBackground(clock),
     writeEvent: () => undefined,
     revocation: { isStrict, maximumAgeMilliseconds: 5_000 },
     configuration: follower,
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -7,6 +7,7 @@
 import { createPeerRequestHandler } from '../peers/peer-request-handler.js';
 import type { KeyedRecord, Queue } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
+import { createTestBackground } from './test-background.js';
 
 const QUEUE: Queue = {
   name: 'quotes',
@@ -36,8 +37,10 @@
     requests.push(sent);
     return Promise.resolve(status);
   };
+  const clock = createManualClock();
   const frontend = createFrontend({
-    clock: createManualClock(),
+    clock,
+    background: createTestBackground(clock),
     writeEvent: () => undefined,
     writer: {
       append: (_inbox, records) => {
--- a/packages/scheduler/src/__tests__/register.test.ts
+++ b/packages/scheduler/src/__tests__/register.test.ts
@@ -3,6 +3,7 @@
 import { followRegister } from '../node/register.js';
 import type { RegisterReadOutcome } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
+import { createTestBackground } from './test-background.js';
 
 const WORKER: WorkerListing = {
   workerId: 'w1',
@@ -30,12 +31,13 @@
       changes: [{ kind: 'listed', listing: WORKER }],
       nextOffset: 1,
     };
-    const register = followRegister(
-      { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
+    const register = followRegister({
+      register: { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
       clock,
-      () => isNeeded,
-      () => undefined,
-    );
+      background: createTestBackground(clock),
+      isNeeded: () => isNeeded,
+      onRead: () => undefined,
+    });
     await clock.advance(0);
     t.deepEqual(register.workersOf('quotes'), [WORKER]);
     isNeeded = false;
@@ -52,12 +54,13 @@
   it('stops returning workers once the last successful read is older than a second', async (t) => {
     const clock = createManualClock();
     let answer: RegisterReadOutcome = { kind: 'read', changes: [], nextOffset: 1 };
-    const register = followRegister(
-      { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
+    const register = followRegister({
+      register: { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
       clock,
-      () => true,
-      () => undefined,
-    );
+      background: createTestBackground(clock),
+      isNeeded: () => true,
+      onRead: () => undefined,
+    });
     await clock.advance(0);
     answer = { kind: 'failed', detail: 'status 503' };
     await clock.advance(READ_INTERVAL_MILLISECONDS);
@@ -82,12 +85,13 @@
       return Promise.resolve({ kind: 'read', changes: [{ kind: 'listed', listing }], nextOffset: reads });
     };
     const revisions: number[] = [];
-    const register = followRegister(
-      { readNewest: answer, read: answer },
+    const register = followRegister({
+      register: { readNewest: answer, read: answer },
       clock,
-      () => true,
-      () => undefined,
-    );
+      background: createTestBackground(clock),
+      isNeeded: () => true,
+      onRead: () => undefined,
+    });
     for (let read = 0; read < listings.length; read += 1) {
       await clock.advance(READ_INTERVAL_MILLISECONDS);
       revisions.push(register.revision());
--- a/packages/scheduler/src/__tests__/store-loss.test.ts
+++ b/packages/scheduler/src/__tests__/store-loss.test.ts
@@ -4,6 +4,7 @@
 import type { PeerResponse } from '../peers/messages.js';
 import type { JoinOutcome, Store } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
+import { createTestBackground } from './test-background.js';
 
 function createStore(join: () => JoinOutcome): Store {
   const failed = { kind: 'failed' as const, detail: 'no' };
@@ -46,6 +47,7 @@
     const clock = createManualClock();
     const storeReadiness = watchStoreReadiness({
       clock,
+      background: createTestBackground(clock),
       isStoreLost: () => true,
       peers: () =>
         answers.map((_, index) => ({
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -34,6 +34,8 @@
   Store,
   WaveRequest,
 } from '../ports/index.js';
+import { createBackgroundWork } from '../unexpected-errors/background-work.js';
+import { createErrorReporter } from '../unexpected-errors/report-unexpected-error.js';
 import { termsOf } from '../node/workspace-terms.js';
 import { decodeFleetRecord, encodeFleetRecord } from './fleet-codec.js';
 
@@ -102,6 +104,10 @@
   let nextOffset = 0;
   let closed = false;
   const isOpen = (): boolean => !closed;
+  const reportError = createErrorReporter((name, fields) =>
+    writeEvent(name, { subject: 'fleet', ...fields }),
+  );
+  const background = createBackgroundWork(clock, reportError);
   const currentState = (): FleetState | null => loop?.state() ?? null;
   const load = createOwnerLoad({
     clock,
@@ -153,10 +159,10 @@
         storeRecords(effect);
         break;
       case 'order-host':
-        void orderHost(effect);
+        background.start(effect.kind, () => orderHost(effect));
         break;
       case 'tell-wave-status':
-        void publishWaveStatus(effect.wave, effect.status);
+        background.start(effect.kind, () => publishWaveStatus(effect.wave, effect.status));
         break;
       case 'give-up-ownership':
         closed = true;
@@ -170,19 +176,17 @@
 
   /** Reads the inbox for newer claims; each read that finds none proves the ownership. */
   const proveOwnership = async (): Promise<void> => {
-    while (isOpen() && claimed !== null) {
-      const askedAt = clock.steadyNow();
-      const page = await store.read(inbox, nextOffset, LONG_POLL_MILLISECONDS);
-      if (page.kind === 'read') {
-        const { epoch } = claimed;
-        nextOffset = page.nextOffset;
-        // The fleet's inbox holds only claims, so any later record is a newer claim.
-        const isSuperseded = page.records.some((record) => record.offset >= epoch);
-        dispatch(isSuperseded ? { kind: 'ownership-lost' } : { kind: 'ownership-proven', askedAt });
-      } else {
-        await clock.sleep(RETRY_DELAY_MILLISECONDS);
-      }
+    const askedAt = clock.steadyNow();
+    const page = await store.read(inbox, nextOffset, LONG_POLL_MILLISECONDS);
+    if (page.kind !== 'read' || claimed === null) {
+      await clock.sleep(RETRY_DELAY_MILLISECONDS);
+      return;
     }
+    const { epoch } = claimed;
+    nextOffset = page.nextOffset;
+    // The fleet's inbox holds only claims, so any later record is a newer claim.
+    const isSuperseded = page.records.some((record) => record.offset >= epoch);
+    dispatch(isSuperseded ? { kind: 'ownership-lost' } : { kind: 'ownership-proven', askedAt });
   };
 
   const listHosts = async (): Promise<void> => {
@@ -218,11 +222,15 @@
     requestSequence += messages.length;
     dispatch({ kind: 'grants-due', messages });
     messages.forEach(({ service, sequence }) => {
-      void updateService(service, sequence);
+      background.start(
+        'update-service',
+        () => updateService(service, sequence),
+        () => pendingServices.delete(service),
+      );
     });
   };
 
-  const tick = (tickCount: number): void => {
+  const tick = (index: number): void => {
     const configuration = parts.configuration();
     const services = configuration?.services ?? [];
     if (configuration !== null) {
@@ -242,17 +250,17 @@
         maximumDown,
       }),
     );
-    if (tickCount % TICKS_PER_HOST_LIST === 0) void listHosts();
+    if (index % TICKS_PER_HOST_LIST === 0) background.start('list-hosts', listHosts);
     const state = currentState();
     if (state !== null) updateServices(grantedServices(state));
     dispatch({ kind: 'ticked' });
   };
 
-  const runTicks = async (): Promise<void> => {
-    for (let tickCount = 0; isOpen(); tickCount += 1) {
-      tick(tickCount);
-      load.recordLateness(await sleepAndMeasureLateness(clock, TICK_INTERVAL_MILLISECONDS));
-    }
+  let tickCount = 0;
+  const tickAndWait = async (): Promise<void> => {
+    tick(tickCount);
+    tickCount += 1;
+    load.recordLateness(await sleepAndMeasureLateness(clock, TICK_INTERVAL_MILLISECONDS));
   };
 
   const claimAndStart = async (): Promise<void> => {
@@ -300,7 +308,7 @@
         reduceFleet(current, { ...body, at, timeOfDay }),
       perform,
       clock,
-      writeEvent,
+      reportError,
       load,
       logFields: { subject: 'fleet' },
     });
@@ -312,11 +320,14 @@
       milliseconds: Math.round(claimed.milliseconds),
       bytes: claimed.bytes,
     });
-    void proveOwnership();
-    void runTicks();
+    background.repeat('prove-ownership', isOpen, proveOwnership);
+    background.repeat('tick', isOpen, tickAndWait);
   };
 
-  void claimAndStart();
+  background.start('claim', claimAndStart, () => {
+    closed = true;
+    parts.onSuperseded();
+  });
   return {
     inbox,
     state: currentState,
--- a/packages/scheduler/src/fleet/fleet-standby.ts
+++ b/packages/scheduler/src/fleet/fleet-standby.ts
@@ -5,6 +5,7 @@
  * a process that owns no service.
  */
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import { formatMember, parseMember, type GroupMember } from '../node/group-member.js';
 import { decodeRecord } from '../owner/record-codec.js';
 import type { PeerResponse, PeerRequest } from '../peers/messages.js';
@@ -23,6 +24,7 @@
 export interface FleetStandbyParts {
   readonly store: Store;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   /** Member name of this process. */
   readonly self: GroupMember;
   readonly ownsService: () => boolean;
@@ -47,7 +49,7 @@
 
 /** Creates the standby; it makes no check on its own. */
 export function createFleetStandby(parts: FleetStandbyParts): FleetStandby {
-  const { store, clock, self, requestFrom } = parts;
+  const { store, clock, background, self, requestFrom } = parts;
   const member = formatMember(self);
   let currentOwner: GroupMember | null = null;
   let isChecking = false;
@@ -92,9 +94,11 @@
       isChecking = true;
       if (now - checkedAt > REASSIGNMENT_GAP_MILLISECONDS) assignedSince = now;
       checkedAt = now;
-      void checkOnce(inbox, onVacant).finally(() => {
-        isChecking = false;
-      });
+      background.start('check-fleet-owner', () =>
+        checkOnce(inbox, onVacant).finally(() => {
+          isChecking = false;
+        }),
+      );
     },
   };
 }
--- a/packages/scheduler/src/frontend/caller-authentication.ts
+++ b/packages/scheduler/src/frontend/caller-authentication.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationFollower } from '../node/configuration.js';
 import type { RevocationSettings } from '../node/settings.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import type { CallerService, Queue, QueueConfiguration } from '../ports/index.js';
 import { authenticate, needsKey } from './authenticate.js';
 import { recordUnauthenticatedCalls } from './unauthenticated-calls.js';
@@ -10,6 +11,7 @@
 /** Dependencies of the authentication. */
 export interface CallerAuthenticationParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly revocation: RevocationSettings;
   readonly configuration: Pick<ConfigurationFollower, 'current' | 'answeredSince' | 'refreshIfStale'>;
@@ -23,11 +25,12 @@
 /** Creates the authentication of calls. */
 export function authenticateCallers({
   clock,
+  background,
   writeEvent,
   revocation,
   configuration: follower,
 }: CallerAuthenticationParts): CallerService['authenticate'] {
-  const recordUnauthenticated = recordUnauthenticatedCalls(clock, writeEvent);
+  const recordUnauthenticated = recordUnauthenticatedCalls(clock, writeEvent, background);
 
   const isOutdated = (): boolean =>
     revocation.isStrict && clock.steadyNow() - follower.answeredSince() > revocation.maximumAgeMilliseconds;
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -4,6 +4,7 @@
 import type { Layout } from '../node/layout.js';
 import { subjectOfService } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import { encodeRecord } from '../owner/record-codec.js';
 import type { OwnerClient } from '../peers/owner-client.js';
 import type { PeerResponse, PeerRequest } from '../peers/messages.js';
@@ -38,6 +39,7 @@
 /** Dependencies of the front end. */
 export interface FrontendParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly writer: SubmissionWriter;
   readonly layout: () => Layout;
@@ -94,7 +96,7 @@
 
 /** Creates the front end. */
 export function createFrontend(parts: FrontendParts): Frontend {
-  const { clock, writeEvent, writer } = parts;
+  const { clock, background, writeEvent, writer } = parts;
 
   const inboxOf = (queue: Queue): LogPartition | null =>
     parts.layout().get(subjectOfService(queue.service)) ?? null;
@@ -216,11 +218,10 @@
     );
     writeEvent('cancelTaken', { jobId, queue: queue.name, outcome: stored.kind });
     if (stored.kind === 'accepted') {
-      void requestFromOwner(
-        queue,
-        { kind: 'job-cancelled', service: queue.service, jobId, workspace },
-        CANCEL_NOTICE_TIMEOUT_MILLISECONDS,
-      );
+      const notice = { kind: 'job-cancelled' as const, service: queue.service, jobId, workspace };
+      background.start('notify-of-cancellation', async () => {
+        await requestFromOwner(queue, notice, CANCEL_NOTICE_TIMEOUT_MILLISECONDS);
+      });
     }
     return { kind: stored.kind === 'accepted' ? 'cancelled' : 'unavailable' };
   };
--- a/packages/scheduler/src/frontend/submission-writer.ts
+++ b/packages/scheduler/src/frontend/submission-writer.ts
@@ -1,6 +1,7 @@
 /** Appends submitted jobs and cancellations to the inboxes of services, one batch per inbox at a time. */
 import type { AppendOutcome, KeyedRecord, LogPartition, Store } from '../ports/index.js';
 import { partitionKey } from '../node/layout.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Append that waits for its batch to be stored. */
 interface PendingAppend {
@@ -32,7 +33,7 @@
 }
 
 /** Creates a submission writer. */
-export function createSubmissionWriter(store: Store): SubmissionWriter {
+export function createSubmissionWriter(store: Store, background: BackgroundWork): SubmissionWriter {
   const queues = new Map<string, PendingAppend[]>();
   const busyPartitions = new Set<string>();
 
@@ -60,7 +61,7 @@
         const queue = queues.get(partitionKey(partition)) ?? [];
         queues.set(partitionKey(partition), queue);
         queue.push({ records, settle });
-        void drain(partition);
+        background.start('store-submissions', () => drain(partition));
       }),
   };
 }
--- a/packages/scheduler/src/frontend/unauthenticated-calls.ts
+++ b/packages/scheduler/src/frontend/unauthenticated-calls.ts
@@ -1,6 +1,7 @@
 /** Logs calls that were refused for their key, by queue and cause: the first at once, further ones once a second. */
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Time for which calls of one queue and cause are counted before the next log line. */
 const SUMMARY_MILLISECONDS = 1_000;
@@ -12,6 +13,7 @@
 export function recordUnauthenticatedCalls(
   clock: SteadyClock,
   writeEvent: WriteEvent,
+  background: BackgroundWork,
 ): RecordUnauthenticatedCall {
   /** Calls since the last line, by queue and cause; an entry exists while a summary is due. */
   const unreported = new Map<string, number>();
@@ -36,6 +38,6 @@
     }
     unreported.set(id, 0);
     writeEvent('callsUnauthenticated', { queue, reason, calls: 1 });
-    void summarize(id, queue, reason);
+    background.start('summarize-unauthenticated-calls', () => summarize(id, queue, reason));
   };
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -12,4 +12,5 @@
 export { measureStore } from './measure/measured-store.js';
 export { NO_MEASURES } from './measure/no-measures.js';
 export { measureWorkers } from './measure/measured-workers.js';
+export { createBackgroundWork, createErrorReporter } from './unexpected-errors/index.js';
 export * from './ports/index.js';
--- a/packages/scheduler/src/measure/__tests__/event-loop-monitor.test.ts
+++ b/packages/scheduler/src/measure/__tests__/event-loop-monitor.test.ts
@@ -2,6 +2,7 @@
 import { NO_MEASURES } from '../no-measures.js';
 import { monitorEventLoop } from '../event-loop-monitor.js';
 import { createManualClock } from '../../__tests__/manual-clock.js';
+import { createTestBackground } from '../../__tests__/test-background.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 
@@ -12,6 +13,7 @@
     const lateness: number[] = [];
     const monitor = monitorEventLoop({
       clock,
+      background: createTestBackground(clock),
       writeEvent: (name, fields) => lines.push([name, fields]),
       measures: { ...NO_MEASURES, timerLate: (milliseconds) => lateness.push(milliseconds) },
     });
@@ -33,6 +35,7 @@
     const clock = createManualClock();
     const monitor = monitorEventLoop({
       clock,
+      background: createTestBackground(clock),
       writeEvent: (name) => t.fail(name),
       measures: NO_MEASURES,
     });
--- a/packages/scheduler/src/measure/__tests__/owner-load.test.ts
+++ b/packages/scheduler/src/measure/__tests__/owner-load.test.ts
@@ -5,6 +5,7 @@
 import type { AppendOutcome, Store } from '../../ports/index.js';
 import { NO_MEASURES } from '../no-measures.js';
 import { createOwnerLoad, type OwnerLoad } from '../owner-load.js';
+import { createErrorReporter } from '../../unexpected-errors/index.js';
 import { createManualClock, type ManualClock } from '../../__tests__/manual-clock.js';
 
 interface Line extends LogFields {
@@ -49,13 +50,13 @@
     *reduce(state: number, { kind }: { kind: string }) {
       clock.block(4);
       if (kind === 'broken') throw new Error('broken');
-      yield kind;
+      yield { kind };
       return state + 1;
     },
     perform: () => clock.block(3),
     clock,
     load,
-    writeEvent: write,
+    reportError: createErrorReporter(write),
     logFields: {},
   });
 }
--- a/packages/scheduler/src/measure/event-loop-monitor.ts
+++ b/packages/scheduler/src/measure/event-loop-monitor.ts
@@ -1,6 +1,7 @@
 /** Logs when timers of this process start to fire late, and when they are on time again. */
 import type { ProcessMeasures, WriteEvent } from '@baobabdeck/observability';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 
@@ -23,6 +24,7 @@
 /** Dependencies of an event loop monitor. */
 export interface EventLoopMonitorParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly measures: ProcessMeasures;
 }
@@ -33,7 +35,12 @@
 }
 
 /** Starts an event loop monitor. */
-export function monitorEventLoop({ clock, writeEvent, measures }: EventLoopMonitorParts): EventLoopMonitor {
+export function monitorEventLoop({
+  clock,
+  background,
+  writeEvent,
+  measures,
+}: EventLoopMonitorParts): EventLoopMonitor {
   let isClosed = false;
   let lateSince: number | null = null;
   let maximumLateMilliseconds = 0;
@@ -58,15 +65,13 @@
     onTimeChecks = 0;
   };
 
-  const runChecks = async (): Promise<void> => {
-    while (!isClosed) {
-      const lateMilliseconds = await sleepAndMeasureLateness(clock, CHECK_INTERVAL_MILLISECONDS);
-      measures.timerLate(lateMilliseconds);
-      evaluate(lateMilliseconds);
-    }
+  const waitAndCheck = async (): Promise<void> => {
+    const lateMilliseconds = await sleepAndMeasureLateness(clock, CHECK_INTERVAL_MILLISECONDS);
+    measures.timerLate(lateMilliseconds);
+    evaluate(lateMilliseconds);
   };
 
-  void runChecks();
+  background.repeat('monitor-event-loop', () => !isClosed, waitAndCheck);
   return {
     close: () => {
       isClosed = true;
--- a/packages/scheduler/src/node/candidacy.ts
+++ b/packages/scheduler/src/node/candidacy.ts
@@ -7,6 +7,7 @@
 import type { PeerResponse, PeerRequest } from '../peers/messages.js';
 import { formatMember, type GroupMember } from './group-member.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Time between two checks. */
 const CHECK_INTERVAL_MILLISECONDS = 300;
@@ -54,6 +55,7 @@
 /** Dependencies of the candidacy. */
 export interface CandidacyParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly self: GroupMember;
   /** The number of inboxes of all services and the fleet. */
@@ -79,7 +81,7 @@
 
 /** Starts to check the other members; a process is no candidate before its first check. */
 export function watchCandidacy(parts: CandidacyParts): Candidacy {
-  const { clock, self } = parts;
+  const { clock, background, self } = parts;
   const unlistedMembers = new Map<string, { readonly member: GroupMember; readonly at: number }>();
   const recentMembers = new Map<string, { readonly member: GroupMember; readonly at: number }>();
   let storeLostAt = -Infinity;
@@ -169,19 +171,19 @@
   const notifyWeakerMembers = (): void => {
     if (!parts.isUnlisted()) return;
     const weaker = parts.members().filter(({ milliCores }) => milliCores < self.milliCores);
-    weaker.forEach((member) => {
-      void parts.request(member, { kind: 'member-present', member: formatMember(self) });
-    });
+    weaker.forEach((member) =>
+      background.start('notify-weaker-member', async () => {
+        await parts.request(member, { kind: 'member-present', member: formatMember(self) });
+      }),
+    );
   };
 
   const checkPeriodically = async (): Promise<void> => {
-    while (!closed) {
-      updateCandidacy(await checkStronger());
-      notifyWeakerMembers();
-      await clock.sleep(CHECK_INTERVAL_MILLISECONDS);
-    }
+    updateCandidacy(await checkStronger());
+    notifyWeakerMembers();
+    await clock.sleep(CHECK_INTERVAL_MILLISECONDS);
   };
-  void checkPeriodically();
+  background.repeat('check-candidacy', () => !closed, checkPeriodically);
 
   return {
     isCandidate: () => isCandidate,
--- a/packages/scheduler/src/node/configuration-reads.ts
+++ b/packages/scheduler/src/node/configuration-reads.ts
@@ -1,6 +1,7 @@
 /** Reads the operator's entries so that neither a lost answer nor a silent connection delays a new version for long. */
 import type { OperatorFeed, OperatorReadOutcome } from '../ports/index.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Longest wait of a read for new entries. */
 const READ_WAIT_MILLISECONDS = 900;
@@ -38,12 +39,18 @@
 export interface ConfigurationReadsParts {
   readonly feed: OperatorFeed;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   /** Called for each settled read, except failures of reads older than an answered one. Entries may be handed over more than once and not in their order. */
   readonly onOutcome: (outcome: OperatorReadOutcome) => void;
 }
 
 /** Starts to read. */
-export function readConfiguration({ feed, clock, onOutcome }: ConfigurationReadsParts): ConfigurationReads {
+export function readConfiguration({
+  feed,
+  clock,
+  background,
+  onOutcome,
+}: ConfigurationReadsParts): ConfigurationReads {
   let nextOffset: number | null = null;
   let closed = false;
   let underWay = 0;
@@ -71,8 +78,12 @@
     const from = nextOffset;
     const sentAt = clock.steadyNow();
     underWay += 1;
-    const outcome = from === null ? await feed.readNewest() : await feed.read(from, waitMilliseconds);
-    underWay -= 1;
+    let outcome: OperatorReadOutcome;
+    try {
+      outcome = from === null ? await feed.readNewest() : await feed.read(from, waitMilliseconds);
+    } finally {
+      underWay -= 1;
+    }
     settle(outcome, from, sentAt);
     return outcome.kind;
   };
@@ -89,16 +100,17 @@
     if (result === 'failed') await clock.sleep(FAILURE_PAUSE_MILLISECONDS);
   };
 
-  const follow = async (): Promise<void> => {
-    while (!closed) await readInTime();
+  const refreshOnce = async (): Promise<void> => {
+    await readOnce(0);
   };
-  void follow();
+
+  background.repeat('read-configuration', () => !closed, readInTime);
 
   return {
     answeredSince: () => answeredSince,
     refreshIfStale: async () => {
       if (clock.steadyNow() - settledSince <= STALE_MILLISECONDS) return;
-      refresh ??= readOnce(0).then(() => {
+      refresh ??= refreshOnce().finally(() => {
         refresh = null;
       });
       await refresh;
--- a/packages/scheduler/src/node/configuration.ts
+++ b/packages/scheduler/src/node/configuration.ts
@@ -9,6 +9,7 @@
 } from '../ports/index.js';
 import { readConfiguration } from './configuration-reads.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** The configuration in force, and the waves requested so far. */
 export interface ConfigurationFollower {
@@ -25,6 +26,7 @@
 export interface ConfigurationParts {
   readonly feed: OperatorFeed;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly onConfiguration: (configuration: QueueConfiguration) => void;
   readonly onWave: (wave: WaveRequest) => void;
@@ -71,6 +73,7 @@
   const reads = readConfiguration({
     feed,
     clock,
+    background: parts.background,
     onOutcome: (outcome) => {
       recordReachability(outcome);
       if (outcome.kind === 'read') outcome.entries.forEach(applyEntry);
--- a/packages/scheduler/src/node/host-list-poller.ts
+++ b/packages/scheduler/src/node/host-list-poller.ts
@@ -3,6 +3,7 @@
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { HostService } from '../ports/index.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Time between two polls. */
 const POLL_INTERVAL_MILLISECONDS = 400;
@@ -23,6 +24,7 @@
 export interface HostListPollerParts {
   readonly hosts: HostService;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly requestFromFleetOwner: RequestHostList;
   /** Pools that this process owns. */
@@ -71,12 +73,10 @@
   };
 
   const poll = async (): Promise<void> => {
-    while (!closed) {
-      await pollOnce();
-      await clock.sleep(POLL_INTERVAL_MILLISECONDS);
-    }
+    await pollOnce();
+    await clock.sleep(POLL_INTERVAL_MILLISECONDS);
   };
-  void poll();
+  parts.background.repeat('poll-host-list', () => !closed, poll);
   return {
     reportSuspectWorker: () => {
       isWorkerSuspected = true;
--- a/packages/scheduler/src/node/layout-manager.ts
+++ b/packages/scheduler/src/node/layout-manager.ts
@@ -2,6 +2,7 @@
 import type { QueueConfiguration, Store } from '../ports/index.js';
 import { ensureInboxes, FLEET_SUBJECT, subjectOfService, type Layout } from './layout.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 const RETRY_MILLISECONDS = 100;
 
@@ -19,7 +20,11 @@
 }
 
 /** Creates a layout manager, at first with an empty layout. */
-export function createLayoutManager(store: Store, clock: SteadyClock): LayoutManager {
+export function createLayoutManager(
+  store: Store,
+  clock: SteadyClock,
+  background: BackgroundWork,
+): LayoutManager {
   let layout: Layout = new Map();
   let closed = false;
 
@@ -27,17 +32,20 @@
     subjects.every((subject) => layout.has(subject));
 
   const assignMissing = async (subjects: readonly string[]): Promise<void> => {
-    while (!closed && !isComplete(subjects)) {
-      const found = await ensureInboxes(store, subjects);
-      if (found !== null) layout = found;
-      else await clock.sleep(RETRY_MILLISECONDS);
-    }
+    const found = await ensureInboxes(store, subjects);
+    if (found !== null) layout = found;
+    else await clock.sleep(RETRY_MILLISECONDS);
   };
 
   return {
     layout: () => layout,
     ensureInboxes: (configuration) => {
-      void assignMissing(requiredSubjects(configuration));
+      const subjects = requiredSubjects(configuration);
+      background.repeat(
+        'ensure-inboxes',
+        () => !closed && !isComplete(subjects),
+        () => assignMissing(subjects),
+      );
     },
     close: () => {
       closed = true;
--- a/packages/scheduler/src/node/membership.ts
+++ b/packages/scheduler/src/node/membership.ts
@@ -3,6 +3,7 @@
 import type { LogPartition, Store } from '../ports/index.js';
 import { LAYOUT_PARTITION } from './layout.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** The group of the processes to which services are assigned. */
 export const SCHEDULER_GROUP = 'schedulers';
@@ -20,6 +21,7 @@
 export interface MembershipParts {
   readonly store: Store;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly member: string;
   readonly writeEvent: WriteEvent;
   /** Whether this process should be in the group. */
@@ -40,7 +42,7 @@
 
 /** Joins the group and stays in it while this process is a candidate. */
 export function startMembership(parts: MembershipParts): Membership {
-  const { store, clock, member, writeEvent } = parts;
+  const { store, clock, background, member, writeEvent } = parts;
   let generation = 0;
   let isMember = false;
   let assignedCount = 0;
@@ -53,8 +55,11 @@
     assignedGeneration: number,
   ): Promise<void> => {
     isApplying = true;
-    await parts.onAssigned(partitions, assignedGeneration);
-    isApplying = false;
+    try {
+      await parts.onAssigned(partitions, assignedGeneration);
+    } finally {
+      isApplying = false;
+    }
     if (generation === assignedGeneration) return;
     // The store assigns revoked partitions to other members once this member has reported the generation.
     generation = assignedGeneration;
@@ -77,7 +82,7 @@
         places: outcome.partitions.map(({ topic, partition }) => `${topic}/${partition}`),
       });
     }
-    void applyAssignment(outcome.partitions, outcome.generation);
+    background.start('apply-assignment', () => applyAssignment(outcome.partitions, outcome.generation));
   };
 
   /** Gives up all partitions before the store may assign them to other members. */
@@ -100,12 +105,10 @@
   };
 
   const maintainMembership = async (): Promise<void> => {
-    while (!closed) {
-      const pause = await renewMembership();
-      await Promise.race([waitForWake(), clock.sleep(pause)]);
-    }
+    const pause = await renewMembership();
+    await Promise.race([waitForWake(), clock.sleep(pause)]);
   };
-  void maintainMembership();
+  background.repeat('maintain-membership', () => !closed, maintainMembership);
   return {
     isUnassigned: () => isMember && assignedCount === 0,
     leave: async () => {
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -35,6 +35,14 @@
 import { watchStoreReadiness } from './store-readiness.js';
 import { watchStore } from './watched-store.js';
 import type { SteadyClock } from './steady-clock.js';
+import {
+  createBackgroundWork,
+  createErrorReporter,
+  guardHosts,
+  guardPeers,
+  guardStore,
+  guardWorkers,
+} from '../unexpected-errors/index.js';
 import { termsOf } from './workspace-terms.js';
 import { startWorkerUpdates, type WorkerUpdates } from './worker-updates.js';
 
@@ -77,16 +85,21 @@
 
 /** Starts a process. Rejects if its peer port is in use. */
 export async function startNode(parts: NodeParts): Promise<SchedulerNode> {
-  const { settings, clock, writeEvent, measures, feed, hosts, peers } = parts;
-  const { store, isLost: isStoreLost } = watchStore(parts.store, clock);
+  const { settings, clock, writeEvent, measures, feed } = parts;
+  const reportError = createErrorReporter(writeEvent);
+  const background = createBackgroundWork(clock, reportError);
+  const { store, isLost: isStoreLost } = watchStore(guardStore(parts.store, reportError), clock);
+  const hosts = guardHosts(parts.hosts, reportError);
+  const peers = guardPeers(parts.peers, reportError);
   const { nodeName } = settings;
   let stopping = false;
-  const eventLoopMonitor = monitorEventLoop({ clock, writeEvent, measures });
+  const eventLoopMonitor = monitorEventLoop({ clock, background, writeEvent, measures });
 
-  const layoutManager = createLayoutManager(store, clock);
+  const layoutManager = createLayoutManager(store, clock, background);
   const configurationFollower = followConfiguration({
     feed,
     clock,
+    background,
     writeEvent,
     onConfiguration: (configuration) => {
       layoutManager.ensureInboxes(configuration);
@@ -122,10 +135,11 @@
   const relays = startRelays({
     mode: settings.relays ?? 'on',
     clock,
+    background,
     writeEvent,
     measures,
     self,
-    workers: parts.workers,
+    workers: guardWorkers(parts.workers, reportError),
     request: directory.request,
     owners: () =>
       [...layoutManager.layout()].flatMap(([subject, inbox]) =>
@@ -145,6 +159,7 @@
 
   const storeReadiness = watchStoreReadiness({
     clock,
+    background,
     isStoreLost,
     peers: () => directory.members().filter((peer) => formatMember(peer) !== member),
     request: ownerClient.requestFrom,
@@ -152,6 +167,7 @@
   const standby = createFleetStandby({
     store,
     clock,
+    background,
     self,
     ownsService: () => logs.services().length > 0,
     requestFrom: ownerClient.requestFrom,
@@ -159,6 +175,7 @@
 
   const logs = createOwnedLogs({
     clock,
+    background,
     layout: layoutManager.layout,
     awaitVacantFleet: standby.check,
     openServiceOwner: (inbox, service, onGivenUp) => {
@@ -206,6 +223,7 @@
   });
   const workerUpdates: WorkerUpdates = startWorkerUpdates({
     clock,
+    background,
     writeEvent,
     register: parts.register,
     hosts,
@@ -214,6 +232,7 @@
   });
   const candidacy = watchCandidacy({
     clock,
+    background,
     writeEvent,
     self,
     inboxCount: () => layoutManager.layout().size,
@@ -226,6 +245,7 @@
   const membership = startMembership({
     store,
     clock,
+    background,
     member,
     writeEvent,
     isCandidate: candidacy.isCandidate,
@@ -235,8 +255,9 @@
   });
   const frontend = createFrontend({
     clock,
+    background,
     writeEvent,
-    writer: createSubmissionWriter(store),
+    writer: createSubmissionWriter(store, background),
     isStoreLost,
     layout: layoutManager.layout,
     ownerClient,
@@ -257,6 +278,7 @@
       findQueue: (hostName, path) => findQueue(configurationFollower.current(), hostName, path),
       authenticate: authenticateCallers({
         clock,
+        background,
         writeEvent,
         revocation: settings.revocation,
         configuration: configurationFollower,
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -4,6 +4,7 @@
 import type { LogPartition } from '../ports/index.js';
 import { isSamePartition, partitionKey, serviceOfSubject, type Layout } from './layout.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Pause before a superseded claim is made again, if the inbox is still assigned to this process. */
 const RECLAIM_PAUSE_MILLISECONDS = 1_000;
@@ -11,6 +12,7 @@
 /** Dependencies of the owned logs. */
 export interface OwnedLogsParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly layout: () => Layout;
   readonly openServiceOwner: (
     inbox: LogPartition,
@@ -40,7 +42,7 @@
 
 /** Creates the owned logs of a process, at first empty. */
 export function createOwnedLogs(parts: OwnedLogsParts): OwnedLogs {
-  const { clock, layout, openServiceOwner, openFleetOwner, awaitVacantFleet } = parts;
+  const { clock, background, layout, openServiceOwner, openFleetOwner, awaitVacantFleet } = parts;
   const owners = new Map<string, ServiceOwner>();
   const supersededAt = new Map<string, number>();
   let assigned: readonly LogPartition[] = [];
@@ -124,7 +126,8 @@
       owners.has(partitionKey(inbox)) || (fleet !== null && isSamePartition(fleet.inbox, inbox)),
     applyAssignment,
     handOverFleet: () => {
-      if (fleet !== null && owners.size > 0 && !isAssigned(fleet.inbox)) void giveUpFleet();
+      if (fleet === null || owners.size === 0 || isAssigned(fleet.inbox)) return;
+      background.start('give-up-fleet', giveUpFleet);
     },
     giveUp,
     stop: async () => {
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -2,6 +2,7 @@
 import type { Resources, WorkerListing } from '@baobabdeck/scheduling';
 import type { RegisterChange, WorkerRegister } from '../ports/index.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Time between two reads. */
 const READ_INTERVAL_MILLISECONDS = 400;
@@ -43,13 +44,25 @@
   );
 }
 
-/** Starts to follow the register. `onRead` is called after each successful read. */
-export function followRegister(
-  register: WorkerRegister,
-  clock: SteadyClock,
-  isNeeded: () => boolean,
-  onRead: () => void,
-): RegisterFollower {
+/** Dependencies of a follower. */
+export interface RegisterFollowerParts {
+  readonly register: WorkerRegister;
+  readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
+  /** Whether this process needs the register; it is not read otherwise. */
+  readonly isNeeded: () => boolean;
+  /** Called after each successful read. */
+  readonly onRead: () => void;
+}
+
+/** Starts to follow the register. */
+export function followRegister({
+  register,
+  clock,
+  background,
+  isNeeded,
+  onRead,
+}: RegisterFollowerParts): RegisterFollower {
   const workers = new Map<string, WorkerListing>();
   let nextOffset: number | null = null;
   let readAt = -Infinity;
@@ -87,13 +100,11 @@
   };
 
   const follow = async (): Promise<void> => {
-    while (!closed) {
-      const isActive = isNeeded();
-      if (isActive) await readOnce();
-      await clock.sleep(isActive ? READ_INTERVAL_MILLISECONDS : IDLE_CHECK_INTERVAL_MILLISECONDS);
-    }
+    const isActive = isNeeded();
+    if (isActive) await readOnce();
+    await clock.sleep(isActive ? READ_INTERVAL_MILLISECONDS : IDLE_CHECK_INTERVAL_MILLISECONDS);
   };
-  void follow();
+  background.repeat('follow-register', () => !closed, follow);
   return {
     workersOf: (pool) =>
       clock.steadyNow() - readAt > MAXIMUM_AGE_MILLISECONDS
--- a/packages/scheduler/src/node/store-readiness.ts
+++ b/packages/scheduler/src/node/store-readiness.ts
@@ -5,6 +5,7 @@
 import type { PeerResponse, PeerRequest } from '../peers/messages.js';
 import type { GroupMember } from './group-member.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Time between two checks. */
 const CHECK_INTERVAL_MILLISECONDS = 250;
@@ -15,6 +16,7 @@
 /** Dependencies of the store readiness. */
 export interface StoreReadinessParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly isStoreLost: () => boolean;
   /** The other processes that are known. */
   readonly peers: () => readonly GroupMember[];
@@ -31,6 +33,7 @@
 /** Starts the checks. */
 export function watchStoreReadiness({
   clock,
+  background,
   isStoreLost,
   peers,
   request,
@@ -46,13 +49,11 @@
     return losses.length === 0 || losses.some((isLost) => !isLost);
   };
 
-  const checkPeriodically = async (): Promise<void> => {
-    while (!closed) {
-      await clock.sleep(CHECK_INTERVAL_MILLISECONDS);
-      isUnready = isStoreLost() && (await arePeersPreferable()) && isStoreLost();
-    }
+  const waitAndCheck = async (): Promise<void> => {
+    await clock.sleep(CHECK_INTERVAL_MILLISECONDS);
+    isUnready = isStoreLost() && (await arePeersPreferable()) && isStoreLost();
   };
-  void checkPeriodically();
+  background.repeat('check-store-readiness', () => !closed, waitAndCheck);
 
   return {
     isUnready: () => isUnready,
--- a/packages/scheduler/src/node/worker-updates.ts
+++ b/packages/scheduler/src/node/worker-updates.ts
@@ -8,10 +8,12 @@
 import { FLEET_SUBJECT } from './layout.js';
 import { followRegister } from './register.js';
 import type { SteadyClock } from './steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
 /** Dependencies of the worker updates. */
 export interface WorkerUpdatesParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly register: WorkerRegister;
   readonly hosts: HostService;
@@ -30,15 +32,16 @@
 
 /** Starts to send updates. */
 export function startWorkerUpdates(parts: WorkerUpdatesParts): WorkerUpdates {
-  const { clock, logs } = parts;
+  const { clock, background, logs } = parts;
   const sentRevisions = new WeakMap<ServiceOwner, number>();
 
-  const register = followRegister(
-    parts.register,
+  const register = followRegister({
+    register: parts.register,
     clock,
-    () => logs.services().length > 0,
-    () => logs.services().forEach(sendWorkers),
-  );
+    background,
+    isNeeded: () => logs.services().length > 0,
+    onRead: () => logs.services().forEach(sendWorkers),
+  });
   function sendWorkers(owner: ServiceOwner): void {
     const workers = register.workersOf(owner.service);
     const revision = register.revision();
@@ -50,6 +53,7 @@
   const hostLists = pollHostLists({
     hosts: parts.hosts,
     clock,
+    background,
     writeEvent: parts.writeEvent,
     pools: () => logs.services().map((owner) => owner.service),
     requestFromFleetOwner: async (pool) => {
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -10,6 +10,8 @@
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
 import type { LogPartition, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import { createBackgroundWork } from '../unexpected-errors/background-work.js';
+import { createErrorReporter } from '../unexpected-errors/report-unexpected-error.js';
 import { sleepAndMeasureLateness } from '../measure/event-loop-monitor.js';
 import { createOwnerLoad } from '../measure/owner-load.js';
 import { journalOf } from '../node/layout.js';
@@ -72,6 +74,8 @@
   let closed = false;
 
   const isOpen = (): boolean => !closed;
+  const reportError = createErrorReporter((name, fields) => writeEvent(name, { service, ...fields }));
+  const background = createBackgroundWork(clock, reportError);
   const currentState = (): ServiceState | null => (closed ? null : (loop?.state() ?? null));
 
   const queueStatistics = (): LogFields => {
@@ -118,7 +122,7 @@
   const perform = (effect: ServiceEffect): void => {
     switch (effect.kind) {
       case 'store-records':
-        void storeRecords(effect);
+        background.start('store-records', () => storeRecords(effect));
         break;
       case 'log':
         writeEvent(effect.decision, { service, ...effect.fields });
@@ -131,7 +135,9 @@
         parts.onOwnershipEnded(effect.claimsAgain);
         break;
       default:
-        void performWorkerEffect(effect, parts.workers, clock, dispatch, isOpen);
+        background.start(effect.kind, () =>
+          performWorkerEffect(effect, parts.workers, clock, dispatch, isOpen),
+        );
     }
   };
 
@@ -151,17 +157,13 @@
   };
 
   const followInbox = async (): Promise<void> => {
-    while (isOpen()) {
-      const wasRead = await readInbox(LONG_POLL_MILLISECONDS);
-      if (!wasRead) await clock.sleep(RETRY_DELAY_MILLISECONDS);
-    }
+    const wasRead = await readInbox(LONG_POLL_MILLISECONDS);
+    if (!wasRead) await clock.sleep(RETRY_DELAY_MILLISECONDS);
   };
 
-  const runTicks = async (): Promise<void> => {
-    while (isOpen()) {
-      load.recordLateness(await sleepAndMeasureLateness(clock, TICK_INTERVAL_MILLISECONDS));
-      dispatch({ kind: 'ticked' });
-    }
+  const waitAndTick = async (): Promise<void> => {
+    load.recordLateness(await sleepAndMeasureLateness(clock, TICK_INTERVAL_MILLISECONDS));
+    dispatch({ kind: 'ticked' });
   };
 
   const claimAndStart = async (): Promise<void> => {
@@ -219,7 +221,7 @@
         reduceService(current, { ...body, at, timeOfDay }),
       perform,
       clock,
-      writeEvent,
+      reportError,
       load,
       logFields: { service },
     });
@@ -230,11 +232,14 @@
     dispatch({ kind: 'records-read', records: cancellations, askedAt: claimed.provenAt });
     parts.onClaimed();
     parts.requestHostList();
-    void followInbox();
-    void runTicks();
+    background.repeat('follow-inbox', isOpen, followInbox);
+    background.repeat('tick', isOpen, waitAndTick);
   };
 
-  void claimAndStart();
+  background.start('claim', claimAndStart, () => {
+    closed = true;
+    parts.onOwnershipEnded(false);
+  });
   return {
     service,
     inbox,
--- a/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
+++ b/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
@@ -6,6 +6,7 @@
 import { createRelayHandler, type RelayHandler } from '../relay-handler.js';
 import { encodeOrders, parseRelayMessage, type RelayOrdersMessage } from '../relay-messages.js';
 import { createRelayedWorkers } from '../relayed-workers.js';
+import { createTestBackground } from '../../__tests__/test-background.js';
 
 const RELAY: GroupMember = { nodeName: 'relay', peerAddress: 'r:1', incarnation: 'a', milliCores: 1_000 };
 const OWNER: GroupMember = { nodeName: 'owner', peerAddress: 'o:1', incarnation: 'a', milliCores: 1_000 };
@@ -93,6 +94,7 @@
   const onOrders = options.onOrders ?? ((deliver) => deliver());
   const handler = createRelayHandler({
     clock,
+    background: createTestBackground(clock),
     self: formatMember(RELAY),
     workers: { ...atRelay, ...options.relayWorkers },
     request: (_owner, content) => {
@@ -105,6 +107,7 @@
   });
   const client = createRelayClient({
     clock,
+    background: createTestBackground(clock),
     self: formatMember(OWNER),
     request: (_relay, content) => {
       const message = parseRelayMessage(structuredClone(content));
--- a/packages/scheduler/src/relays/relay-client.ts
+++ b/packages/scheduler/src/relays/relay-client.ts
@@ -4,6 +4,7 @@
  */
 import { formatMember, type GroupMember } from '../node/group-member.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import {
   BATCH_MILLISECONDS,
   HOP_TIMEOUT_MILLISECONDS,
@@ -37,6 +38,7 @@
 /** Dependencies of the client. */
 export interface RelayClientParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   /** Member name of this process. */
   readonly self: string;
   readonly request: (member: GroupMember, content: unknown, timeoutMilliseconds: number) => Promise<unknown>;
@@ -76,7 +78,7 @@
 
 /** Creates the client. */
 export function createRelayClient(parts: RelayClientParts): RelayClient {
-  const { clock, self } = parts;
+  const { clock, background, self } = parts;
   const pending = new Map<number, Pending>();
   const ordersOfWorker = new Map<string, number>();
   const batches = new Map<string, Batch>();
@@ -136,15 +138,18 @@
     return Math.max(BATCH_MILLISECONDS, LOADED_BATCH_MILLISECONDS - elapsed);
   };
 
+  const sendWhenDue = async (name: string, batch: Batch): Promise<void> => {
+    await clock.sleep(batchDelay(name));
+    if (batches.get(name) !== batch) return;
+    batches.delete(name);
+    sentAt.set(name, clock.steadyNow());
+    await sendBatch(batch);
+  };
+
   const openBatch = (name: string, relay: GroupMember): Batch => {
     const batch: Batch = { relay, orders: [] };
     batches.set(name, batch);
-    void clock.sleep(batchDelay(name)).then(() => {
-      if (batches.get(name) !== batch) return;
-      batches.delete(name);
-      sentAt.set(name, clock.steadyNow());
-      void sendBatch(batch);
-    });
+    background.start('send-relay-batch', () => sendWhenDue(name, batch));
     return batch;
   };
 
--- a/packages/scheduler/src/relays/relay-handler.ts
+++ b/packages/scheduler/src/relays/relay-handler.ts
@@ -4,6 +4,7 @@
  */
 import { parseMember, type GroupMember } from '../node/group-member.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import type { WorkerOrders } from '../ports/index.js';
 import { BATCH_MILLISECONDS, LOADED_BATCH_MILLISECONDS, ORDER_TIMEOUT_MILLISECONDS } from './limits.js';
 import { createOrderQueue } from './order-queue.js';
@@ -32,6 +33,7 @@
 /** Dependencies of the handler. */
 export interface RelayHandlerParts {
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   /** Member name of this process. */
   readonly self: string;
   /** The orders that this process sends itself. */
@@ -85,7 +87,7 @@
 
 /** Creates the handler. */
 export function createRelayHandler(parts: RelayHandlerParts): RelayHandler {
-  const { clock, workers, self } = parts;
+  const { clock, background, workers, self } = parts;
   const queue = createOrderQueue<Taken>({
     total: MAXIMUM_ORDERS,
     atOnce: MAXIMUM_ORDERS_AT_ONCE,
@@ -115,21 +117,28 @@
     outbox.outcomes.push({ id: order.id, content });
     if (outbox.isSending) return;
     outboxes.set(outbox.name, outbox);
-    void sendOutcomes(outbox);
+    background.start(
+      'send-relay-outcomes',
+      () => sendOutcomes(outbox),
+      () => {
+        outbox.isSending = false;
+      },
+    );
   };
 
   const carryOut = async (taken: Taken): Promise<void> => {
-    addOutcome(taken, await execute(workers, taken.order.content));
-    queue.finish();
+    try {
+      addOutcome(taken, await execute(workers, taken.order.content));
+    } finally {
+      queue.finish();
+    }
     continueQueue();
   };
 
   function continueQueue(): void {
     const { due, dropped } = queue.take(clock.steadyNow());
     dropped.forEach((taken) => addOutcome(taken, outcomeOfDropped(taken.order.content)));
-    due.forEach((taken) => {
-      void carryOut(taken);
-    });
+    due.forEach((taken) => background.start('carry-out-order', () => carryOut(taken)));
   }
 
   const outboxOf = (name: string, owner: GroupMember): Outbox => {
--- a/packages/scheduler/src/relays/relays.ts
+++ b/packages/scheduler/src/relays/relays.ts
@@ -4,6 +4,7 @@
 import { formatMember, parseMember, type GroupMember } from '../node/group-member.js';
 import type { RelayMode } from '../node/settings.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 import type { PeerRequest } from '../peers/messages.js';
 import type { WorkerOrders } from '../ports/index.js';
 import { chooseRelays } from './choose-relays.js';
@@ -46,6 +47,7 @@
 export interface RelaysParts {
   readonly mode: RelayMode;
   readonly clock: SteadyClock;
+  readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly measures: ProcessMeasures;
   readonly self: GroupMember;
@@ -100,7 +102,7 @@
 
 /** Starts the relays of a process. */
 export function startRelays(parts: RelaysParts): Relays {
-  const { mode, clock, writeEvent, measures, workers, request } = parts;
+  const { mode, clock, background, writeEvent, measures, workers, request } = parts;
   if (mode === 'off') return withoutRelays(workers);
   const self = formatMember(parts.self);
   const ownMilliCores = parts.self.milliCores > 0 ? parts.self.milliCores : DEFAULT_MILLI_CORES;
@@ -116,6 +118,7 @@
 
   const client = createRelayClient({
     clock,
+    background,
     self,
     request,
     onFailure: (relay, reason) => {
@@ -127,6 +130,7 @@
   });
   const handler = createRelayHandler({
     clock,
+    background,
     self,
     workers,
     request,
@@ -186,9 +190,7 @@
     distinctMembers(parts.owners())
       .filter((owner) => formatMember(owner) !== self)
       .filter((owner) => checks % CHECKS_PER_OFFER === 0 || wantedBy.has(formatMember(owner)))
-      .forEach((owner) => {
-        void sendOffer(owner, offered);
-      });
+      .forEach((owner) => background.start('send-relay-offer', () => sendOffer(owner, offered)));
   };
 
   const prune = (now: number): void => {
@@ -199,19 +201,17 @@
     });
   };
 
-  const runChecks = async (): Promise<void> => {
-    while (!closed) {
-      const lateMilliseconds = await sleepAndMeasureLateness(clock, CHECK_INTERVAL_MILLISECONDS);
-      const now = clock.steadyNow();
-      checks += 1;
-      updateLoad(now, lateMilliseconds);
-      client.expire();
-      updateRelays(now);
-      if (checks % CHECKS_PER_WANTED_OFFER === 0) sendOffers();
-      if (checks % CHECKS_PER_PRUNING === 0) prune(now);
-    }
+  const waitAndCheck = async (): Promise<void> => {
+    const lateMilliseconds = await sleepAndMeasureLateness(clock, CHECK_INTERVAL_MILLISECONDS);
+    const now = clock.steadyNow();
+    checks += 1;
+    updateLoad(now, lateMilliseconds);
+    client.expire();
+    updateRelays(now);
+    if (checks % CHECKS_PER_WANTED_OFFER === 0) sendOffers();
+    if (checks % CHECKS_PER_PRUNING === 0) prune(now);
   };
-  void runChecks();
+  background.repeat('check-relays', () => !closed, waitAndCheck);
 
   return {
     workers: createRelayedWorkers({
