Take a run for lost only if the report of its worker is complete

Cause: a worker lists at most 500 ends at once. The owner removed each run that a report listed neither as running nor as ended and started its task again; the end on the next list found no run.

Change: a report says whether it is complete: fewer than 500 ends, foreign ones counted. Runs that an incomplete report omits stay as they are; their ends follow when the listed ones are acknowledged. Relays pass the field on.

--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -91,6 +91,8 @@
   readonly disturbance: Disturbance | null;
   /** Workers acknowledge pace orders and carry none out. */
   readonly ignoresPaces: boolean;
+  /** The most ends that a worker lists at once. */
+  readonly endsPerList: number;
   readonly observer: WorkerObserver & HostObserver;
   /** The store is away: the register does not change. */
   readonly isStoreDown: () => boolean;
@@ -158,6 +160,7 @@
       plans: parts.plans,
       disturbance: parts.disturbance,
       ignoresPaces: parts.ignoresPaces,
+      endsPerList: parts.endsPerList,
       gangs,
       observer,
       chance: random.chance,
--- a/packages/fleet-emulator/src/model-worker.ts
+++ b/packages/fleet-emulator/src/model-worker.ts
@@ -56,6 +56,8 @@
   readonly disturbance: Disturbance | null;
   /** It acknowledges pace orders and carries none out. */
   readonly ignoresPaces: boolean;
+  /** The most ends that it lists at once; the others follow once those are acknowledged. */
+  readonly endsPerList: number;
 }
 
 type StartAnswer = ReturnType<ModelWorker['start']>;
@@ -288,7 +290,8 @@
         percent: percentOf(run),
         load: tailMeter?.tailOf(run) ?? null,
       })),
-      ended: ended.slice(),
+      ended: ended.slice(0, parts.endsPerList),
+      isComplete: ended.length < parts.endsPerList,
     },
   });
 
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -2,6 +2,7 @@
 import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
 import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
+import { TIGHT_LIMITS } from './played-limits.js';
 import { resultOf, type PlayResult } from './play-result.js';
 import {
   beginTrouble,
@@ -53,6 +54,12 @@
   },
 };
 
+/** Limits so small that most lists and records reach them, among all troubles. */
+export const TIGHT_LIMITS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: { ...SMALL_PLAY.size, limits: TIGHT_LIMITS },
+};
+
 /** Such tasks and no other trouble. */
 export const CALM_CRASHING_PLAY: Omit<PlayOptions, 'seed'> = { ...CRASHING_PLAY, kinds: [] };
 
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -5,6 +5,7 @@
 import type { JobPlans } from './job-plans.js';
 import { createModelFleet, type ModelFleet } from './model-fleet.js';
 import { createModelStore, type ModelStore } from './model-store.js';
+import { PUBLISHED_LIMITS, type PlayedLimits } from './played-limits.js';
 import { createProcessor, FREE_PROCESSOR, type Processor, type ProcessorCosts } from './processor.js';
 import { createNetwork, type Network } from './network.js';
 import type { Referee } from './referee-types.js';
@@ -41,6 +42,8 @@
   readonly disturbance?: Disturbance;
   /** Whether workers acknowledge pace orders and carry none out; they obey where left out. */
   readonly workersIgnorePaces?: boolean;
+  /** Limits of the store and the workers; the published ones where left out. */
+  readonly limits?: PlayedLimits;
 }
 
 /** A whole system in virtual time. */
@@ -164,6 +167,7 @@
   const time = createVirtualTime();
   const random = createRandom(seed);
   const network = createNetwork(time, random);
+  const limits = size.limits ?? PUBLISHED_LIMITS;
   const store = createModelStore(time, network, random);
   const plans: JobPlans = new Map();
   const log: string[] = [];
@@ -187,6 +191,7 @@
     guardsCapacity,
     disturbance: size.disturbance ?? null,
     ignoresPaces: size.workersIgnorePaces ?? false,
+    endsPerList: limits.endsPerList,
     observer: referee,
     isStoreDown: () => store.isDown,
   });
--- a/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
+++ b/packages/scheduler/src/relays/__tests__/relayed-orders.test.ts
@@ -30,6 +30,7 @@
   clockMilliseconds: 2_000,
   running: [{ task: TASK, run: 4, checkpoint: '', percent: 50, load: 700 }],
   ended: [{ number: 6, task: TASK, run: 3, end: 'done' as const, checkpoint: 'x' }],
+  isComplete: false,
 };
 
 /** Time until a batch has been sent and its outcomes have returned. */
--- a/packages/scheduler/src/relays/relay-messages.ts
+++ b/packages/scheduler/src/relays/relay-messages.ts
@@ -251,7 +251,7 @@
   const { outcome } = content;
   if (outcome.kind === 'unanswered') return [RENEW, id, outcome.kind, outcome.detail];
   if (outcome.kind !== 'reported') return [RENEW, id, outcome.kind];
-  const { incarnation, clockMilliseconds, running, ended } = outcome.report;
+  const { incarnation, clockMilliseconds, running, ended, isComplete } = outcome.report;
   return [
     RENEW,
     id,
@@ -260,6 +260,7 @@
     clockMilliseconds,
     running.map(encodeRunning),
     ended.map(encodeEnded),
+    isComplete,
   ];
 }
 
@@ -320,13 +321,15 @@
 const REPORT_FIELD = 3;
 
 function readReport(fields: Row): WorkerReport | null {
-  const [incarnation, clockMilliseconds, runningRows, endedRows] = fields.slice(REPORT_FIELD);
+  const [incarnation, clockMilliseconds, runningRows, endedRows, completeness] = fields.slice(REPORT_FIELD);
   const running = readRows(runningRows, readRunning);
   const ended = readRows(endedRows, readEnded);
   if (!isNumber(incarnation) || !isNumber(clockMilliseconds) || running === null || ended === null) {
     return null;
   }
-  return { incarnation, clockMilliseconds, running, ended };
+  // Relays of earlier versions do not tell; a report without ends is complete in any case.
+  const isComplete = typeof completeness === 'boolean' ? completeness : ended.length === 0;
+  return { incarnation, clockMilliseconds, running, ended, isComplete };
 }
 
 function readRenewal(fields: Row): RenewLeaseOutcome | null {
--- a/packages/scheduler/src/warm-up/model-workers.ts
+++ b/packages/scheduler/src/warm-up/model-workers.ts
@@ -91,7 +91,7 @@
       const ended = unacknowledgedEnds(workerId, acknowledgedEnd);
       ends.set(workerId, ended);
       const running = [...(runs.get(workerId)?.values() ?? [])].map(runningReportOf);
-      return { incarnation: INCARNATION, clockMilliseconds: now, running, ended };
+      return { incarnation: INCARNATION, clockMilliseconds: now, running, ended, isComplete: true };
     },
   };
 }
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -189,6 +189,7 @@
         clockMilliseconds: 10_000 + now - CLAIMED_AT,
         running: [],
         ended: [],
+        isComplete: true,
         ...lists,
       },
     });
--- a/packages/scheduling/src/model/worker.ts
+++ b/packages/scheduling/src/model/worker.ts
@@ -47,6 +47,8 @@
   readonly clockMilliseconds: number;
   readonly running: readonly RunningReport[];
   readonly ended: readonly EndedReport[];
+  /** False if the worker may hold further ends than those listed; then a run that is not listed may have ended. */
+  readonly isComplete: boolean;
 }
 
 /** Entry of one host in the platform's list of hosts. */
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -82,6 +82,29 @@
   return acknowledgedAt === null && (phase === 'running' || (phase === 'stopping' && sentAt === null));
 }
 
+/** Removes the acknowledged runs that a complete report lists neither as running nor as ended. */
+function* removeMissingRuns(
+  state: ServiceState,
+  worker: WorkerState,
+  report: WorkerReport,
+  askedAt: number,
+): ServiceStep<ServiceState> {
+  const listed = new Map(report.running.map(({ task, run }) => [taskIdOf(task), run]));
+  let next = state;
+  for (const [key, run] of [...runsOnWorker(state, worker)]) {
+    const isAcknowledged = run.acknowledgedAt !== null && run.acknowledgedAt < askedAt;
+    if ((isAcknowledged || isInherited(run)) && listed.get(taskIdOf(key)) !== run.run) {
+      yield {
+        kind: 'log',
+        decision: 'taskEnded',
+        fields: { ...runLogFields(key, run), end: 'missing from its worker' },
+      };
+      next = removeRun(next, key, run);
+    }
+  }
+  return next;
+}
+
 /** Applies the running runs of a report, and removes the runs that it should list but does not. */
 function* processRunning(
   state: ServiceState,
@@ -99,19 +122,8 @@
     else if (run.phase === 'stopping') next = yield* retryStop(next, row.task, run);
     else next = updateRunningRun(next, workerId, incarnation, row);
   }
-  const listed = new Map(report.running.map(({ task, run }) => [taskIdOf(task), run]));
-  for (const [key, run] of [...runsOnWorker(next, worker)]) {
-    const isAcknowledged = run.acknowledgedAt !== null && run.acknowledgedAt < askedAt;
-    if ((isAcknowledged || isInherited(run)) && listed.get(taskIdOf(key)) !== run.run) {
-      yield {
-        kind: 'log',
-        decision: 'taskEnded',
-        fields: { ...runLogFields(key, run), end: 'missing from its worker' },
-      };
-      next = removeRun(next, key, run);
-    }
-  }
-  return next;
+  // The ends of runs that an incomplete report omits follow in later reports.
+  return report.isComplete ? yield* removeMissingRuns(next, worker, report, askedAt) : next;
 }
 
 /** Applies a worker's report and requests the next one. */
