Read logs to their end before something counts as unknown, current or owned

Cause: a read returns at most 1 MB. The owner of a service read one page of its inbox and answered 410 for a job on a later page; a page without a newer claim proved the ownership although the claim may be on the next one; the register counted as current after one page of its changes.

Change: a read tells whether the log had further records. A job is unknown only at the end of the inbox, a page with successors proves no ownership, and the register is read on before it is used.

Evidence: with the checks taken out three tests fail (inbox-pages, register); with them all pass.

--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -350,12 +350,18 @@
         });
       return {
         readNewest: () =>
-          call(() => ({ kind: 'read', changes: [...listed.values()], nextOffset: changes.length })),
+          call(() => ({
+            kind: 'read',
+            changes: [...listed.values()],
+            nextOffset: changes.length,
+            hasMore: false,
+          })),
         read: (fromOffset) =>
           call(() => ({
             kind: 'read',
             changes: changes.slice(fromOffset),
             nextOffset: Math.max(fromOffset, changes.length),
+            hasMore: false,
           })),
       };
     },
--- a/packages/fleet-emulator/src/model-log.ts
+++ b/packages/fleet-emulator/src/model-log.ts
@@ -6,6 +6,7 @@
   ReadOutcome,
   StoredKeyedRecord,
 } from '@baobabdeck/scheduler';
+import type { PlayedLimits } from './played-limits.js';
 import type { VirtualTime } from './virtual-time.js';
 
 interface ProducerState {
@@ -30,8 +31,21 @@
   readonly expire: () => void;
 }
 
+/** Returns how many records from an offset on fit into a number of bytes; at least one, if there is any. */
+function countFitting(records: readonly KeyedRecord[], fromOffset: number, maximumBytes: number): number {
+  let bytes = 0;
+  let count = 0;
+  for (let at = fromOffset; at < records.length; at += 1) {
+    const { key, value } = records[at] ?? { key: '', value: null };
+    bytes += key.length + (value?.byteLength ?? 0);
+    if (count > 0 && bytes > maximumBytes) break;
+    count += 1;
+  }
+  return count;
+}
+
 /** Creates an empty log. */
-export function createModelLog(time: VirtualTime): ModelLog {
+export function createModelLog(time: VirtualTime, limits: Pick<PlayedLimits, 'readBytes'>): ModelLog {
   const records: StoredKeyedRecord[] = [];
   const newest = new Map<string, StoredKeyedRecord>();
   const producers = new Map<string, ProducerState>();
@@ -70,14 +84,12 @@
     return outcome;
   };
 
-  const page = (fromOffset: number): ReadOutcome =>
-    fromOffset < firstOffset
-      ? { kind: 'expired' }
-      : {
-          kind: 'read',
-          records: records.slice(fromOffset),
-          nextOffset: Math.max(fromOffset, records.length),
-        };
+  const page = (fromOffset: number): ReadOutcome => {
+    if (fromOffset < firstOffset) return { kind: 'expired' };
+    const read = records.slice(fromOffset, fromOffset + countFitting(records, fromOffset, limits.readBytes));
+    const nextOffset = fromOffset + read.length;
+    return { kind: 'read', records: read, nextOffset, hasMore: nextOffset < records.length };
+  };
 
   return {
     append: (added, producer, expectedEnd) => {
--- a/packages/fleet-emulator/src/model-store.ts
+++ b/packages/fleet-emulator/src/model-store.ts
@@ -11,6 +11,7 @@
 import { createModelGroup, type ModelGroup } from './model-group.js';
 import { createModelLog, type ModelLog } from './model-log.js';
 import type { Endpoint, Network } from './network.js';
+import type { PlayedLimits } from './played-limits.js';
 import type { VirtualTime } from './virtual-time.js';
 
 /** The store's name on the network. */
@@ -31,7 +32,12 @@
 }
 
 /** Creates an empty store. */
-export function createModelStore(time: VirtualTime, network: Network, random: RandomSource): ModelStore {
+export function createModelStore(
+  time: VirtualTime,
+  network: Network,
+  random: RandomSource,
+  limits: PlayedLimits,
+): ModelStore {
   const logs = new Map<string, ModelLog>();
   const group = createModelGroup(time, random);
   const otherGroups = new Map<string, ModelGroup>();
@@ -47,7 +53,7 @@
     const key = `${topic}/${partition}`;
     const known = logs.get(key);
     if (known !== undefined) return known;
-    const log = createModelLog(time);
+    const log = createModelLog(time, limits);
     logs.set(key, log);
     return log;
   };
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -168,7 +168,7 @@
   const random = createRandom(seed);
   const network = createNetwork(time, random);
   const limits = size.limits ?? PUBLISHED_LIMITS;
-  const store = createModelStore(time, network, random);
+  const store = createModelStore(time, network, random, limits);
   const plans: JobPlans = new Map();
   const log: string[] = [];
   // The referee looks at the hosts, and the hosts tell the referee.
--- a/packages/scheduler/src/__tests__/claim.test.ts
+++ b/packages/scheduler/src/__tests__/claim.test.ts
@@ -20,7 +20,7 @@
       },
       read: ({ topic }, fromOffset) => {
         calls.push(`read ${topic} from ${fromOffset}`);
-        return Promise.resolve({ kind: 'read', records: [recordAt(7)], nextOffset: 9 });
+        return Promise.resolve({ kind: 'read', records: [recordAt(7)], nextOffset: 9, hasMore: false });
       },
       readNewest: ({ topic }) => {
         calls.push(`newest ${topic}`);
--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -32,7 +32,7 @@
     append: () => Promise.resolve({ kind: 'stored', firstOffset: 0, nextOffset: 1 }),
     read: async () => {
       await clock.sleep(200);
-      return { kind: 'read', records: [], nextOffset: 1 };
+      return { kind: 'read', records: [], nextOffset: 1, hasMore: false };
     },
     readNewest: ({ topic }) =>
       Promise.resolve({
--- /dev/null
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -0,0 +1,110 @@
+/** Guards against taking one page of an inbox for all of it: jobs on later pages, and claims of newer owners. */
+import { describe } from '@baobabdeck/test-tools';
+import { PLAIN_STEP, selectJobStatus, type JobRequest } from '@baobabdeck/scheduling';
+import { NO_MEASURES } from '../measure/no-measures.js';
+import { encodeRecord } from '../owner/record-codec.js';
+import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
+import type { LogPartition, Store, StoredKeyedRecord } from '../ports/index.js';
+import { createManualClock, type ManualClock } from './manual-clock.js';
+
+const INBOX: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
+
+function requestOf(jobId: string): JobRequest {
+  return {
+    jobId,
+    service: 'quotes',
+    queue: 'quotes',
+    workspace: null,
+    specification: 'work',
+    steps: [PLAIN_STEP],
+    repetition: null,
+    priority: 0,
+    maximumFailedRuns: 3,
+    stretch: 2,
+    targetMilliseconds: 500,
+    advice: null,
+    ageMilliseconds: 0,
+    acceptedAt: new Date(0),
+  };
+}
+
+/** A store whose inbox holds one accepted job per page after the claim; a read that waits takes a second. */
+function createPagedStore(clock: ManualClock, jobIds: readonly string[]): Store {
+  const inbox: readonly StoredKeyedRecord[] = jobIds
+    .flatMap((jobId) => encodeRecord({ kind: 'job-accepted', request: requestOf(jobId) }))
+    .map((record, index) => ({ ...record, offset: index + 1 }));
+  const failed = { kind: 'failed' as const, detail: 'not expected' };
+  return {
+    append: () => Promise.resolve({ kind: 'stored', firstOffset: 0, nextOffset: 1 }),
+    read: async (_partition, fromOffset, waitMilliseconds) => {
+      if (waitMilliseconds > 0) await clock.sleep(1_000);
+      const records = inbox.filter(({ offset }) => offset === fromOffset);
+      const nextOffset = fromOffset + records.length;
+      return { kind: 'read', records, nextOffset, hasMore: nextOffset <= inbox.length };
+    },
+    readNewest: () => Promise.resolve({ kind: 'read', records: [], nextOffset: 1 }),
+    join: () => Promise.resolve(failed),
+    leave: () => Promise.resolve(),
+    listOwners: () => Promise.resolve(failed),
+    partitionCount: 1,
+  };
+}
+
+async function claimService(clock: ManualClock, store: Store): Promise<ServiceOwner> {
+  const owner = createServiceOwner({
+    service: 'quotes',
+    inbox: INBOX,
+    member: 'm1',
+    parameters: {
+      leaseMilliseconds: 5_000,
+      ownershipProofMilliseconds: 5_000,
+      reportWaitMilliseconds: 1_000,
+      silenceMilliseconds: 500,
+      statusRetentionMilliseconds: 120_000,
+      gangTimeoutMilliseconds: 3_000,
+      remoteFactor: 2,
+      absenceNoticeMilliseconds: 4_500,
+    },
+    store,
+    workers: {
+      renewLease: () => Promise.resolve({ kind: 'unanswered', detail: 'no worker' }),
+      startRun: () => Promise.resolve({ outcome: 'unanswered', clockMilliseconds: null }),
+      stopRun: () => Promise.resolve('unanswered'),
+      paceRun: () => Promise.resolve('unanswered'),
+      closeConnections: () => undefined,
+    },
+    clock,
+    writeEvent: () => undefined,
+    measures: NO_MEASURES,
+    requestHostList: () => undefined,
+    onClaimed: () => undefined,
+    onOwnershipEnded: () => undefined,
+  });
+  await clock.advance(0);
+  return owner;
+}
+
+describe('an inbox of several pages', ({ it }) => {
+  it('is read to its end before a job counts as unknown', async (t) => {
+    const clock = createManualClock();
+    const owner = await claimService(clock, createPagedStore(clock, ['a', 'b', 'c']));
+    t.true(await owner.catchUp());
+    const state = owner.state();
+    t.is(state === null ? null : selectJobStatus(state, 'quotes', 'c', null), 'queued');
+    await owner.stop();
+  });
+
+  it('proves no ownership before its last page is read', async (t) => {
+    const clock = createManualClock();
+    const owner = await claimService(clock, createPagedStore(clock, ['a', 'b', 'c']));
+    const claimedAt = clock.steadyNow();
+    const provenAt: (number | undefined)[] = [];
+    for (let page = 0; page < 3; page += 1) {
+      await clock.advance(1_000);
+      provenAt.push(owner.state()?.provenAt);
+    }
+    // Each read proves the ownership at the time at which it was sent.
+    t.deepEqual(provenAt, [claimedAt, claimedAt, claimedAt + 2_000]);
+    await owner.stop();
+  });
+});
--- a/packages/scheduler/src/__tests__/register.test.ts
+++ b/packages/scheduler/src/__tests__/register.test.ts
@@ -30,6 +30,7 @@
       kind: 'read',
       changes: [{ kind: 'listed', listing: WORKER }],
       nextOffset: 1,
+      hasMore: false,
     };
     const register = followRegister({
       register: { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
@@ -41,7 +42,7 @@
     await clock.advance(0);
     t.deepEqual(register.workersOf('quotes'), [WORKER]);
     isNeeded = false;
-    answer = { kind: 'read', changes: [{ kind: 'removed', workerId: 'w1' }], nextOffset: 2 };
+    answer = { kind: 'read', changes: [{ kind: 'removed', workerId: 'w1' }], nextOffset: 2, hasMore: false };
     await clock.advance(READ_INTERVAL_MILLISECONDS);
     await clock.advance(60_000);
     t.is(register.workersOf('quotes'), null);
@@ -53,7 +54,7 @@
 
   it('stops returning workers once the last successful read is older than a second', async (t) => {
     const clock = createManualClock();
-    let answer: RegisterReadOutcome = { kind: 'read', changes: [], nextOffset: 1 };
+    let answer: RegisterReadOutcome = { kind: 'read', changes: [], nextOffset: 1, hasMore: false };
     const register = followRegister({
       register: { readNewest: () => Promise.resolve(answer), read: () => Promise.resolve(answer) },
       clock,
@@ -70,6 +71,43 @@
     register.close();
   });
 
+  it('returns workers only once every page of its changes is read', async (t) => {
+    const clock = createManualClock();
+    const pages: readonly RegisterReadOutcome[] = [
+      { kind: 'read', changes: [], nextOffset: 1, hasMore: false },
+      { kind: 'read', changes: [{ kind: 'listed', listing: WORKER }], nextOffset: 2, hasMore: true },
+      { kind: 'failed', detail: 'status 503' },
+      { kind: 'read', changes: [{ kind: 'removed', workerId: 'w1' }], nextOffset: 3, hasMore: false },
+    ];
+    const fromOffsets: number[] = [];
+    let reads = 0;
+    const nextPage = (): Promise<RegisterReadOutcome> => {
+      const page = pages[Math.min(reads, pages.length - 1)];
+      reads += 1;
+      return Promise.resolve(page ?? { kind: 'failed', detail: 'no page' });
+    };
+    const found: number[] = [];
+    const register = followRegister({
+      register: {
+        readNewest: nextPage,
+        read: (fromOffset) => {
+          fromOffsets.push(fromOffset);
+          return nextPage();
+        },
+      },
+      clock,
+      background: createTestBackground(clock),
+      isNeeded: () => true,
+      onRead: () => found.push(register.workersOf('quotes')?.length ?? -1),
+    });
+    await clock.advance(0);
+    await clock.advance(READ_INTERVAL_MILLISECONDS);
+    await clock.advance(READ_INTERVAL_MILLISECONDS);
+    t.deepEqual(fromOffsets, [1, 2, 2]);
+    t.deepEqual(found, [0, 0]);
+    register.close();
+  });
+
   it('tells of a worker whose capacity or labels have changed while it runs', async (t) => {
     const clock = createManualClock();
     const listings = [
@@ -82,7 +120,12 @@
     const answer = (): Promise<RegisterReadOutcome> => {
       const listing = listings[Math.min(reads, listings.length - 1)] ?? WORKER;
       reads += 1;
-      return Promise.resolve({ kind: 'read', changes: [{ kind: 'listed', listing }], nextOffset: reads });
+      return Promise.resolve({
+        kind: 'read',
+        changes: [{ kind: 'listed', listing }],
+        nextOffset: reads,
+        hasMore: false,
+      });
     };
     const revisions: number[] = [];
     const register = followRegister({
--- a/packages/scheduler/src/__tests__/unexpected-errors.test.ts
+++ b/packages/scheduler/src/__tests__/unexpected-errors.test.ts
@@ -301,7 +301,7 @@
     readNewest: () => Promise.resolve({ kind: 'read', records: [], nextOffset: 1 }),
     read: async () => {
       await sleep(200);
-      return { kind: 'read', records: [], nextOffset: 1 };
+      return { kind: 'read', records: [], nextOffset: 1, hasMore: false };
     },
   };
 }
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -186,7 +186,8 @@
     nextOffset = page.nextOffset;
     // The fleet's inbox holds only claims, so any later record is a newer claim.
     const isSuperseded = page.records.some((record) => record.offset >= epoch);
-    dispatch(isSuperseded ? { kind: 'ownership-lost' } : { kind: 'ownership-proven', askedAt });
+    if (isSuperseded) dispatch({ kind: 'ownership-lost' });
+    else if (!page.hasMore) dispatch({ kind: 'ownership-proven', askedAt });
   };
 
   const listHosts = async (): Promise<void> => {
--- a/packages/scheduler/src/node/register.ts
+++ b/packages/scheduler/src/node/register.ts
@@ -95,6 +95,10 @@
     }
     outcome.changes.forEach(apply);
     nextOffset = outcome.nextOffset;
+    if (outcome.hasMore) {
+      await readOnce();
+      return;
+    }
     readAt = askedAt;
     onRead();
   };
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -58,7 +58,7 @@
   readonly dispatch: (event: ServiceEventBody) => void;
   /** Computes a value from the state and measures it like an event named `kind`; null if there is no state. */
   readonly select: <T>(kind: string, selector: (state: ServiceState) => T) => T | null;
-  /** Reads the inbox without waiting for new records; resolves to false if it cannot be read. */
+  /** Reads the inbox to its end without waiting for new records; resolves to false if it cannot be read. */
   readonly catchUp: () => Promise<boolean>;
   /** Stops the owner after the pending append has ended or timed out. */
   readonly stop: () => Promise<void>;
@@ -141,24 +141,33 @@
     }
   };
 
-  const readInbox = async (waitMilliseconds: number): Promise<boolean> => {
+  /** Reads one page of the inbox. */
+  const readInbox = async (waitMilliseconds: number): Promise<'end' | 'more' | 'failed'> => {
     const askedAt = clock.steadyNow();
     const fromOffset = nextOffset;
     const page = await store.read(inbox, fromOffset, waitMilliseconds);
     if (page.kind !== 'read') {
       writeEvent('logUnreadable', { service, fromOffset, outcome: page });
-      return false;
+      return 'failed';
     }
     // `catchUp` may have read the same records in parallel.
     const newRecords = page.records.filter((record) => record.offset >= nextOffset);
     nextOffset = Math.max(nextOffset, page.nextOffset);
-    dispatch({ kind: 'records-read', records: decodeAll(newRecords), askedAt });
-    return true;
+    // Further records may hold the claim of a newer owner, so that a page before them proves no ownership.
+    const provenAt = page.hasMore ? -Infinity : askedAt;
+    dispatch({ kind: 'records-read', records: decodeAll(newRecords), askedAt: provenAt });
+    return page.hasMore ? 'more' : 'end';
+  };
+
+  const catchUp = async (): Promise<boolean> => {
+    let reached: 'end' | 'more' | 'failed' = 'more';
+    while (reached === 'more' && isOpen()) reached = await readInbox(0);
+    return reached === 'end';
   };
 
   const followInbox = async (): Promise<void> => {
-    const wasRead = await readInbox(LONG_POLL_MILLISECONDS);
-    if (!wasRead) await clock.sleep(RETRY_DELAY_MILLISECONDS);
+    const reached = await readInbox(LONG_POLL_MILLISECONDS);
+    if (reached === 'failed') await clock.sleep(RETRY_DELAY_MILLISECONDS);
   };
 
   const waitAndTick = async (): Promise<void> => {
@@ -253,7 +262,7 @@
       load.recordEvent(kind, beganAt, clock.steadyNow());
       return selected;
     },
-    catchUp: () => (loop === null ? Promise.resolve(false) : readInbox(0)),
+    catchUp: () => (loop === null ? Promise.resolve(false) : catchUp()),
     stop: async () => {
       dispatch({ kind: 'stop-requested' });
       await journal?.flush();
--- a/packages/scheduler/src/ports/store.ts
+++ b/packages/scheduler/src/ports/store.ts
@@ -40,7 +40,13 @@
 
 /** The result of a read. */
 export type ReadOutcome =
-  | { readonly kind: 'read'; readonly records: readonly StoredKeyedRecord[]; readonly nextOffset: number }
+  | {
+      readonly kind: 'read';
+      readonly records: readonly StoredKeyedRecord[];
+      readonly nextOffset: number;
+      /** Whether the log had further records at the time of the read; a read returns a limited number of bytes. */
+      readonly hasMore: boolean;
+    }
   /** Records at or after the requested offset have expired. */
   | { readonly kind: 'expired' }
   | { readonly kind: 'failed'; readonly detail: string };
--- a/packages/scheduler/src/ports/workers.ts
+++ b/packages/scheduler/src/ports/workers.ts
@@ -15,7 +15,13 @@
 
 /** The result of reading the register. */
 export type RegisterReadOutcome =
-  | { readonly kind: 'read'; readonly changes: readonly RegisterChange[]; readonly nextOffset: number }
+  | {
+      readonly kind: 'read';
+      readonly changes: readonly RegisterChange[];
+      readonly nextOffset: number;
+      /** Whether the register had further changes at the time of the read. */
+      readonly hasMore: boolean;
+    }
   | { readonly kind: 'expired' }
   | { readonly kind: 'failed'; readonly detail: string };
 
