--- a/packages/errors/src/result-codes.ts
+++ b/packages/errors/src/result-codes.ts
@@ -46,6 +46,7 @@
     status: 503,
     title: 'Keys cannot be checked while the configuration cannot be read',
   },
+  jobTooLarge: { code: 1028, status: 413, title: 'The job is too large to be accepted' },
   fileUnreadable: { code: 2001, status: 400, title: 'A settings file cannot be read' },
   malformedToml: { code: 2002, status: 400, title: 'A settings file is not valid TOML' },
   unknownSetting: { code: 2003, status: 400, title: 'A setting has an unknown key' },
--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -50,6 +50,24 @@
   return { jobId, specification: `work of ${jobId}`, steps, repetition: null };
 }
 
+/** Share of the jobs with a wide step, and the most tasks of it. */
+const WIDE_SHARE = 0.15;
+const WIDE_TASKS = 300;
+
+/** Like a mixed job, but some jobs have a step of many small tasks. */
+export function drawMixedOrWideJob(random: RandomSource, jobId: string): SubmittedJob {
+  const job = drawMixedJob(random, jobId);
+  if (!random.chance(WIDE_SHARE)) return job;
+  const wide: StepRequest = {
+    ...PLAIN_STEP,
+    taskCount: 1 + random.below(WIDE_TASKS),
+    needs: { milliCores: 50, memoryMegabytes: 64, accelerators: 0 },
+    savesCheckpoints: random.chance(0.5),
+    after: [0],
+  };
+  return { ...job, steps: [...job.steps, wide] };
+}
+
 /** A job whose tasks last. */
 export function drawLastingJob(random: RandomSource, jobId: string): SubmittedJob {
   const step: StepRequest = {
@@ -146,7 +164,7 @@
     void callers.submit(found.queue, job, PATIENCE_MILLISECONDS, null).then((answer) => {
       world.referee.onSubmitAnswered(job.jobId, answer.kind);
       if (answer.kind === 'accepted') onAccepted();
-      else again();
+      else if (answer.kind !== 'too-large') again();
     });
   });
 }
--- a/packages/fleet-emulator/src/model-log.ts
+++ b/packages/fleet-emulator/src/model-log.ts
@@ -31,13 +31,21 @@
   readonly expire: () => void;
 }
 
+/** Each record of an append is preceded by its length. */
+const RECORD_LENGTH_BYTES = 4;
+
+const KEY_LENGTH_BYTES = 1;
+
+function bytesOf({ key, value }: KeyedRecord): number {
+  return KEY_LENGTH_BYTES + Buffer.byteLength(key) + (value?.byteLength ?? 0);
+}
+
 /** Returns how many records from an offset on fit into a number of bytes; at least one, if there is any. */
 function countFitting(records: readonly KeyedRecord[], fromOffset: number, maximumBytes: number): number {
   let bytes = 0;
   let count = 0;
   for (let at = fromOffset; at < records.length; at += 1) {
-    const { key, value } = records[at] ?? { key: '', value: null };
-    bytes += key.length + (value?.byteLength ?? 0);
+    bytes += bytesOf(records[at] ?? { key: '', value: null });
     if (count > 0 && bytes > maximumBytes) break;
     count += 1;
   }
@@ -45,7 +53,7 @@
 }
 
 /** Creates an empty log. */
-export function createModelLog(time: VirtualTime, limits: Pick<PlayedLimits, 'readBytes'>): ModelLog {
+export function createModelLog(time: VirtualTime, limits: PlayedLimits): ModelLog {
   const records: StoredKeyedRecord[] = [];
   const newest = new Map<string, StoredKeyedRecord>();
   const producers = new Map<string, ProducerState>();
@@ -91,8 +99,17 @@
     return { kind: 'read', records: read, nextOffset, hasMore: nextOffset < records.length };
   };
 
+  const findExcess = (added: readonly KeyedRecord[]): string | null => {
+    const sizes = added.map(bytesOf);
+    if (sizes.some((bytes) => bytes > limits.recordBytes)) return 'a record is too large';
+    const total = sizes.reduce((sum, bytes) => sum + RECORD_LENGTH_BYTES + bytes, 0);
+    return total > limits.requestBytes ? 'the records are too large together' : null;
+  };
+
   return {
     append: (added, producer, expectedEnd) => {
+      const excess = findExcess(added);
+      if (excess !== null) return { kind: 'invalid', detail: excess };
       if (expectedEnd !== null && expectedEnd !== records.length) {
         return { kind: 'moved', nextOffset: records.length };
       }
--- a/packages/fleet-emulator/src/model-store.ts
+++ b/packages/fleet-emulator/src/model-store.ts
@@ -82,6 +82,7 @@
 
     return {
       partitionCount: PARTITIONS,
+      limits: { recordBytes: limits.recordBytes, requestBytes: limits.requestBytes },
       append: ({ partition, records, producer, expectedEnd }) =>
         call(
           () => logOf(partition).append(records, producer, expectedEnd),
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -1,7 +1,14 @@
 /** Plays a random schedule of traffic and troubles from a seed, and tells which rules broke. */
 import type { Queue, SubmittedJob } from '@baobabdeck/scheduler';
 import type { RandomSource } from '@baobabdeck/emulator';
-import { drawLastingJob, drawMixedJob, NO_CRASHES, startCallers, type CrashHabits } from './callers.js';
+import {
+  drawLastingJob,
+  drawMixedJob,
+  drawMixedOrWideJob,
+  NO_CRASHES,
+  startCallers,
+  type CrashHabits,
+} from './callers.js';
 import { TIGHT_LIMITS } from './played-limits.js';
 import { resultOf, type PlayResult } from './play-result.js';
 import {
@@ -58,6 +65,7 @@
 export const TIGHT_LIMITS_PLAY: Omit<PlayOptions, 'seed'> = {
   ...SMALL_PLAY,
   size: { ...SMALL_PLAY.size, limits: TIGHT_LIMITS },
+  drawJob: drawMixedOrWideJob,
 };
 
 /** Such tasks and no other trouble. */
--- a/packages/fleet-emulator/src/referee-types.ts
+++ b/packages/fleet-emulator/src/referee-types.ts
@@ -1,6 +1,6 @@
 /** The referee of a play and what it is made of. */
 import type { JobStatus } from '@baobabdeck/scheduling';
-import type { Workspace } from '@baobabdeck/scheduler';
+import type { SubmitResult, Workspace } from '@baobabdeck/scheduler';
 import type { JobPlans } from './job-plans.js';
 import type { HostObserver, ModelHost } from './model-fleet.js';
 import type { WorkerObserver } from './observer.js';
@@ -17,7 +17,7 @@
 
 /** The referee. */
 export interface Referee extends WorkerObserver, HostRules {
-  readonly onSubmitAnswered: (jobId: string, answer: 'accepted' | 'refused' | 'unknown') => void;
+  readonly onSubmitAnswered: (jobId: string, answer: SubmitResult['kind']) => void;
   readonly onCancelSent: (jobId: string) => void;
   readonly onCancelAcknowledged: (jobId: string) => void;
   readonly onStatusShown: (jobId: string, status: JobStatus | null) => void;
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -40,7 +40,7 @@
       if (answer === 'accepted') {
         job.isAccepted = true;
         job.acceptedAt = time.now();
-      } else if (answer === 'refused') job.wasRefused = true;
+      } else if (answer === 'refused' || answer === 'too-large') job.wasRefused = true;
       else job.hasUnknownAnswer = true;
     },
     onCancelSent: (jobId) => {
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -47,6 +47,11 @@
   snapshotWritten: { number: 208, level: 'info', message: 'snapshot written' },
   platformCallFailed: { number: 209, level: 'warn', message: 'platform call failed' },
   bootstrapped: { number: 210, level: 'info', message: 'state restored' },
+  recordTooLarge: {
+    number: 211,
+    level: 'error',
+    message: 'record exceeds the limit of the store; the outcome field says what is stored of it',
+  },
   requestRefused: { number: 301, level: 'info', message: 'request refused' },
   attemptRetried: { number: 302, level: 'info', message: 'request retried on another target' },
   targetEjected: { number: 303, level: 'warn', message: 'target ejected after failures' },
--- a/packages/scheduler/src/__tests__/claim.test.ts
+++ b/packages/scheduler/src/__tests__/claim.test.ts
@@ -2,6 +2,7 @@
 import { claimService } from '../owner/claim.js';
 import type { LogPartition, Store, StoredKeyedRecord } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 
 const INBOX: LogPartition = { topic: 'inbox', partition: 0 };
 const JOURNAL: LogPartition = { topic: 'journal', partition: 0 };
@@ -30,6 +31,7 @@
       leave: () => Promise.resolve(),
       listOwners: () => Promise.resolve({ kind: 'failed', detail: 'not expected' }),
       partitionCount: 1,
+      limits: PUBLISHED_LIMITS,
     };
     const claimed = await claimService({
       store,
--- a/packages/scheduler/src/__tests__/fleet-owner.test.ts
+++ b/packages/scheduler/src/__tests__/fleet-owner.test.ts
@@ -5,6 +5,7 @@
 import { NO_MEASURES } from '../measure/no-measures.js';
 import type { LogPartition, Store } from '../ports/index.js';
 import { createManualClock, type ManualClock } from './manual-clock.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 
 const INBOX: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
 
@@ -44,6 +45,7 @@
     leave: () => Promise.resolve(),
     listOwners: () => Promise.resolve(failed),
     partitionCount: 1,
+    limits: PUBLISHED_LIMITS,
   };
 }
 
--- a/packages/scheduler/src/__tests__/inbox-pages.test.ts
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -6,6 +6,7 @@
 import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
 import type { LogPartition, Store, StoredKeyedRecord } from '../ports/index.js';
 import { createManualClock, type ManualClock } from './manual-clock.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 
 const INBOX: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
 
@@ -47,6 +48,7 @@
     leave: () => Promise.resolve(),
     listOwners: () => Promise.resolve(failed),
     partitionCount: 1,
+    limits: PUBLISHED_LIMITS,
   };
 }
 
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -6,6 +6,7 @@
 import { parsePeerRequest, type PeerRequest, type PeerResponse } from '../peers/messages.js';
 import { createPeerRequestHandler } from '../peers/peer-request-handler.js';
 import type { KeyedRecord, Queue } from '../ports/index.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 import { createManualClock } from './manual-clock.js';
 import { createTestBackground } from './test-background.js';
 
@@ -55,10 +56,26 @@
       requestFrom: () => Promise.resolve(null),
     },
     isStoreLost: () => false,
+    storeLimits: PUBLISHED_LIMITS,
   });
   return { frontend, stored, requests };
 }
 
+describe('a job whose record exceeds the limit of the store', ({ it }) => {
+  it('is refused at once as too large, and nothing is stored', async (t) => {
+    const { frontend, stored } = createHarness(null);
+    const steps = Array.from({ length: 1_000 }, () => PLAIN_STEP);
+    const job = { jobId: 'a', specification: 's', steps, repetition: null };
+    const answer = await frontend.submit(QUEUE, job, 1_000, null);
+    t.like(answer, { kind: 'too-large' });
+    t.regex(
+      answer.kind === 'too-large' ? answer.detail : '',
+      /^steps: expected .* 262144 bytes .* found \d{6}$/,
+    );
+    t.deepEqual(stored, []);
+  });
+});
+
 describe('a job of a workspace', ({ it }) => {
   it('is stored with the name of its workspace', async (t) => {
     const { frontend, stored } = createHarness(null);
--- a/packages/scheduler/src/__tests__/store-loss.test.ts
+++ b/packages/scheduler/src/__tests__/store-loss.test.ts
@@ -5,6 +5,7 @@
 import type { JoinOutcome, Store } from '../ports/index.js';
 import { createManualClock } from './manual-clock.js';
 import { createTestBackground } from './test-background.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 
 function createStore(join: () => JoinOutcome): Store {
   const failed = { kind: 'failed' as const, detail: 'no' };
@@ -16,6 +17,7 @@
     leave: () => Promise.resolve(),
     listOwners: () => Promise.resolve(failed),
     partitionCount: 12,
+    limits: PUBLISHED_LIMITS,
   };
 }
 
--- a/packages/scheduler/src/__tests__/unexpected-errors.test.ts
+++ b/packages/scheduler/src/__tests__/unexpected-errors.test.ts
@@ -16,6 +16,7 @@
   type ReportUnexpectedError,
 } from '../unexpected-errors/index.js';
 import { createManualClock } from './manual-clock.js';
+import { PUBLISHED_LIMITS } from './published-limits.js';
 
 interface Line extends LogFields {
   readonly event: string;
@@ -73,6 +74,7 @@
     leave: fail,
     listOwners: fail,
     partitionCount: 1,
+    limits: PUBLISHED_LIMITS,
   };
 }
 
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -125,7 +125,8 @@
     appendId,
     records,
   }: Extract<FleetEffect, { kind: 'store-fleet-records' }>): void => {
-    journal?.append(appendId, records.map(encodeFleetRecord), (firstOffset, askedAt) =>
+    const groups = records.map((record) => [encodeFleetRecord(record)]);
+    journal?.append(appendId, groups, (firstOffset, askedAt) =>
       dispatch({ kind: 'fleet-records-stored', appendId, firstOffset, askedAt }),
     );
   };
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -5,10 +5,12 @@
 import { subjectOfService } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { BackgroundWork } from '../unexpected-errors/background-work.js';
+import { isStorable, storedBytesOf } from '../owner/append-batches.js';
 import { encodeRecord } from '../owner/record-codec.js';
 import type { OwnerClient } from '../peers/owner-client.js';
 import type { PeerResponse, PeerRequest } from '../peers/messages.js';
 import type {
+  AppendLimits,
   CancelResult,
   KeyedRecord,
   LogPartition,
@@ -42,6 +44,7 @@
   readonly background: BackgroundWork;
   readonly writeEvent: WriteEvent;
   readonly writer: SubmissionWriter;
+  readonly storeLimits: AppendLimits;
   readonly layout: () => Layout;
   readonly ownerClient: OwnerClient;
   /** Whether the store has stopped answering this process; other processes may still reach it. */
@@ -94,6 +97,13 @@
   };
 }
 
+/** Describes the record of a job that the store would never accept; null if it accepts all of them. */
+function findExcess(records: readonly KeyedRecord[], limits: AppendLimits): string | null {
+  const large = records.find((record) => !isStorable(record, limits));
+  if (large === undefined) return null;
+  return `steps: expected a job of at most ${limits.recordBytes} bytes as stored, found ${storedBytesOf(large)}`;
+}
+
 /** Creates the front end. */
 export function createFrontend(parts: FrontendParts): Frontend {
   const { clock, background, writeEvent, writer } = parts;
@@ -118,6 +128,7 @@
     for (;;) {
       const outcome = await writer.append(inbox, records);
       if (outcome.kind === 'stored') return { kind: 'accepted', offset: outcome.firstOffset };
+      if (outcome.kind === 'invalid') return { kind: 'too-large', detail: outcome.detail };
       mayBeStored ||= outcome.kind === 'unknown';
       const now = clock.steadyNow();
       if (!mayBeStored && (now >= refuseAt || parts.isStoreLost())) {
@@ -157,10 +168,17 @@
     }
     const refuseAt = startedAt + remainingMilliseconds * STORE_RETRY_SHARE;
     const records = encodeRecord({ kind: 'job-accepted', request });
+    const excess = findExcess(records, parts.storeLimits);
+    if (excess !== null) {
+      writeEvent('jobRefused', { ...fields, reason: excess });
+      return { kind: 'too-large', detail: excess };
+    }
     const answer = await appendUntilStored(inbox, records, deadlineOf(remainingMilliseconds), refuseAt);
     const milliseconds = Math.round(clock.steadyNow() - startedAt);
     if (answer.kind === 'accepted') {
       writeEvent('jobAccepted', { ...fields, offset: answer.offset, milliseconds });
+    } else if (answer.kind === 'too-large') {
+      writeEvent('jobRefused', { ...fields, reason: answer.detail, milliseconds });
     } else if (answer.kind === 'refused') {
       writeEvent('jobRefused', { ...fields, reason: answer.reason, milliseconds });
     } else {
--- a/packages/scheduler/src/frontend/submission-writer.ts
+++ b/packages/scheduler/src/frontend/submission-writer.ts
@@ -1,5 +1,6 @@
 /** Appends submitted jobs and cancellations to the inboxes of services, one batch per inbox at a time. */
 import type { AppendOutcome, KeyedRecord, LogPartition, Store } from '../ports/index.js';
+import { framedBytesOf } from '../owner/append-batches.js';
 import { partitionKey } from '../node/layout.js';
 import type { BackgroundWork } from '../unexpected-errors/background-work.js';
 
@@ -10,7 +11,7 @@
 }
 
 /** Maximum bytes of records in a batch, unless a single append is larger; a larger batch would take too long to store. */
-const MAX_BATCH_BYTES = 262_144;
+const MAXIMUM_BATCH_BYTES = 262_144;
 
 /** Writer that collects the appends made while a batch is being stored into the next batch. */
 export interface SubmissionWriter {
@@ -18,13 +19,13 @@
 }
 
 function sizeOf({ records }: PendingAppend): number {
-  return records.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0);
+  return framedBytesOf(records);
 }
 
-function takeBatch(queue: PendingAppend[]): readonly PendingAppend[] {
+function takeBatch(queue: PendingAppend[], maximumBytes: number): readonly PendingAppend[] {
   const batch: PendingAppend[] = [];
   let bytes = 0;
-  while (queue[0] !== undefined && (batch.length === 0 || bytes + sizeOf(queue[0]) <= MAX_BATCH_BYTES)) {
+  while (queue[0] !== undefined && (batch.length === 0 || bytes + sizeOf(queue[0]) <= maximumBytes)) {
     bytes += sizeOf(queue[0]);
     batch.push(queue[0]);
     queue.shift();
@@ -34,6 +35,7 @@
 
 /** Creates a submission writer. */
 export function createSubmissionWriter(store: Store, background: BackgroundWork): SubmissionWriter {
+  const maximumBytes = Math.min(MAXIMUM_BATCH_BYTES, store.limits.requestBytes);
   const queues = new Map<string, PendingAppend[]>();
   const busyPartitions = new Set<string>();
 
@@ -43,7 +45,7 @@
     if (busyPartitions.has(key)) return;
     busyPartitions.add(key);
     while (queue.length > 0) {
-      const batch = takeBatch(queue);
+      const batch = takeBatch(queue, maximumBytes);
       const outcome = await store.append({
         partition,
         records: batch.flatMap(({ records }) => records),
--- a/packages/scheduler/src/measure/__tests__/claim-delay.test.ts
+++ b/packages/scheduler/src/measure/__tests__/claim-delay.test.ts
@@ -3,6 +3,7 @@
 import { claimService } from '../../owner/claim.js';
 import type { ReadNewestOutcome, Store } from '../../ports/index.js';
 import { createManualClock } from '../../__tests__/manual-clock.js';
+import { PUBLISHED_LIMITS } from '../../__tests__/published-limits.js';
 
 const FAILED: ReadNewestOutcome = { kind: 'failed', detail: 'no answer in time' };
 
@@ -19,6 +20,7 @@
       leave: () => Promise.resolve(),
       listOwners: () => Promise.resolve({ kind: 'failed', detail: 'no' }),
       partitionCount: 12,
+      limits: PUBLISHED_LIMITS,
     };
     const claim = claimService({
       store,
--- a/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
+++ b/packages/scheduler/src/measure/__tests__/measured-calls.test.ts
@@ -4,6 +4,7 @@
 import { measureWorkers } from '../measured-workers.js';
 import { NO_MEASURES } from '../no-measures.js';
 import { createManualClock } from '../../__tests__/manual-clock.js';
+import { PUBLISHED_LIMITS } from '../../__tests__/published-limits.js';
 
 const PARTITION = { topic: 'journal', partition: 0 };
 
@@ -23,6 +24,7 @@
       leave: () => Promise.resolve(),
       listOwners: () => Promise.resolve(failed),
       partitionCount: 12,
+      limits: PUBLISHED_LIMITS,
     };
     const store = measureStore(innerStore, clock, {
       ...NO_MEASURES,
--- a/packages/scheduler/src/measure/__tests__/owner-load.test.ts
+++ b/packages/scheduler/src/measure/__tests__/owner-load.test.ts
@@ -7,6 +7,7 @@
 import { createOwnerLoad, type OwnerLoad } from '../owner-load.js';
 import { createErrorReporter } from '../../unexpected-errors/index.js';
 import { createManualClock, type ManualClock } from '../../__tests__/manual-clock.js';
+import { PUBLISHED_LIMITS } from '../../__tests__/published-limits.js';
 
 interface Line extends LogFields {
   readonly event: string;
@@ -75,6 +76,7 @@
     leave: () => Promise.resolve(),
     listOwners: () => Promise.resolve(failed),
     partitionCount: 12,
+    limits: PUBLISHED_LIMITS,
   };
 }
 
@@ -157,7 +159,7 @@
       writeEvent: write,
       logFields: {},
     });
-    journal.append(1, [{ key: 'progress/1', value: new Uint8Array(90) }], () => undefined);
+    journal.append(1, [[{ key: 'progress/1', value: new Uint8Array(90) }]], () => undefined);
     await clock.advance(0);
     await clock.advance(1_000);
     load.recordEvent('ticked', clock.steadyNow(), clock.steadyNow());
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -258,6 +258,7 @@
     background,
     writeEvent,
     writer: createSubmissionWriter(store, background),
+    storeLimits: store.limits,
     isStoreLost,
     layout: layoutManager.layout,
     ownerClient,
--- a/packages/scheduler/src/owner/owned-journal.ts
+++ b/packages/scheduler/src/owner/owned-journal.ts
@@ -1,9 +1,13 @@
-/** Journal of an owner: retries each append until the batch is stored or a newer owner has fenced this one. */
+/**
+ * Journal of an owner: cuts each batch into appends within the store's limits and retries each until it is stored or a
+ * newer owner has fenced this one. A record that can never be stored is reported and left out.
+ */
 import type { LogFields, WriteEvent } from '@baobabdeck/observability';
 import { bytesOf } from '../measure/measured-store.js';
 import type { OwnerLoad } from '../measure/owner-load.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { KeyedRecord, LogPartition, Store } from '../ports/index.js';
+import { cutIntoAppends, isStorable, storedBytesOf } from './append-batches.js';
 import { OWNER_PRODUCER } from './claim.js';
 
 const RETRY_DELAY_MILLISECONDS = 100;
@@ -33,46 +37,114 @@
 
 /** Journal to which one owner appends. */
 export interface OwnedJournal {
-  /** Appends a batch. The owner must not append another one before `onStored` is called. */
-  readonly append: (appendId: number, records: readonly KeyedRecord[], onStored: OnStored) => void;
+  /**
+   * Appends a batch of groups. A group is stored in one append if it fits into one. The owner must not append another
+   * batch before `onStored` is called.
+   */
+  readonly append: (
+    appendId: number,
+    groups: readonly (readonly KeyedRecord[])[],
+    onStored: OnStored,
+  ) => void;
   /** Resolves once the pending append has ended, at the latest after `FLUSH_TIMEOUT_MILLISECONDS`. */
   readonly flush: () => Promise<void>;
 }
 
+/** A stored append: the offset of its first record, and when the successful attempt began. */
+interface StoredAppend {
+  readonly firstOffset: number;
+  readonly askedAt: number;
+}
+
 /** Opens the journal of a successful claim. */
 export function openJournal(parts: OwnedJournalParts): OwnedJournal {
   const { store, clock, partition, epoch } = parts;
   let nextSequence = 1;
   let pendingAppend: Promise<void> = Promise.resolve();
 
-  const appendUntilStored = async (
+  const reportTooLarge = (record: KeyedRecord, detail: string): void =>
+    parts.writeEvent('recordTooLarge', {
+      ...parts.logFields,
+      key: record.key,
+      bytes: storedBytesOf(record),
+      outcome: 'left out',
+      detail,
+    });
+
+  /** Returns the offset and time of a stored append; null if the owner is closed or fenced. */
+  const appendUntilSettled = async (
     appendId: number,
     records: readonly KeyedRecord[],
-    onStored: OnStored,
-  ): Promise<void> => {
+  ): Promise<StoredAppend | 'invalid' | null> => {
     const producer = { name: OWNER_PRODUCER, epoch, sequence: nextSequence };
-    nextSequence += 1;
     const bytes = bytesOf(records);
     while (parts.isOpen()) {
       const askedAt = clock.steadyNow();
       const outcome = await store.append({ partition, records, producer, expectedEnd: null });
       parts.load.recordAppend(clock.steadyNow() - askedAt, bytes);
       if (outcome.kind === 'stored') {
-        onStored(outcome.firstOffset, askedAt);
-        return;
+        nextSequence += 1;
+        return { firstOffset: outcome.firstOffset, askedAt };
       }
       if (outcome.kind === 'fenced') {
         parts.onFenced();
-        return;
+        return null;
       }
       parts.writeEvent('appendFailed', { ...parts.logFields, appendId, outcome });
+      if (outcome.kind === 'invalid') return 'invalid';
       await clock.sleep(RETRY_DELAY_MILLISECONDS);
     }
+    return null;
+  };
+
+  /** Appends records that the store does not accept together one by one, and leaves out those that it never accepts. */
+  const appendOneByOne = async (
+    appendId: number,
+    records: readonly KeyedRecord[],
+  ): Promise<StoredAppend | null> => {
+    let first: StoredAppend | null = null;
+    for (const record of records) {
+      const stored = await appendUntilSettled(appendId, [record]);
+      if (stored === null) return null;
+      if (stored === 'invalid') reportTooLarge(record, 'refused by the store');
+      else first ??= stored;
+    }
+    return first ?? appendNothing(appendId);
+  };
+
+  const appendNothing = async (appendId: number): Promise<StoredAppend | null> => {
+    const stored = await appendUntilSettled(appendId, []);
+    return stored === 'invalid' ? null : stored;
+  };
+
+  const appendGroups = async (
+    appendId: number,
+    groups: readonly (readonly KeyedRecord[])[],
+    onStored: OnStored,
+  ): Promise<void> => {
+    const storable = groups.map((group) =>
+      group.filter((record) => {
+        const fits = isStorable(record, store.limits);
+        if (!fits) reportTooLarge(record, `the store accepts ${store.limits.recordBytes} bytes`);
+        return fits;
+      }),
+    );
+    const appends = cutIntoAppends(storable, store.limits);
+    let firstOffset: number | null = null;
+    let askedAt = -Infinity;
+    for (const records of appends.length === 0 ? [[]] : appends) {
+      const settled = await appendUntilSettled(appendId, records);
+      const stored = settled === 'invalid' ? await appendOneByOne(appendId, records) : settled;
+      if (stored === null) return;
+      firstOffset ??= stored.firstOffset;
+      ({ askedAt } = stored);
+    }
+    onStored(firstOffset ?? 0, askedAt);
   };
 
   return {
-    append: (appendId, records, onStored) => {
-      pendingAppend = appendUntilStored(appendId, records, onStored);
+    append: (appendId, groups, onStored) => {
+      pendingAppend = appendGroups(appendId, groups, onStored);
     },
     flush: () => Promise.race([pendingAppend, clock.sleep(FLUSH_TIMEOUT_MILLISECONDS)]),
   };
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -2,6 +2,8 @@
 import { Decoder, Encoder } from 'cbor-x';
 import type {
   InterferenceRecord,
+  JobPart,
+  JobPartProgress,
   JobProgress,
   JobRequest,
   ServiceRecord,
@@ -19,6 +21,7 @@
 const REQUEST_PREFIX = 'request/';
 const CANCEL_PREFIX = 'cancel/';
 const PROGRESS_PREFIX = 'progress/';
+const PART_PREFIX = 'part/';
 const RELEASE_PREFIX = 'release/';
 const INTERFERENCE_PREFIX = 'interference/';
 const INTERFERENCE_KEY = `${INTERFERENCE_PREFIX}model`;
@@ -58,6 +61,9 @@
   hasStarted?: boolean,
 ];
 
+/** Progress of a part: its tasks by step. */
+type EncodedPart = readonly (readonly [step: number, tasks: readonly EncodedTask[]])[];
+
 /** Model of interference with its time in milliseconds since 1970. */
 type EncodedInterference = Omit<InterferenceRecord, 'recordedAt'> & {
   readonly version: number;
@@ -115,6 +121,20 @@
   return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted };
 }
 
+function partKeyOf({ jobId, occurrence, part }: JobPart): string {
+  return `${PART_PREFIX}${jobId}/${occurrence}/${part}`;
+}
+
+function encodePart({ steps }: JobPartProgress): EncodedPart {
+  return steps.map(({ step, tasks }) => [step, tasks.map(encodeTask)]);
+}
+
+function decodePart(subject: string, encoded: EncodedPart): JobPartProgress {
+  const [jobId = '', occurrence, part] = subject.split('/');
+  const steps = encoded.map(([step, tasks]) => ({ step, tasks: tasks.map(decodeTask) }));
+  return { jobId, occurrence: Number(occurrence), part: Number(part), steps };
+}
+
 function encodeInterference({ recordedAt, baselines, pairs }: InterferenceRecord): EncodedInterference {
   return { version: 1, recordedAt: recordedAt.getTime(), baselines, pairs };
 }
@@ -145,6 +165,10 @@
       ];
     case 'job-forgotten':
       return [{ key: PROGRESS_PREFIX + record.jobId, value: null }];
+    case 'job-part-progress':
+      return [{ key: partKeyOf(record.part), value: encoder.encode(encodePart(record.part)) }];
+    case 'job-part-forgotten':
+      return [{ key: partKeyOf(record.part), value: null }];
     case 'worker-released':
       return [{ key: RELEASE_PREFIX + record.workerId, value: encoder.encode(record.incarnation) }];
     case 'worker-returned':
@@ -176,6 +200,8 @@
       return { kind: 'job-cancelled', jobId: subject };
     case PROGRESS_PREFIX:
       return { kind: 'job-progress', jobId: subject, progress: decodeProgress(content as EncodedProgress) };
+    case PART_PREFIX:
+      return { kind: 'job-part-progress', part: decodePart(subject, content as EncodedPart) };
     case RELEASE_PREFIX:
       return { kind: 'worker-released', workerId: subject, incarnation: Number(content) };
     case INTERFERENCE_PREFIX:
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -16,10 +16,12 @@
 import { createOwnerLoad } from '../measure/owner-load.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import { storedBytesOf } from './append-batches.js';
 import { claimService, type ClaimedService } from './claim.js';
 import { decodeReadable } from './decoded-record.js';
 import { openJournal, type OwnedJournal } from './owned-journal.js';
 import { decodeRecord, encodeRequestTombstones, encodeRecord } from './record-codec.js';
+import { encodeGroups } from './record-groups.js';
 import { createReducerLoop, type ReducerLoop } from './reducer-loop.js';
 import type { ServiceEventBody } from './service-event.js';
 import { performWorkerEffect } from './worker-effects.js';
@@ -114,7 +116,15 @@
     // The progress of a job is deleted after its request, so that no owner finds the request alone and runs the job again.
     if (forgotten.length > 0) await dropRequests(forgotten);
     if (!isOpen()) return;
-    journal?.append(appendId, records.flatMap(encodeRecord), (_firstOffset, askedAt) =>
+    const groups = encodeGroups(records, store.limits, (record) =>
+      writeEvent('recordTooLarge', {
+        service,
+        key: record.key,
+        bytes: storedBytesOf(record),
+        outcome: 'stored without checkpoints',
+      }),
+    );
+    journal?.append(appendId, groups, (_firstOffset, askedAt) =>
       dispatch({ kind: 'records-stored', appendId, askedAt }),
     );
   };
--- a/packages/scheduler/src/ports/callers.ts
+++ b/packages/scheduler/src/ports/callers.ts
@@ -21,6 +21,8 @@
   | { readonly kind: 'accepted' }
   /** The job was not accepted and never runs. */
   | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterSeconds: number }
+  /** The job can never be accepted as it is. */
+  | { readonly kind: 'too-large'; readonly detail: string }
   /** The job may have been accepted. */
   | { readonly kind: 'unknown' };
 
--- a/packages/scheduler/src/ports/store.ts
+++ b/packages/scheduler/src/ports/store.ts
@@ -33,8 +33,10 @@
   | { readonly kind: 'fenced' }
   /** The log does not end at the expected offset. */
   | { readonly kind: 'moved'; readonly nextOffset: number }
-  /** The append was not carried out. */
+  /** The append was not carried out; a later one may be. */
   | { readonly kind: 'refused'; readonly detail: string }
+  /** The append was not carried out and never will be, for example because a record is too large. */
+  | { readonly kind: 'invalid'; readonly detail: string }
   /** No answer arrived: the append may have been carried out, or may still be. */
   | { readonly kind: 'unknown'; readonly detail: string };
 
@@ -81,6 +83,14 @@
   readonly expectedEnd: number | null;
 }
 
+/** Limits on appends. */
+export interface AppendLimits {
+  /** The most bytes of one record: its key, its value and one byte. */
+  readonly recordBytes: number;
+  /** The most bytes of the records of one append, with four bytes more for each. */
+  readonly requestBytes: number;
+}
+
 /** The store. No method throws. */
 export interface Store {
   readonly append: (request: AppendRequest) => Promise<AppendOutcome>;
@@ -101,4 +111,5 @@
   readonly listOwners: (group: string) => Promise<ListOwnersOutcome>;
   /** The number of partitions of each topic. */
   readonly partitionCount: number;
+  readonly limits: AppendLimits;
 }
--- a/packages/scheduler/src/unexpected-errors/guarded-store.ts
+++ b/packages/scheduler/src/unexpected-errors/guarded-store.ts
@@ -54,5 +54,6 @@
         },
       ),
     partitionCount: store.partitionCount,
+    limits: store.limits,
   };
 }
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -40,11 +40,25 @@
   /** Occurrences that are done beyond `occurrencesDoneBelow`; all below that number are done, too. */
   readonly occurrencesDone: readonly number[];
   readonly occurrencesDoneBelow: number;
+  /** Empty for a job whose tasks are recorded in parts. */
   readonly occurrences: readonly OccurrenceProgress[];
   /** Whether a worker was known to have started a run of the job. */
   readonly hasStarted: boolean;
 }
 
+/** Identifies a part of a job: a fixed range of the tasks of one occurrence, counted through its steps. */
+export interface JobPart {
+  readonly jobId: string;
+  readonly occurrence: number;
+  /** Index of the part in its occurrence. */
+  readonly part: number;
+}
+
+/** Recorded progress of the tasks of one part. */
+export interface JobPartProgress extends JobPart {
+  readonly steps: readonly { readonly step: number; readonly tasks: readonly TaskProgress[] }[];
+}
+
 /** Recorded model of the interference between images. */
 export interface InterferenceRecord {
   readonly recordedAt: Date;
@@ -75,6 +89,8 @@
   | { readonly kind: 'job-cancelled'; readonly jobId: string }
   | { readonly kind: 'job-progress'; readonly jobId: string; readonly progress: JobProgress }
   | { readonly kind: 'job-forgotten'; readonly jobId: string }
+  | { readonly kind: 'job-part-progress'; readonly part: JobPartProgress }
+  | { readonly kind: 'job-part-forgotten'; readonly part: JobPart }
   | { readonly kind: 'worker-released'; readonly workerId: string; readonly incarnation: number }
   | { readonly kind: 'worker-returned'; readonly workerId: string }
   | { readonly kind: 'interference-learned'; readonly model: InterferenceRecord }
--- a/packages/scheduling/src/service/forget-jobs.ts
+++ b/packages/scheduling/src/service/forget-jobs.ts
@@ -1,6 +1,7 @@
 /** Forgets ended jobs: their occurrences once all their runs have ended, their status after the retention time. */
 import type { ServiceStep } from '../state/effect.js';
 import { setJob } from '../state/job-index.js';
+import { partsOf } from '../state/recorded-parts.js';
 import { runsOfJob } from './jobs.js';
 import type { Instant } from '../model/instant.js';
 import type { ServiceState } from '../state/service-state.js';
@@ -34,7 +35,10 @@
       next = updateService(next, {
         jobs: next.jobs.remove(jobId),
         endedJobIds: next.endedJobIds.remove(jobId),
-        forgottenJobIds: next.forgottenJobIds.add(jobId),
+        forgottenJobs: next.forgottenJobs.set(
+          jobId,
+          job === undefined ? [] : partsOf(jobId, job.recordedOccurrences),
+        ),
       });
     }
   }
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -104,6 +104,7 @@
     occurrencesDoneBelow: 0,
     hasStarted: false,
     hasGang: request.steps.some((step) => step.isGang),
+    recordedOccurrences: PersistentMap(),
     version: 0,
     endedInVersion: null,
     endedAt: null,
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -2,13 +2,16 @@
  * Stores changes in batches, one append at a time. Runs start and job ends show to callers only once they are stored.
  */
 import { Map as PersistentMap } from 'immutable';
-import type { JobProgress, ServiceRecord, TaskProgress } from '../model/records.js';
+import type { TaskKey } from '../model/job.js';
+import type { JobProgress, ServiceRecord } from '../model/records.js';
 import { recordOf } from '../decide/interference/record.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEventOf } from '../state/event.js';
 import { runsOfJob } from './jobs.js';
 import { orderStart } from './runs.js';
-import type { AppendInFlight, JobState, ServiceState, TaskState } from '../state/service-state.js';
+import { findPartChanges, hasProgress, isRecordedInParts, taskProgressOf } from '../state/recorded-parts.js';
+import type { AppendInFlight, JobState, Run, ServiceState } from '../state/service-state.js';
+import { findTask } from '../state/tasks.js';
 import { setWorker } from '../state/worker-index.js';
 import { renewLeases } from './workers.js';
 import { updateJob, updateService, updateWorker } from '../state/update.js';
@@ -16,40 +19,60 @@
 /** Maximum number of jobs whose progress goes into one batch. Larger batches would be stored too late. */
 const JOBS_PER_BATCH = 100;
 
-function hasProgress(task: TaskState): boolean {
-  return task.isDone || task.lastRun > 0 || task.runs.length > 0;
+function progressOfOccurrences(job: JobState): JobProgress['occurrences'] {
+  return [...job.occurrences.values()].map(({ occurrence, steps }) => ({
+    occurrence,
+    steps: steps.map(({ tasks }) =>
+      tasks.flatMap((task, index) => (hasProgress(task) ? [taskProgressOf(task, index)] : [])),
+    ),
+  }));
 }
 
-function taskProgressOf(task: TaskState, index: number): TaskProgress {
-  return {
-    index,
-    isDone: task.isDone,
-    lastRun: task.lastRun,
-    failedRuns: task.failedRuns,
-    workerCrashes: task.workerCrashes,
-    isQuarantined: task.isQuarantined && !task.isDone,
-    checkpoint: task.isDone ? '' : task.checkpoint,
-    runs: task.runs.map(({ run, workerId, incarnation }) => ({ run, workerId, incarnation })),
-  };
-}
-
-/** Returns the progress of a job as it is recorded. */
-export function progressOf(job: JobState): JobProgress {
+function progressOf(job: JobState, occurrences: JobProgress['occurrences']): JobProgress {
   return {
     phase: job.phase,
     queue: job.request.queue,
     occurrencesDone: job.occurrencesDone.toArray(),
     occurrencesDoneBelow: job.occurrencesDoneBelow,
-    occurrences: [...job.occurrences.values()].map(({ occurrence, steps }) => ({
-      occurrence,
-      steps: steps.map(({ tasks }) =>
-        tasks.flatMap((task, index) => (hasProgress(task) ? [taskProgressOf(task, index)] : [])),
-      ),
-    })),
+    occurrences,
     hasStarted: job.hasStarted,
   };
 }
 
+/** The records of one job, and the job once they are stored. */
+interface JobRecords {
+  readonly job: JobState;
+  readonly records: readonly ServiceRecord[];
+  /** Tasks with changed progress, if the job is recorded in parts. */
+  readonly taskKeys: readonly TaskKey[];
+}
+
+/**
+ * Returns the records of a job. Should they not fit into one append, a next owner may find only the first ones: the phase
+ * and the finished occurrences of a job come before its parts, and parts are deleted after all others are stored.
+ */
+function recordsOfJob(job: JobState): JobRecords {
+  const { jobId } = job.request;
+  if (!isRecordedInParts(job.request)) {
+    const progress = progressOf(job, progressOfOccurrences(job));
+    return { job, records: [{ kind: 'job-progress', jobId, progress }], taskKeys: [] };
+  }
+  const { changed, obsolete, taskKeys, recorded } = findPartChanges(job);
+  const records: readonly ServiceRecord[] = [
+    { kind: 'job-progress', jobId, progress: progressOf(job, []) },
+    ...changed.map((part) => ({ kind: 'job-part-progress' as const, part })),
+    ...obsolete.map((part) => ({ kind: 'job-part-forgotten' as const, part })),
+  ];
+  return { job: updateJob(job, { recordedOccurrences: recorded }), records, taskKeys };
+}
+
+function recordsOfForgottenJobs({ forgottenJobs }: ServiceState): readonly ServiceRecord[] {
+  return [...forgottenJobs].flatMap(([jobId, parts]) => [
+    { kind: 'job-forgotten' as const, jobId },
+    ...parts.map((part) => ({ kind: 'job-part-forgotten' as const, part })),
+  ]);
+}
+
 /** Returns the number of the last applied run end of each worker with unstored run ends, by worker id. */
 function unstoredEndsOf(state: ServiceState): PersistentMap<string, number> {
   const ends = [...state.unstoredEndWorkerIds].flatMap((workerId) => {
@@ -88,28 +111,28 @@
   if (state.appendInFlight !== null || state.isSuperseded) return state;
   const hasNothing =
     state.dirtyJobIds.isEmpty() &&
-    state.forgottenJobIds.isEmpty() &&
+    state.forgottenJobs.isEmpty() &&
     !state.recordedInterference.isDue &&
     state.pendingReleaseRecords.length === 0;
   if (hasNothing) return markEndsStored(state, unstoredEndsOf(state));
   const jobIds = state.dirtyJobIds.take(JOBS_PER_BATCH);
-  const jobs = jobIds.toArray().flatMap((jobId) => state.jobs.get(jobId) ?? []);
+  const recorded = jobIds.toArray().flatMap((jobId) => {
+    const job = state.jobs.get(jobId);
+    return job === undefined ? [] : [recordsOfJob(job)];
+  });
   const records: readonly ServiceRecord[] = [
-    ...jobs.map((job) => ({
-      kind: 'job-progress' as const,
-      jobId: job.request.jobId,
-      progress: progressOf(job),
-    })),
+    ...recorded.flatMap((one) => one.records),
     ...state.pendingReleaseRecords,
     ...interferenceRecords(state),
-    ...state.forgottenJobIds.toArray().map((jobId) => ({ kind: 'job-forgotten' as const, jobId })),
+    ...recordsOfForgottenJobs(state),
   ];
   const appendId = state.nextAppendId;
   yield { kind: 'store-records', appendId, records };
   const includesAllJobs = jobIds.size === state.dirtyJobIds.size;
   const appendInFlight: AppendInFlight = {
     appendId,
-    jobVersions: PersistentMap(jobs.map((job) => [job.request.jobId, job.version])),
+    jobVersions: PersistentMap(recorded.map(({ job }) => [job.request.jobId, job.version])),
+    taskKeys: recorded.flatMap(({ taskKeys }) => taskKeys),
     releasedWorkerIds: new Set(state.pendingReleaseRecords.map((record) => record.workerId)),
     processedEnds: includesAllJobs ? unstoredEndsOf(state) : PersistentMap(),
   };
@@ -117,23 +140,33 @@
     appendInFlight,
     nextAppendId: appendId + 1,
     dirtyJobIds: state.dirtyJobIds.subtract(jobIds),
-    forgottenJobIds: state.forgottenJobIds.clear(),
+    forgottenJobs: state.forgottenJobs.clear(),
+    jobs: state.jobs.merge(recorded.map(({ job }) => [job.request.jobId, job])),
     pendingReleaseRecords: [],
     recordedInterference: markInterferenceRecorded(state),
   });
 }
 
-function* startRecordedRuns(
+/** Returns the runs that an append may have recorded. */
+function* recordedRuns(
   state: ServiceState,
-  versions: PersistentMap<string, number>,
-): ServiceStep<ServiceState> {
+  { jobVersions, taskKeys }: AppendInFlight,
+): Generator<readonly [key: TaskKey, run: Run], void, void> {
+  for (const jobId of jobVersions.keys()) {
+    const job = state.jobs.get(jobId);
+    if (job !== undefined && !isRecordedInParts(job.request)) yield* runsOfJob(job);
+  }
+  for (const key of taskKeys) {
+    for (const run of findTask(state, key)?.runs ?? []) yield [key, run];
+  }
+}
+
+function* startRecordedRuns(state: ServiceState, stored: AppendInFlight): ServiceStep<ServiceState> {
   let next = state;
-  for (const [jobId, version] of versions) {
-    const job = next.jobs.get(jobId);
-    for (const [key, run] of job === undefined ? [] : runsOfJob(job)) {
-      if (run.phase === 'recording' && run.placedInVersion <= version) {
-        next = yield* orderStart(next, key, run);
-      }
+  for (const [key, run] of [...recordedRuns(state, stored)]) {
+    const version = stored.jobVersions.get(key.jobId) ?? 0;
+    if (run.phase === 'recording' && run.placedInVersion <= version) {
+      next = yield* orderStart(next, key, run);
     }
   }
   return next;
@@ -168,5 +201,5 @@
     stored.jobVersions,
   );
   const renewed = yield* renewLeases(phasesRecorded, stored.processedEnds.keys());
-  return yield* startRecordedRuns(renewed, stored.jobVersions);
+  return yield* startRecordedRuns(renewed, stored);
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -2,7 +2,15 @@
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
 import { taskIdOf, type JobRequest } from '../model/job.js';
 import { restoreInterference } from '../decide/interference/record.js';
-import type { InterferenceRecord, JobProgress, StoredServiceRecord, TaskProgress } from '../model/records.js';
+import type {
+  InterferenceRecord,
+  JobPart,
+  JobPartProgress,
+  JobProgress,
+  OccurrenceProgress,
+  StoredServiceRecord,
+  TaskProgress,
+} from '../model/records.js';
 import { setJob } from '../state/job-index.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
@@ -77,7 +85,7 @@
     unstoredEndWorkerIds: PersistentSet(),
     ticks: { count: 0, lastAt: now },
     dirtyJobIds: PersistentOrderedSet(),
-    forgottenJobIds: PersistentSet(),
+    forgottenJobs: PersistentMap(),
     lastFleetMessage: { epoch: 0, sequence: 0 },
     pendingReleaseRecords: [],
     appendInFlight: null,
@@ -135,18 +143,38 @@
   });
 }
 
+function hasRuns({ steps }: OccurrenceState): boolean {
+  return steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0));
+}
+
+/** Its parts may be older than the record that says that the occurrence is done; its last runs may not have ended. */
+function withAllTasksDone(occurrence: OccurrenceState): OccurrenceState {
+  const steps = occurrence.steps.map((step) =>
+    updateStep(step, {
+      tasks: step.tasks.map((task) => (task.isDone ? task : updateTask(task, { isDone: true }))),
+      doneCount: step.tasks.length,
+      waitingCount: 0,
+    }),
+  );
+  return updateOccurrence(occurrence, { steps });
+}
+
 function restoreOccurrences(
   request: JobRequest,
   progress: JobProgress,
   dueAt: Instant,
   now: Instant,
 ): PersistentMap<number, OccurrenceState> {
-  const restored = progress.occurrences.map(({ occurrence, steps }) => {
+  const done = new Set(progress.occurrencesDone);
+  const restored = progress.occurrences.flatMap(({ occurrence, steps }) => {
     const fresh = newOccurrence(request, occurrence, dueAt, now);
     const filled: OccurrenceState = updateOccurrence(fresh, {
       steps: fresh.steps.map((step, index) => restoreStep(step, steps[index] ?? [], now)),
     });
-    return [occurrence, markReadySteps(request, filled, now)] as const;
+    const isDone = occurrence < progress.occurrencesDoneBelow || done.has(occurrence);
+    if (isDone && !hasRuns(filled)) return [];
+    const current = isDone ? withAllTasksDone(filled) : filled;
+    return [[occurrence, markReadySteps(request, current, now)] as const];
   });
   return PersistentMap(restored);
 }
@@ -154,11 +182,63 @@
 /** Upper limit of a job's age. A higher age, from a clock that jumped, counts as this one. */
 const MAX_JOB_AGE_MILLISECONDS = 60_000;
 
-function restoreJob(state: ServiceState, request: JobRequest, progress: JobProgress | undefined): JobState {
+/** Returns the progress of an occurrence that the parts of a job record together. */
+function joinParts(occurrence: number, parts: readonly JobPartProgress[]): OccurrenceProgress {
+  const steps: TaskProgress[][] = [];
+  for (const { step, tasks } of parts.flatMap((part) => part.steps)) {
+    steps[step] = [...(steps[step] ?? []), ...tasks];
+  }
+  return { occurrence, steps: Array.from(steps, (tasks) => tasks ?? []) };
+}
+
+function groupByOccurrence(
+  parts: readonly JobPartProgress[],
+): ReadonlyMap<number, readonly JobPartProgress[]> {
+  const groups = new Map<number, JobPartProgress[]>();
+  for (const part of parts) {
+    const group = groups.get(part.occurrence);
+    if (group === undefined) groups.set(part.occurrence, [part]);
+    else group.push(part);
+  }
+  return groups;
+}
+
+/** Completes the progress of a job by its parts. Earlier versions record the progress of every job as a whole. */
+function withParts(progress: JobProgress, parts: readonly JobPartProgress[]): JobProgress {
+  if (progress.occurrences.length > 0 || parts.length === 0) return progress;
+  const occurrences = [...groupByOccurrence(parts)].map(([occurrence, ofOccurrence]) =>
+    joinParts(occurrence, ofOccurrence),
+  );
+  return { ...progress, occurrences };
+}
+
+/** Returns the parts that have a record. Those that `occurrences` were not restored from are recorded again. */
+function restoreRecordedOccurrences(
+  occurrences: PersistentMap<number, OccurrenceState>,
+  parts: readonly JobPartProgress[],
+): JobState['recordedOccurrences'] {
+  return PersistentMap(
+    [...groupByOccurrence(parts)].map(([occurrence, ofOccurrence]) => [
+      occurrence,
+      {
+        tasksByStep: occurrences.get(occurrence)?.steps.map(({ tasks }) => tasks) ?? [],
+        parts: PersistentSet(ofOccurrence.map(({ part }) => part)),
+      },
+    ]),
+  );
+}
+
+function restoreJob(
+  state: ServiceState,
+  request: JobRequest,
+  head: JobProgress | undefined,
+  parts: readonly JobPartProgress[],
+): JobState {
   const acceptedAgo = state.timeOfDay.getTime() - request.acceptedAt.getTime();
   const age = Math.min(MAX_JOB_AGE_MILLISECONDS, Math.max(0, acceptedAgo));
   const fresh = newJob(updateService(state, { now: state.now - age }), request);
-  if (progress === undefined) return fresh;
+  if (head === undefined) return fresh;
+  const progress = withParts(head, parts);
   const dueAt = state.now - age;
   const isActive = progress.phase === 'active';
   const recorded = restoreOccurrences(request, progress, dueAt, state.now);
@@ -172,6 +252,7 @@
     occurrencesDone: PersistentSet(progress.occurrencesDone),
     occurrencesDoneBelow: progress.occurrencesDoneBelow,
     hasStarted: progress.hasStarted,
+    recordedOccurrences: restoreRecordedOccurrences(occurrences, head.occurrences.length === 0 ? parts : []),
     endedInVersion: isActive ? null : 0,
     endedAt: isActive ? null : state.now,
   });
@@ -180,14 +261,25 @@
 interface RecordsByKind {
   readonly requests: Map<string, JobRequest>;
   readonly progress: Map<string, JobProgress>;
+  readonly parts: Map<string, Map<string, JobPartProgress>>;
   readonly cancelled: Set<string>;
   readonly released: Map<string, number>;
   readonly interference: InterferenceRecord | null;
 }
 
+function partIdOf({ occurrence, part }: JobPart): string {
+  return `${occurrence}/${part}`;
+}
+
+function addPart(parts: Map<string, Map<string, JobPartProgress>>, part: JobPartProgress): void {
+  const known = parts.get(part.jobId) ?? new Map<string, JobPartProgress>();
+  parts.set(part.jobId, known.set(partIdOf(part), part));
+}
+
 function groupRecords(records: readonly StoredServiceRecord[]): RecordsByKind {
   const requests = new Map<string, JobRequest>();
   const progress = new Map<string, JobProgress>();
+  const parts = new Map<string, Map<string, JobPartProgress>>();
   const cancelled = new Set<string>();
   const released = new Map<string, number>();
   let interference: InterferenceRecord | null = null;
@@ -196,12 +288,14 @@
       requests.set(record.request.jobId, record.request);
     }
     if (record.kind === 'job-progress') progress.set(record.jobId, record.progress);
+    if (record.kind === 'job-part-progress') addPart(parts, record.part);
+    if (record.kind === 'job-part-forgotten') parts.get(record.part.jobId)?.delete(partIdOf(record.part));
     if (record.kind === 'job-cancelled') cancelled.add(record.jobId);
     if (record.kind === 'worker-released') released.set(record.workerId, record.incarnation);
     if (record.kind === 'worker-returned') released.delete(record.workerId);
     if (record.kind === 'interference-learned') interference = record.model;
   }
-  return { requests, progress, cancelled, released, interference };
+  return { requests, progress, parts, cancelled, released, interference };
 }
 
 /** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
@@ -229,11 +323,11 @@
   readonly state: ServiceState;
   readonly cancelledJobIds: readonly string[];
 } {
-  const { requests, progress, cancelled, released, interference } = groupRecords(input.records);
+  const { requests, progress, parts, cancelled, released, interference } = groupRecords(input.records);
   let state = updateService(emptyState(input), { releasedWorkers: PersistentMap(released) });
   if (interference !== null) state = withRestoredInterference(state, interference);
   for (const [jobId, request] of requests) {
-    const job = restoreJob(state, request, progress.get(jobId));
+    const job = restoreJob(state, request, progress.get(jobId), [...(parts.get(jobId)?.values() ?? [])]);
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
   for (const [key, { runs }, , { request }] of [...allTasks(state)]) {
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -6,7 +6,7 @@
 } from 'immutable';
 import type { Instant } from '../model/instant.js';
 import type { JobRequest, TaskKey } from '../model/job.js';
-import type { JobPhase, ServiceRecord } from '../model/records.js';
+import type { JobPart, JobPhase, ServiceRecord } from '../model/records.js';
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
 import type { Arrival } from './arrivals.js';
@@ -112,6 +112,14 @@
   readonly remainingMilliseconds: number;
 }
 
+/** One occurrence as it is recorded in parts. */
+export interface RecordedOccurrence {
+  /** The tasks of each step as of the newest append. */
+  readonly tasksByStep: readonly (readonly TaskState[])[];
+  /** Indexes of the parts that have a record. */
+  readonly parts: PersistentSet<number>;
+}
+
 /** State of one job. */
 export interface JobState {
   readonly request: JobRequest;
@@ -131,6 +139,8 @@
   /** Whether a worker is known to have started a run of the job. */
   readonly hasStarted: boolean;
   readonly hasGang: boolean;
+  /** The occurrences with recorded parts, by number; empty for a job that is recorded as a whole. */
+  readonly recordedOccurrences: PersistentMap<number, RecordedOccurrence>;
   /** Incremented by each change that must be recorded. */
   readonly version: number;
   /** First version that includes the end of the job; null while the job is active. */
@@ -249,6 +259,8 @@
   readonly appendId: number;
   /** Version of each job in the records, by job id. */
   readonly jobVersions: PersistentMap<string, number>;
+  /** Tasks with changed progress of the jobs that are recorded in parts. */
+  readonly taskKeys: readonly TaskKey[];
   readonly releasedWorkerIds: ReadonlySet<string>;
   /** Number of the last run end that the records cover, by worker. */
   readonly processedEnds: PersistentMap<string, number>;
@@ -304,7 +316,8 @@
   readonly ticks: { readonly count: number; readonly lastAt: Instant };
   /** Jobs with changes that are in no append yet, the longest waiting first. */
   readonly dirtyJobIds: PersistentOrderedSet<string>;
-  readonly forgottenJobIds: PersistentSet<string>;
+  /** The recorded parts of each job that is forgotten and not deleted yet, by job id. */
+  readonly forgottenJobs: PersistentMap<string, readonly JobPart[]>;
   /** Epoch and number of the newest message from the fleet owner that was applied. */
   readonly lastFleetMessage: { readonly epoch: number; readonly sequence: number };
   /** Releases and returns of workers that are not recorded yet. */
