Bound the starts in progress on each worker

Cause: all its tasks were placed at once and queued for three connections to each worker.

Change: at most 32 starts are in progress on a worker from the placement to the answer, 24 of them of one step, so that other jobs start beside it; a worker is considered again once half of them are answered. Gangs start as a whole, as before. The number of done tasks of a step is kept up to date instead of being counted at each end.

The tests of start-slots are written for the bound.

--- /dev/null
+++ b/packages/scheduling/src/__tests__/start-slots.test.ts
@@ -0,0 +1,68 @@
+/** Guards against a step of thousands of tasks that queues more starts than its owner can send, and blocks other jobs. */
+import { describe } from '@baobabdeck/test-tools';
+import { createServiceHarness, effectsOf, jobOf, keyOf, startsOf } from './service-harness.js';
+
+const SMALL = { milliCores: 1, memoryMegabytes: 1, accelerators: 0 };
+const STARTS_OF_STEP = 24;
+const STARTS_PER_WORKER = 32;
+
+describe('starts in progress', ({ describe: within, it }) => {
+  it('are bounded for each worker, and further tasks follow once half of them are answered', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1', 'w2']);
+    harness.accept(jobOf('a', [{ taskCount: 500, needs: SMALL }]));
+    t.is(harness.takeStarts().length, 2 * STARTS_OF_STEP);
+    const started = [...harness.state().workers.values()].flatMap(({ startingTasks }) => [
+      ...startingTasks.values(),
+    ]);
+    const answer = (index: number): readonly string[] => {
+      const key = started[index] ?? keyOf('a');
+      const [run] = harness.state().jobs.get('a')?.occurrences.get(0)?.steps[0]?.tasks[key.index]?.runs ?? [];
+      const address = { task: key, run: 1, workerId: run?.workerId ?? '', incarnation: 1 };
+      return startsOf(
+        harness.dispatch({ kind: 'start-settled', address, outcome: 'started', clockMilliseconds: 10_000 }),
+      );
+    };
+    const answers = Array.from({ length: STARTS_OF_STEP }, (_, index) => answer(index).length);
+    // The worker is refilled when 16 starts are left, and answers of these free no slot beyond that.
+    t.is(
+      answers.slice(0, 7).reduce((sum, count) => sum + count),
+      0,
+    );
+    t.is(answers[7], 8);
+  });
+
+  it('leave slots on each worker for the tasks of other jobs', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1']);
+    harness.accept(jobOf('a', [{ taskCount: 500, needs: SMALL }]));
+    const starts = harness.accept(jobOf('b', [{ taskCount: 20, needs: SMALL }]));
+    t.is(startsOf(starts).length, STARTS_PER_WORKER - STARTS_OF_STEP);
+    t.true(effectsOf(starts, 'start-run').every(({ address }) => address.task.jobId === 'b'));
+  });
+
+  it('come to all tasks of a wide step, however often workers answer late', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['w1', 'w2']);
+    harness.accept(jobOf('a', [{ taskCount: 300, needs: SMALL }]));
+    let answered = 0;
+    for (let round = 0; round < 1_000 && harness.state().waiting.total.tasks > 0; round += 1) {
+      for (const { address } of harness.takeStarts()) {
+        answered += 1;
+        const outcome = answered % 3 === 0 ? 'late' : 'started';
+        harness.dispatch({ kind: 'start-settled', address, outcome, clockMilliseconds: 10_000 });
+      }
+      harness.advance(10);
+    }
+    t.is(harness.state().waiting.total.tasks, 0);
+  });
+
+  within('of a gang', ({ it: ofGang }) => {
+    ofGang('are not bounded, since its members start together', (t) => {
+      const harness = createServiceHarness();
+      harness.addWorkers(['w1']);
+      const starts = harness.accept(jobOf('a', [{ taskCount: 60, needs: SMALL, isGang: true }]));
+      t.is(startsOf(starts).length, 60);
+    });
+  });
+});
--- a/packages/scheduling/src/decide/placement/choose-worker.ts
+++ b/packages/scheduling/src/decide/placement/choose-worker.ts
@@ -50,12 +50,13 @@
     freeMilliCoresOn(eligible, left) - freeMilliCoresOn(eligible, right);
 }
 
-/** Returns the preferred worker that may take a task of a step; null if none has enough free capacity. */
+/** Returns the preferred worker that may take a task of a step; null if none has enough free capacity or a slot. */
 export function chooseWorker(
   request: StepRequest,
   task: TaskState,
   eligible: EligibleWorkers,
   counts: ReadonlyMap<string, number>,
+  hasSlot: (worker: WorkerState) => boolean = () => true,
 ): WorkerState | null {
   const limit = request.maximumPerWorker ?? Infinity;
   const needs = reservedResourcesOf(request);
@@ -65,7 +66,8 @@
     const isAllowed =
       fitsOn(eligible, worker, needs) &&
       hasRequiredLabel(request, worker) &&
-      (counts.get(worker.listing.workerId) ?? 0) < limit;
+      (counts.get(worker.listing.workerId) ?? 0) < limit &&
+      hasSlot(worker);
     if (isAllowed && (best === null || compare(worker, best) < 0)) best = worker;
   }
   return best;
--- a/packages/scheduling/src/decide/placement/eligible-workers.ts
+++ b/packages/scheduling/src/decide/placement/eligible-workers.ts
@@ -9,6 +9,7 @@
 import type { StepRequest } from '../../model/job.js';
 import { reservedResourcesOf } from '../../model/step-needs.js';
 import type { InterferenceState } from '../../state/interference-state.js';
+import { createStartSlots, type StartSlots } from '../../state/start-slots.js';
 import type { ServiceState, WorkerState } from '../../state/service-state.js';
 import { freeCapacityOf, isEligible, isEligibleForOverdueTask } from './eligibility.js';
 
@@ -22,16 +23,18 @@
   readonly interference: InterferenceState;
   /** Images of the tasks placed meanwhile, by worker id. */
   readonly placedImages: Map<string, readonly string[]>;
+  /** Starts that may still begin on each worker. */
+  readonly startSlots: StartSlots;
 }
 
 function eligibleWorkersOf(
   workers: readonly WorkerState[],
   freeCapacity: Map<string, Resources>,
-  images: Pick<EligibleWorkers, 'interference' | 'placedImages'>,
+  shared: Pick<EligibleWorkers, 'interference' | 'placedImages' | 'startSlots'>,
 ): EligibleWorkers {
   const free = workers.map((worker) => freeCapacityOn(freeCapacity, worker));
   const maximumFreeCapacity = free.reduce(maximumResources, NO_RESOURCES);
-  return { workers, freeCapacity, maximumFreeCapacity, ...images };
+  return { workers, freeCapacity, maximumFreeCapacity, ...shared };
 }
 
 function freeCapacityOn(freeCapacity: ReadonlyMap<string, Resources>, { listing }: WorkerState): Resources {
@@ -55,7 +58,11 @@
   const freeCapacity = new Map(workers.map((worker) => [worker.listing.workerId, freeCapacityOf(worker)]));
   subtractReservations(state, freeCapacity);
   const { interference } = state;
-  return eligibleWorkersOf(workers, freeCapacity, { interference, placedImages: new Map() });
+  return eligibleWorkersOf(workers, freeCapacity, {
+    interference,
+    placedImages: new Map(),
+    startSlots: createStartSlots(),
+  });
 }
 
 /** Returns every worker that may get a lasting task that found no other worker for long. */
@@ -76,12 +83,16 @@
   );
 }
 
-/** Returns the eligible workers that match; both share one record of free capacity and placed images. */
+/** Returns the eligible workers that match; both share one record of free capacity, placed images and starts. */
 export function narrowEligibleWorkers(
-  { workers, freeCapacity, interference, placedImages }: EligibleWorkers,
+  { workers, freeCapacity, interference, placedImages, startSlots }: EligibleWorkers,
   matches: (worker: WorkerState) => boolean,
 ): EligibleWorkers {
-  return eligibleWorkersOf(workers.filter(matches), freeCapacity, { interference, placedImages });
+  return eligibleWorkersOf(workers.filter(matches), freeCapacity, {
+    interference,
+    placedImages,
+    startSlots,
+  });
 }
 
 /** Copies eligible workers, so that a trial placement leaves the original unchanged. */
@@ -92,6 +103,7 @@
     maximumFreeCapacity: eligible.maximumFreeCapacity,
     interference: eligible.interference,
     placedImages: new Map(eligible.placedImages),
+    startSlots: eligible.startSlots,
   };
 }
 
--- a/packages/scheduling/src/decide/placement/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -59,6 +59,7 @@
 ): ServiceStep<ServiceState> {
   const freeMilliCores = freeMilliCoresOn(eligible, chosen);
   reserveForStep(eligible, chosen, waiting.request);
+  eligible.startSlots.take(chosen, key);
   const placed = addRun(state, key, newRun(state.now, chosen, runNumber));
   const run = findTask(placed, key)?.runs.at(-1);
   if (run === undefined) return state;
@@ -81,11 +82,13 @@
   eligible: EligibleWorkers,
 ): ServiceStep<ServiceState> {
   const counts = countRunsByWorker(waiting.request, waiting.step);
+  const hasSlot = (worker: WorkerState): boolean =>
+    eligible.startSlots.hasSlot(worker, taskKeyOf(waiting, 0));
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
     if (isTaskWaiting(task) && !task.isQuarantined) {
       if (!fitsLimit(next, waiting.job.request.workspace, waiting.request.needs)) return next;
-      const chosen = chooseWorker(waiting.request, task, eligible, counts);
+      const chosen = chooseWorker(waiting.request, task, eligible, counts, hasSlot);
       if (chosen === null) return next;
       incrementCount(counts, chosen);
       next = yield* assign(next, taskKeyOf(waiting, index), chosen, task.lastRun + 1, waiting, eligible);
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -5,7 +5,7 @@
 import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
 import { orderStop } from './runs.js';
 import { runLogFields } from '../state/run-log-fields.js';
-import type { JobState, Run, ServiceState, StepState, TaskState } from '../state/service-state.js';
+import type { JobState, Run, ServiceState, TaskState } from '../state/service-state.js';
 import { avoidWorker, findTask, markJobStarted, removeRun, withStep } from '../state/tasks.js';
 import { setJob } from '../state/job-index.js';
 import { setWorker } from '../state/worker-index.js';
@@ -36,18 +36,13 @@
   );
 }
 
-function updateDoneCount(step: StepState): StepState {
-  return updateStep(step, { doneCount: step.tasks.filter((task) => task.isDone).length });
-}
-
+/** Marks the steps as ready that waited for a step which is done now. */
 function updateStepProgress(job: JobState, key: TaskKey, state: ServiceState): JobState {
-  const counted = withStep(job, key, updateDoneCount);
-  const step = counted.occurrences.get(key.occurrence)?.steps[key.step];
-  if (step !== undefined && step.doneCount < step.tasks.length) return counted;
-  const occurrence = counted.occurrences.get(key.occurrence);
-  if (occurrence === undefined) return counted;
+  const occurrence = job.occurrences.get(key.occurrence);
+  const step = occurrence?.steps[key.step];
+  if (occurrence === undefined || (step !== undefined && step.doneCount < step.tasks.length)) return job;
   const ready = markReadySteps(job.request, occurrence, state.now);
-  return updateJob(counted, { occurrences: counted.occurrences.set(key.occurrence, ready) });
+  return updateJob(job, { occurrences: job.occurrences.set(key.occurrence, ready) });
 }
 
 function* stopOtherCopies(state: ServiceState, key: TaskKey): ServiceStep<ServiceState> {
@@ -71,6 +66,7 @@
     updateStep(step, {
       tasks: step.tasks.map((task) => updateTask(task, { isDone: true })),
       waitingCount: 0,
+      doneCount: step.tasks.length,
     }),
   );
 }
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -51,6 +51,7 @@
     images: PersistentMap(),
     servingTaskIds: PersistentSet(),
     fillingTaskIds: PersistentSet(),
+    startingTasks: PersistentMap(),
     pacing: null,
     cooldownUntil: 0,
     consecutiveFailures: 0,
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -229,6 +229,8 @@
   readonly servingTaskIds: PersistentSet<string>;
   /** Ids of the tasks on the worker that use spare capacity. */
   readonly fillingTaskIds: PersistentSet<string>;
+  /** Tasks that are placed on the worker and whose start it has not answered yet, by task id. */
+  readonly startingTasks: PersistentMap<string, TaskKey>;
   /** Null while it has no serving task beside filling tasks. */
   readonly pacing: WorkerPacing | null;
   /** No task is placed on the worker before this time. */
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -89,14 +89,15 @@
   return !task.isDone && task.runs.length === 0;
 }
 
-/** Returns the job with one task changed, and the count of waiting tasks adjusted. */
+/** Returns the job with one task changed, and the counts of waiting and of done tasks adjusted. */
 export function withTask(job: JobState, key: TaskKey, change: (task: TaskState) => TaskState): JobState {
   return withStep(job, key, (step) => {
     const task = step.tasks[key.index];
     if (task === undefined) return step;
     const changed = change(task);
     const waitingCount = step.waitingCount + Number(isTaskWaiting(changed)) - Number(isTaskWaiting(task));
-    return updateStep(step, { waitingCount, tasks: replaceAt(step.tasks, key.index, changed) });
+    const doneCount = step.doneCount + Number(changed.isDone) - Number(task.isDone);
+    return updateStep(step, { waitingCount, doneCount, tasks: replaceAt(step.tasks, key.index, changed) });
   });
 }
 
@@ -123,10 +124,31 @@
 ): ServiceState {
   const job = state.jobs.get(key.jobId);
   if (job === undefined) return state;
+  let isStarting = false;
   const changed = withTask(job, key, (task) =>
-    updateTask(task, { runs: task.runs.map((other) => (isSameRun(other, run) ? change(other) : other)) }),
+    updateTask(task, {
+      runs: task.runs.map((other) => {
+        if (!isSameRun(other, run)) return other;
+        const after = change(other);
+        isStarting = isBeingStarted(after);
+        return after;
+      }),
+    }),
   );
-  return setJob(state, changed);
+  const next = setJob(state, changed);
+  return isBeingStarted(run) && !isStarting ? endStart(next, key, run.workerId) : next;
+}
+
+function isBeingStarted({ phase }: Run): boolean {
+  return phase === 'recording' || phase === 'starting';
+}
+
+/** Removes a task from the starts in progress on a worker. */
+function endStart(state: ServiceState, key: TaskKey, workerId: string): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker?.startingTasks.has(taskIdOf(key)) !== true) return state;
+  const startingTasks = worker.startingTasks.remove(taskIdOf(key));
+  return setWorker(state, updateWorker(worker, { startingTasks }));
 }
 
 function reserveCapacity(
@@ -164,6 +186,7 @@
       images: withImage(worker.images, step, -1),
       servingTaskIds: worker.servingTaskIds.remove(taskIdOf(key)),
       fillingTaskIds: worker.fillingTaskIds.remove(taskIdOf(key)),
+      startingTasks: worker.startingTasks.remove(taskIdOf(key)),
     }),
   );
 }
@@ -185,7 +208,21 @@
     }),
   );
   const marked = countRuns(markJobChanged(state, changed), job.request, key.step, 1);
-  return reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step));
+  return beginStart(
+    reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step)),
+    key,
+    run.workerId,
+  );
+}
+
+/** Adds a task to the starts in progress on a worker. */
+function beginStart(state: ServiceState, key: TaskKey, workerId: string): ServiceState {
+  const worker = state.workers.get(workerId);
+  if (worker === undefined) return state;
+  return setWorker(
+    state,
+    updateWorker(worker, { startingTasks: worker.startingTasks.set(taskIdOf(key), key) }),
+  );
 }
 
 /** Keeps capacity of a worker for a task whose run is being stopped. */
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -167,6 +167,7 @@
     images: worker.images,
     servingTaskIds: worker.servingTaskIds,
     fillingTaskIds: worker.fillingTaskIds,
+    startingTasks: worker.startingTasks,
     pacing: worker.pacing,
     cooldownUntil: worker.cooldownUntil,
     consecutiveFailures: worker.consecutiveFailures,
--- a/packages/scheduling/src/state/worker-index.ts
+++ b/packages/scheduling/src/state/worker-index.ts
@@ -1,5 +1,6 @@
 /** Keeps the indexes over all workers up to date with each worker that changes. */
 import type { ServiceState, WorkerState } from './service-state.js';
+import { isRefillDue } from './start-slots.js';
 import { updateService } from './update.js';
 
 function mayTakeTasks({
@@ -21,7 +22,8 @@
   return (
     before.tasks.size > after.tasks.size ||
     before.listing.capacity !== after.listing.capacity ||
-    before.cooldownUntil > after.cooldownUntil
+    before.cooldownUntil > after.cooldownUntil ||
+    isRefillDue(before.startingTasks.size, after.startingTasks.size)
   );
 }
 
