Start a suspect beside other tasks once it has waited for an empty worker

Cause: a task whose worker crashes within 0.3 s of its start runs only on a worker that runs nothing else; the reserved worker is left to empty without a bound.

Change: a suspect under fewer than two crashes that has waited 2 s starts on a worker with free capacity and no start in progress; nothing starts beside it until it has shown to be sound. Tasks that were at work beside a suspect that has just started are not blamed; a crash under a suspect counts also if the answer to its start was lost.

--- a/packages/scheduling/src/decide/quarantine/crash-evidence.ts
+++ b/packages/scheduling/src/decide/quarantine/crash-evidence.ts
@@ -92,12 +92,21 @@
     rack,
     dataCentre,
     taskIds: new Set(ordered.map(([key]) => taskIdOf(key))),
+    aloneTaskIds: new Set(),
     counted: [],
-    isExplained: ordered.some(([key]) => findTask(state, key)?.isQuarantined === true),
+    isExplained: ordered.some(([key]) => isSuspect(state, key)),
     excusedTaskIds: new Set(),
   };
 }
 
+function isSuspect(state: ServiceState, key: TaskKey): boolean {
+  return findTask(state, key)?.isQuarantined === true;
+}
+
+function isYoungSuspect(state: ServiceState, worker: WorkerState, [key, run]: RunOfTask): boolean {
+  return isSuspect(state, key) && !hasSurvived(worker, run);
+}
+
 /**
  * Records that an incarnation of a worker has ended by itself, as evidence against each task that it was told to start.
  * The end of a worker that shuts down or is being released is planned, and no evidence.
@@ -108,12 +117,18 @@
   const crash = crashOfWorker(state, worker, ordered);
   // A worker that is listed again under its id may be seen to end twice.
   if (state.quarantine.crashes.has(crash.crashId)) return state;
+  const hasYoungSuspect = ordered.some((entry) => isYoungSuspect(state, worker, entry));
+  const aloneTaskIds = new Set<string>();
   let next = state;
   for (const entry of ordered) {
+    const [key, run] = entry;
     const evidence = evidenceAgainst(state, worker, entry, crash.crashId);
-    next = changeRun(next, ...entry, (run) => updateRun(run, { crash: evidence }));
+    if (evidence.wasAlone) aloneTaskIds.add(taskIdOf(key));
+    // A suspect that has just started is the likelier cause than a task that had been at work beside it.
+    const isExonerated = hasYoungSuspect && hasSurvived(worker, run) && !isSuspect(state, key);
+    if (!isExonerated) next = changeRun(next, key, run, (current) => updateRun(current, { crash: evidence }));
   }
-  const crashes = next.quarantine.crashes.set(crash.crashId, crash);
+  const crashes = next.quarantine.crashes.set(crash.crashId, { ...crash, aloneTaskIds });
   return updateService(next, {
     quarantine: updateQuarantine(next.quarantine, { crashes, hasNewCrash: true }),
   });
--- a/packages/scheduling/src/decide/quarantine/isolation-plan.ts
+++ b/packages/scheduling/src/decide/quarantine/isolation-plan.ts
@@ -4,7 +4,7 @@
 import { isProvenLastingRun } from './crash-evidence.js';
 import type { ServiceState, TaskState, WorkerState } from '../../state/service-state.js';
 import { runsOnWorker } from '../../state/tasks.js';
-import { hasRequiredLabel, mayTakeTasks } from '../placement/eligibility.js';
+import { freeCapacityOf, hasRequiredLabel, mayTakeTasks } from '../placement/eligibility.js';
 import type { WaitingSuspect } from './quarantined-tasks.js';
 
 /** A worker on which quarantined tasks may run once it runs nothing else. */
@@ -19,6 +19,11 @@
   readonly reservedFor: string | null;
 }
 
+/** Returns the candidate with the capacity that its present tasks leave. */
+function sharedCandidateOf(candidate: IsolationCandidate): IsolationCandidate {
+  return { ...candidate, capacity: freeCapacityOf(candidate.worker) };
+}
+
 function candidateOf(
   state: ServiceState,
   worker: WorkerState,
@@ -122,3 +127,18 @@
   const withoutLasting = allowed.filter(({ worker }) => worker.lastingCount === 0);
   return chooseAmong(suspect, withoutLasting) ?? chooseAmong(suspect, allowed);
 }
+
+/**
+ * Selects a worker with free capacity for each task of a suspect that found no empty worker; null if they do not suffice.
+ * The tasks beside it are lost if it crashes the worker, so that workers with little committed are preferred. No task may
+ * start beside it, so that workers with starts in progress are left out.
+ */
+export function planSharing(
+  suspect: WaitingSuspect,
+  candidates: readonly IsolationCandidate[],
+): readonly IsolationCandidate[] | null {
+  const allowed = candidates.filter(
+    ({ worker }) => worker.startingTasks.isEmpty() && hasRequiredLabel(suspect.request, worker),
+  );
+  return chooseAmong(suspect, allowed.map(sharedCandidateOf));
+}
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -19,11 +19,9 @@
 const CRASH_LIMIT = 3;
 const MINIMUM_CRASHES_ALONE = 2;
 
-/** Counts the recent crashes of workers that ran nothing but a task, or nothing but it as a suspect. */
+/** Counts the recent crashes of workers on which a task ran alone. */
 function countCrashesAlone({ quarantine }: ServiceState, taskId: string): number {
-  return quarantine.crashes.count(
-    ({ taskIds, isExplained }) => taskIds.has(taskId) && (isExplained || taskIds.size === 1),
-  );
+  return quarantine.crashes.count(({ aloneTaskIds }) => aloneTaskIds.has(taskId));
 }
 
 function limitOf(state: ServiceState, { key, evidence }: PendingVerdict): number {
--- a/packages/scheduling/src/service/quarantine.ts
+++ b/packages/scheduling/src/service/quarantine.ts
@@ -1,10 +1,17 @@
-/** Runs quarantined tasks alone: on workers that are kept free of all other tasks for them. */
+/**
+ * Runs quarantined tasks alone: on workers that are kept free of all other tasks for them. One that finds no empty worker in
+ * time starts beside other tasks, on a worker that gets no further ones.
+ */
 import { Map as PersistentMap } from 'immutable';
 import { fitsLimit } from '../decide/shares/workspace-limits.js';
 import { multiplyResources } from '../model/resources.js';
 import type { ServiceStep } from '../state/effect.js';
 import { mayIssueOrders } from '../state/lease.js';
-import { updateQuarantine } from '../state/quarantine-state.js';
+import {
+  QUARANTINE_CRASHES,
+  SHARING_PATIENCE_MILLISECONDS,
+  updateQuarantine,
+} from '../state/quarantine-state.js';
 import { runLogFields } from '../state/run-log-fields.js';
 import type { ServiceState } from '../state/service-state.js';
 import { addRun, findTask, isTaskWaiting } from '../state/tasks.js';
@@ -13,6 +20,7 @@
 import {
   isolationCandidates,
   planIsolation,
+  planSharing,
   type IsolationCandidate,
 } from '../decide/quarantine/isolation-plan.js';
 import { newRun } from '../decide/placement/new-run.js';
@@ -103,7 +111,7 @@
   return isHarmless || isolatedCount === 0 || isolatedCount + added <= limit;
 }
 
-function* startAlone(
+function* startSuspect(
   state: ServiceState,
   { members }: WaitingSuspect,
   chosen: readonly IsolationCandidate[],
@@ -116,12 +124,55 @@
       next = addRun(next, key, newRun(state.now, worker, runNumber));
       const run = findTask(next, key)?.runs.at(-1);
       const fields = run === undefined ? {} : runLogFields(key, run);
-      yield { kind: 'log', decision: 'taskPlaced', fields: { ...fields, isQuarantined: true } };
+      const isAlone = chosen[index]?.isAlone === true;
+      yield { kind: 'log', decision: 'taskPlaced', fields: { ...fields, isQuarantined: true, isAlone } };
     }
   }
   return next;
 }
 
+/**
+ * Returns whether a suspect may run beside other tasks: once each of its tasks has waited for long, and after one crash
+ * only, which may have had any cause.
+ */
+function mayShare({ now }: ServiceState, { members }: WaitingSuspect): boolean {
+  return members.every(
+    ({ task }) =>
+      task.workerCrashes < QUARANTINE_CRASHES && now - task.waitingSince >= SHARING_PATIENCE_MILLISECONDS,
+  );
+}
+
+/**
+ * Returns the workers on which a suspect starts now: those planned for it if they run nothing else, or, once it has waited
+ * for long, those with free capacity among its reserved and the unreserved ones; null if it waits on.
+ */
+function chooseWorkers(
+  state: ServiceState,
+  suspect: WaitingSuspect,
+  planned: readonly IsolationCandidate[],
+  isolation: Isolation,
+): readonly IsolationCandidate[] | null {
+  if (planned.every(({ isAlone }) => isAlone)) return planned;
+  if (!mayShare(state, suspect)) return null;
+  const { candidates, isolated } = isolation;
+  const available = candidates.filter(
+    ({ worker }) => (isolated.get(worker.listing.workerId) ?? suspect.isolationId) === suspect.isolationId,
+  );
+  return planSharing(suspect, available);
+}
+
+/** Keeps the given workers for a suspect, and no others. */
+function isolate(
+  { isolated }: Isolation,
+  { isolationId }: WaitingSuspect,
+  chosen: readonly IsolationCandidate[],
+): void {
+  [...isolated].forEach(([workerId, reservedFor]) => {
+    if (reservedFor === isolationId) isolated.delete(workerId);
+  });
+  chosen.forEach(({ worker }) => isolated.set(worker.listing.workerId, isolationId));
+}
+
 /** Places a suspect if its workers run nothing else, or reserves them. A gang that has to wait holds up the others. */
 function* placeSuspects(
   state: ServiceState,
@@ -138,8 +189,12 @@
     const chosen = isWithinLimit ? planIsolation(suspect, free) : null;
     const isAllowed = chosen !== null && mayIsolate(isolation, chosen, state.now - suspect.waitingSince);
     if (isAllowed) {
-      for (const { worker } of chosen) isolated.set(worker.listing.workerId, suspect.isolationId);
-      if (chosen.every(({ isAlone }) => isAlone)) next = yield* startAlone(next, suspect, chosen);
+      isolate(isolation, suspect, chosen);
+      const workers = chooseWorkers(next, suspect, chosen, isolation);
+      if (workers !== null) {
+        isolate(isolation, suspect, workers);
+        next = yield* startSuspect(next, suspect, workers);
+      }
     }
     if (chosen !== null && !isAllowed && suspect.request.isGang) return next;
   }
--- a/packages/scheduling/src/state/crash-counts.ts
+++ b/packages/scheduling/src/state/crash-counts.ts
@@ -13,10 +13,13 @@
 import type { Run, ServiceState, TaskState } from './service-state.js';
 import { updateService, updateTask } from './update.js';
 
-/** Returns whether a crash adds to the count of a task; an order that may never have arrived only raises suspicion. */
-function countOf(evidence: CrashEvidence, request: StepRequest): number {
+/**
+ * Returns whether a crash adds to the count of a task. An order that may never have arrived only raises suspicion, unless
+ * the task ran as a suspect.
+ */
+function countOf({ isQuarantined }: TaskState, evidence: CrashEvidence, request: StepRequest): number {
   if (request.isLasting && (!evidence.isYoung || evidence.crashId === null)) return 0;
-  return Number(evidence.isConfirmed || evidence.wasAlone);
+  return Number(evidence.isConfirmed || evidence.wasAlone || isQuarantined);
 }
 
 function crashOf({ crashes }: QuarantineState, { crashId }: CrashEvidence): WorkerCrash | null {
@@ -33,7 +36,7 @@
 ): TaskState {
   const { crash: evidence } = run;
   if (evidence === null || task.isDone || isExcused(state.quarantine, evidence, taskIdOf(key))) return task;
-  const workerCrashes = task.workerCrashes + countOf(evidence, request);
+  const workerCrashes = task.workerCrashes + countOf(task, evidence, request);
   const isSuspect = evidence.isYoung || workerCrashes >= QUARANTINE_CRASHES;
   return updateTask(task, { workerCrashes, isQuarantined: task.isQuarantined || isSuspect });
 }
--- a/packages/scheduling/src/state/quarantine-state.ts
+++ b/packages/scheduling/src/state/quarantine-state.ts
@@ -12,6 +12,12 @@
 /** Crashes after which a task is given up if its last run had been at work for long, or the crash had no witness. */
 export const LIMIT_OF_WEAK_EVIDENCE = 4;
 
+/**
+ * Time after which a suspect starts beside other tasks if no worker for it has become empty. A job must not stand still
+ * for 3 s while there is capacity, and a crash is noticed within a second.
+ */
+export const SHARING_PATIENCE_MILLISECONDS = 2_000;
+
 /** Time for which a crash is remembered. */
 export const CRASH_RETENTION_MILLISECONDS = 30_000;
 
@@ -58,7 +64,9 @@
   /** Ids of the tasks that the worker ran; empty if it was idle. */
   readonly taskIds: ReadonlySet<string>;
   readonly counted: readonly CountedTask[];
-  /** Whether a quarantined task ran alone on the worker, and so is the likely cause. */
+  /** Ids of the tasks that ran alone on the worker. */
+  readonly aloneTaskIds: ReadonlySet<string>;
+  /** Whether the worker ran a quarantined task, which is the likely cause. */
   readonly isExplained: boolean;
   /** Ids of the tasks against which it is no evidence, since it is part of a mass end. */
   readonly excusedTaskIds: ReadonlySet<string>;
