Count crashes of workers whose hosts are being drained

Cause: the end of a worker was taken for planned from the moment its host was requested for a move or maintenance.

Change: only the end of a worker that shuts down or is released is planned.

--- a/packages/scheduling/src/decide/placement/eligibility.ts
+++ b/packages/scheduling/src/decide/placement/eligibility.ts
@@ -40,7 +40,7 @@
 }
 
 /** Returns whether a worker shuts down or its host was released: nothing may start on it any more. */
-function isGoing(state: ServiceState, { listing }: WorkerState): boolean {
+export function isGoing(state: ServiceState, { listing }: WorkerState): boolean {
   return listing.isDraining || state.releasedWorkers.get(listing.workerId) === listing.incarnation;
 }
 
--- a/packages/scheduling/src/decide/quarantine/crash-evidence.ts
+++ b/packages/scheduling/src/decide/quarantine/crash-evidence.ts
@@ -1,5 +1,5 @@
 /** Records crashes of workers as evidence against the tasks that ran on them. */
-import { isLeaving } from '../placement/eligibility.js';
+import { isGoing } from '../placement/eligibility.js';
 import { taskIdOf, type StepRequest, type TaskKey } from '../../model/job.js';
 import {
   CRASH_RETENTION_MILLISECONDS,
@@ -112,7 +112,7 @@
  * The end of a worker that shuts down or is being released is planned, and no evidence.
  */
 export function recordWorkerCrash(state: ServiceState, worker: WorkerState): ServiceState {
-  if (worker.isTerminated || isLeaving(state, worker)) return state;
+  if (worker.isTerminated || isGoing(state, worker)) return state;
   const ordered = [...runsOnWorker(state, worker)].filter(([, run]) => run.phase !== 'recording');
   const crash = crashOfWorker(state, worker, ordered);
   // A worker that is listed again under its id may be seen to end twice.
