--- a/packages/fleet-emulator/src/model-fleet.ts
+++ b/packages/fleet-emulator/src/model-fleet.ts
@@ -13,6 +13,7 @@
 import { createGangHall } from './gang-hall.js';
 import type { JobPlans } from './job-plans.js';
 import type { ModelWorker } from './model-worker-types.js';
+import { foreignListings } from './foreign-listings.js';
 import { createModelWorker } from './model-worker.js';
 import type { Endpoint, Network } from './network.js';
 import type { WorkerObserver } from './observer.js';
@@ -69,6 +70,8 @@
   readonly addHost: (host: Pick<ModelHost, 'hostId' | 'rack' | 'dataCentre' | 'capacity' | 'pool'>) => void;
   /** Ends the life on a host; another begins later, under the same id if `keepsId`. */
   readonly crash: (hostId: string, downMilliseconds: number, keepsId: boolean) => void;
+  /** Adds entries to the register that no worker of a pool stands behind, with the oddest valid values. */
+  readonly addForeignEntries: (pool: string) => void;
   readonly drain: (hostId: string) => void;
   /** Leaves the worker of a host a share of the host's capacity for a time. */
   readonly shrink: (hostId: string, share: number, milliseconds: number) => void;
@@ -290,6 +293,8 @@
       bootWorker(host, null);
     },
     crash,
+    addForeignEntries: (pool) =>
+      foreignListings(pool).forEach((listing) => change({ kind: 'listed', listing })),
     drain: (hostId) => {
       const worker = hosts.get(hostId)?.worker;
       if (worker == null) return;
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -61,10 +61,10 @@
   },
 };
 
-/** Limits so small that most lists and records reach them, among all troubles. */
+/** Limits so small that most lists and records reach them, and entries of another writer, among all troubles. */
 export const TIGHT_LIMITS_PLAY: Omit<PlayOptions, 'seed'> = {
   ...SMALL_PLAY,
-  size: { ...SMALL_PLAY.size, limits: TIGHT_LIMITS },
+  size: { ...SMALL_PLAY.size, limits: TIGHT_LIMITS, hasForeignEntries: true },
   drawJob: drawMixedOrWideJob,
 };
 
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -44,6 +44,8 @@
   readonly workersIgnorePaces?: boolean;
   /** Limits of the store and the workers; the published ones where left out. */
   readonly limits?: PlayedLimits;
+  /** Whether another writer has left entries in the register that no worker stands behind; none where left out. */
+  readonly hasForeignEntries?: boolean;
 }
 
 /** A whole system in virtual time. */
@@ -211,6 +213,10 @@
     addHosts(models, capacity, serviceName(service), size.hostsPerService, service * size.hostsPerService);
   }
   addHosts(models, capacity, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
+  if (size.hasForeignEntries === true) {
+    for (let service = 0; service < size.services; service += 1)
+      models.addForeignEntries(serviceName(service));
+  }
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
   const milliCoresOf = size.milliCoresOf ?? (() => ALIKE_MILLI_CORES);
   const processors = Array.from({ length: size.nodes }, (_, index) =>
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -9,6 +9,10 @@
 import type { JobState, ServiceState, StepState, WorkerState } from '../state/service-state.js';
 import { reservedResourcesOf, stepRequestOf } from '../model/step-needs.js';
 
+function isSound({ isListed, hasAcknowledgedEpoch, silentSince, listing }: WorkerState): boolean {
+  return isListed && hasAcknowledgedEpoch && silentSince === null && !listing.isDraining;
+}
+
 function hostLoadOf(state: ServiceState, worker: WorkerState): HostLoad {
   const { hostId, workerId } = worker.listing;
   const isReleasing =
@@ -20,11 +24,7 @@
     committedMilliCores: worker.committed.milliCores,
     taskCount: worker.tasks.size,
     lastingCount: worker.lastingCount,
-    isSound:
-      worker.isListed &&
-      worker.hasAcknowledgedEpoch &&
-      worker.silentSince === null &&
-      !worker.listing.isDraining,
+    isSound: isSound(worker),
     release: isReleasing ? selectReleaseProgress(state, worker) : null,
   };
 }
@@ -77,8 +77,9 @@
     Math.min(limit, countFitting(reservedResourcesOf(request), free));
   const slots = candidates.reduce((sum, candidate) => sum + slotsOn(candidate.freeCapacity), 0);
   const missingSlots = unplacedCount - slots;
-  const [first] = state.workers.values();
-  const perHost = first === undefined ? 1 : Math.max(1, slotsOn(first.listing.capacity));
+  // An entry of the register that never answered may be that of no worker, and have any capacity.
+  const example = state.workers.find(isSound);
+  const perHost = example === undefined ? 1 : Math.max(1, slotsOn(example.listing.capacity));
   return missingSlots <= 0 ? 0 : Math.ceil(missingSlots / perHost);
 }
 
