Hold tasks that have not started in shared lists, and bound jobs

A job whose billion occurrences were all due began all of them in one event.

Change: steps of one width share one list of one task until a task changes. At most 256 occurrences of a job are in progress, further ones begin as these finish. A new owner walks the started tasks only.

--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -214,8 +214,9 @@
   }
   addHosts(models, capacity, STANDBY_POOL, size.standbyHosts, size.services * size.hostsPerService);
   if (size.hasForeignEntries === true) {
-    for (let service = 0; service < size.services; service += 1)
+    for (let service = 0; service < size.services; service += 1) {
       models.addForeignEntries(serviceName(service));
+    }
   }
   const switchboard = new Map<string, (content: unknown) => Promise<unknown>>();
   const milliCoresOf = size.milliCoresOf ?? (() => ALIKE_MILLI_CORES);
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -61,6 +61,22 @@
   return updateOccurrence(occurrence, { steps, remainingMilliseconds });
 }
 
+/**
+ * Returns a function that gives a list of tasks that have not started. Lists of one length are shared, and so is their task:
+ * both are copied when a task changes, so that tasks that have not started take next to no memory.
+ */
+function createTaskLists(now: Instant): (taskCount: number) => readonly TaskState[] {
+  const task = newTask(now);
+  const lists = new Map<number, readonly TaskState[]>();
+  return (taskCount) => {
+    const known = lists.get(taskCount);
+    if (known !== undefined) return known;
+    const tasks: readonly TaskState[] = Array.from({ length: taskCount }, () => task);
+    lists.set(taskCount, tasks);
+    return tasks;
+  };
+}
+
 /** Returns an occurrence with no started task. */
 export function newOccurrence(
   request: JobRequest,
@@ -68,8 +84,9 @@
   dueAt: Instant,
   now: Instant,
 ): OccurrenceState {
+  const tasksOfCount = createTaskLists(now);
   const steps = request.steps.map(({ taskCount }) => ({
-    tasks: Array.from({ length: taskCount }, () => newTask(now)),
+    tasks: tasksOfCount(taskCount),
     doneCount: 0,
     waitingCount: taskCount,
     readySince: null,
@@ -126,6 +143,12 @@
   );
 }
 
+/**
+ * The most occurrences of a job that are in progress at once; those that are due beyond begin as earlier ones finish. They
+ * take memory, and a job may have any number of occurrences whose time has passed.
+ */
+const MAXIMUM_OCCURRENCES_IN_PROGRESS = 256;
+
 /** Begins the occurrences of a repeating job that are due. */
 export function beginDueOccurrences(state: ServiceState, job: JobState): ServiceState {
   const { request } = job;
@@ -134,6 +157,7 @@
   for (let occurrence = job.occurrencesDoneBelow; occurrence < request.repetition.times; occurrence += 1) {
     const due = dueTimeOf(request, occurrence);
     if (due === null || due > state.timeOfDay) break;
+    if (occurrences.size >= MAXIMUM_OCCURRENCES_IN_PROGRESS) break;
     if (!hasBegun(job, occurrence)) {
       const dueAt = state.now - (state.timeOfDay.getTime() - due.getTime());
       occurrences = occurrences.set(occurrence, newOccurrence(request, occurrence, dueAt, state.now));
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -26,7 +26,7 @@
   type PendingVerdict,
   type QuarantineState,
 } from '../state/quarantine-state.js';
-import { allTasks, isTaskWaiting } from '../state/tasks.js';
+import { startedTasks, isTaskWaiting } from '../state/tasks.js';
 import { EMPTY_WAITING_QUEUE } from '../state/waiting-queue.js';
 import { countRuns } from '../state/workspaces.js';
 import { NO_WORKSPACES } from '../state/workspaces-state.js';
@@ -132,6 +132,8 @@
 
 function restoreStep(step: StepState, recorded: readonly TaskProgress[], now: Instant): StepState {
   const byIndex = new Map(recorded.map((task) => [task.index, task]));
+  // Steps without progress share one list of tasks.
+  if (byIndex.size === 0) return step;
   const tasks = step.tasks.map((task, index) => {
     const known = byIndex.get(index);
     return known === undefined ? task : restoreTask(known, now);
@@ -300,7 +302,7 @@
 
 /** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
 function restoreQuarantine(state: ServiceState): QuarantineState {
-  const quarantined = [...allTasks(state)].filter(([, task]) => task.isQuarantined && !task.isDone);
+  const quarantined = [...startedTasks(state)].filter(([, task]) => task.isQuarantined && !task.isDone);
   const overdue = quarantined
     .filter(([, { runs, workerCrashes }]) => runs.length === 0 && workerCrashes >= LIMIT_OF_WEAK_EVIDENCE)
     .map(([key]): PendingVerdict => ({ key, evidence: UNWITNESSED_CRASH, crashedAt: -Infinity }));
@@ -330,10 +332,10 @@
     const job = restoreJob(state, request, progress.get(jobId), [...(parts.get(jobId)?.values() ?? [])]);
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
-  for (const [key, { runs }, , { request }] of [...allTasks(state)]) {
+  for (const [key, { runs }, , { request }] of [...startedTasks(state)]) {
     state = countRuns(state, request, key.step, runs.length);
   }
-  const keysWithRuns = [...allTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [key] : []));
+  const keysWithRuns = [...startedTasks(state)].flatMap(([key, task]) => (task.runs.length > 0 ? [key] : []));
   const restored = [...state.jobs.values()];
   const jobIdsOf = (jobs: readonly JobState[]): readonly string[] => jobs.map(({ request }) => request.jobId);
   return {
--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -332,8 +332,8 @@
   return next;
 }
 
-/** Yields every task of the occurrences in progress of active jobs. */
-export function* allTasks(
+/** Yields the tasks of the occurrences in progress of active jobs that were ever placed. */
+export function* startedTasks(
   state: ServiceState,
 ): Generator<readonly [key: TaskKey, task: TaskState, request: StepRequest, job: JobState], void, void> {
   for (const jobId of state.activeJobIds) {
@@ -343,7 +343,7 @@
         for (const [step, { tasks }] of steps.entries()) {
           const request = stepRequestOf(job.request, step);
           for (const [index, task] of tasks.entries()) {
-            yield [{ jobId, occurrence, step, index }, task, request, job];
+            if (task.lastRun > 0) yield [{ jobId, occurrence, step, index }, task, request, job];
           }
         }
       }
