Give up a service whose records cannot be encoded, and share test data

Cause: an unexpected error between the decision to store a batch and the append left the batch in flight for good; nothing of the service would have started any more.

Change: the owner gives the service up; it is claimed again after a pause and restored from its logs. Parameters and requests of the owner's tests stand once.

Evidence: a test of unexpected-errors, written for the change.

--- a/packages/scheduler/src/__tests__/inbox-pages.test.ts
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -1,34 +1,17 @@
 /** Guards against taking one page of an inbox for all of it: jobs on later pages, and claims of newer owners. */
 import { describe } from '@baobabdeck/test-tools';
-import { PLAIN_STEP, selectJobStatus, type JobRequest } from '@baobabdeck/scheduling';
+import { selectJobStatus } from '@baobabdeck/scheduling';
 import { NO_MEASURES } from '../measure/no-measures.js';
 import { encodeRecord } from '../owner/record-codec.js';
 import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
 import type { LogPartition, Store, StoredKeyedRecord } from '../ports/index.js';
+import { requestOf } from './job-request.js';
 import { createManualClock, type ManualClock } from './manual-clock.js';
 import { PUBLISHED_LIMITS } from './published-limits.js';
+import { SCHEDULING_PARAMETERS } from './scheduling-parameters.js';
 
 const INBOX: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
 
-function requestOf(jobId: string): JobRequest {
-  return {
-    jobId,
-    service: 'quotes',
-    queue: 'quotes',
-    workspace: null,
-    specification: 'work',
-    steps: [PLAIN_STEP],
-    repetition: null,
-    priority: 0,
-    maximumFailedRuns: 3,
-    stretch: 2,
-    targetMilliseconds: 500,
-    advice: null,
-    ageMilliseconds: 0,
-    acceptedAt: new Date(0),
-  };
-}
-
 /** A store whose inbox holds one accepted job per page after the claim; a read that waits takes a second. */
 function createPagedStore(clock: ManualClock, jobIds: readonly string[]): Store {
   const inbox: readonly StoredKeyedRecord[] = jobIds
@@ -57,16 +40,7 @@
     service: 'quotes',
     inbox: INBOX,
     member: 'm1',
-    parameters: {
-      leaseMilliseconds: 5_000,
-      ownershipProofMilliseconds: 5_000,
-      reportWaitMilliseconds: 1_000,
-      silenceMilliseconds: 500,
-      statusRetentionMilliseconds: 120_000,
-      gangTimeoutMilliseconds: 3_000,
-      remoteFactor: 2,
-      absenceNoticeMilliseconds: 4_500,
-    },
+    parameters: SCHEDULING_PARAMETERS,
     store,
     workers: {
       renewLease: () => Promise.resolve({ kind: 'unanswered', detail: 'no worker' }),
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -9,6 +9,7 @@
 import { PUBLISHED_LIMITS } from './published-limits.js';
 import { createManualClock } from './manual-clock.js';
 import { createTestBackground } from './test-background.js';
+import { SCHEDULING_PARAMETERS } from './scheduling-parameters.js';
 
 const QUEUE: Queue = {
   name: 'quotes',
@@ -140,16 +141,7 @@
 function stateWithJob(): ServiceState {
   return restoreService({
     service: 'quotes',
-    parameters: {
-      leaseMilliseconds: 5_000,
-      ownershipProofMilliseconds: 5_000,
-      reportWaitMilliseconds: 1_000,
-      silenceMilliseconds: 500,
-      statusRetentionMilliseconds: 120_000,
-      gangTimeoutMilliseconds: 3_000,
-      remoteFactor: 2,
-      absenceNoticeMilliseconds: 4_500,
-    },
+    parameters: SCHEDULING_PARAMETERS,
     fencingEpoch: 1,
     now: 1_000,
     timeOfDay: new Date(1_000),
--- a/packages/scheduler/src/__tests__/unexpected-errors.test.ts
+++ b/packages/scheduler/src/__tests__/unexpected-errors.test.ts
@@ -15,8 +15,10 @@
   guardWorkers,
   type ReportUnexpectedError,
 } from '../unexpected-errors/index.js';
+import { requestOf } from './job-request.js';
 import { createManualClock } from './manual-clock.js';
 import { PUBLISHED_LIMITS } from './published-limits.js';
+import { SCHEDULING_PARAMETERS } from './scheduling-parameters.js';
 
 interface Line extends LogFields {
   readonly event: string;
@@ -244,16 +246,7 @@
       service: 'quotes',
       inbox: PARTITION,
       member: 'm1',
-      parameters: {
-        leaseMilliseconds: 5_000,
-        ownershipProofMilliseconds: 5_000,
-        reportWaitMilliseconds: 1_000,
-        silenceMilliseconds: 500,
-        statusRetentionMilliseconds: 120_000,
-        gangTimeoutMilliseconds: 3_000,
-        remoteFactor: 2,
-        absenceNoticeMilliseconds: 4_500,
-      },
+      parameters: SCHEDULING_PARAMETERS,
       store: createEmptyStore(clock.sleep),
       workers: {
         ...answering,
@@ -295,6 +288,49 @@
   });
 });
 
+describe('an error while the records of an owner are encoded', ({ it }) => {
+  it('ends its ownership, so that the service does not stand still', async (t) => {
+    const { lines, write } = createRecorder();
+    const clock = createManualClock();
+    let isEnded = false;
+    const store: Store = {
+      ...createEmptyStore(clock.sleep),
+      get limits() {
+        return throwAtOnce();
+      },
+    };
+    const owner = createServiceOwner({
+      service: 'quotes',
+      inbox: PARTITION,
+      member: 'm1',
+      parameters: SCHEDULING_PARAMETERS,
+      store,
+      workers: workersFailingWith(rejectLater),
+      clock,
+      writeEvent: write,
+      measures: NO_MEASURES,
+      requestHostList: () => undefined,
+      onClaimed: () => undefined,
+      onOwnershipEnded: (shouldReclaim) => {
+        isEnded = !shouldReclaim;
+      },
+    });
+    await clock.advance(0);
+    owner.dispatch({
+      kind: 'records-read',
+      records: [
+        { offset: 1, record: { kind: 'job-accepted', request: requestOf('a') } },
+        { offset: 2, record: { kind: 'job-cancelled', jobId: 'a' } },
+      ],
+      askedAt: clock.steadyNow(),
+    });
+    await clock.advance(0);
+    t.true(isEnded);
+    t.is(owner.state(), null);
+    t.true(lines.some(({ activity, err }) => activity === 'store-records' && err === BROKEN));
+  });
+});
+
 /** Creates a store with empty logs in which every append succeeds. */
 function createEmptyStore(sleep: (milliseconds: number) => Promise<void>): Store {
   return {
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -80,6 +80,12 @@
   const background = createBackgroundWork(clock, reportError);
   const currentState = (): ServiceState | null => (closed ? null : (loop?.state() ?? null));
 
+  /** Gives up the service after an unexpected error; it is claimed again after a pause and restored from its logs. */
+  const endOwnership = (): void => {
+    closed = true;
+    parts.onOwnershipEnded(false);
+  };
+
   const queueStatistics = (): LogFields => {
     const state = currentState();
     if (state === null) return {};
@@ -132,7 +138,7 @@
   const perform = (effect: ServiceEffect): void => {
     switch (effect.kind) {
       case 'store-records':
-        background.start('store-records', () => storeRecords(effect));
+        background.start('store-records', () => storeRecords(effect), endOwnership);
         break;
       case 'log':
         writeEvent(effect.decision, { service, ...effect.fields });
@@ -255,10 +261,7 @@
     background.repeat('tick', isOpen, waitAndTick);
   };
 
-  background.start('claim', claimAndStart, () => {
-    closed = true;
-    parts.onOwnershipEnded(false);
-  });
+  background.start('claim', claimAndStart, endOwnership);
   return {
     service,
     inbox,
