--- a/packages/bench/src/soak-main.ts
+++ b/packages/bench/src/soak-main.ts
@@ -1,4 +1,4 @@
-/** `npm run soak -- [--fleet [--size grown [--no-cpu]]] --minutes N [--seed S]`: random schedules for as long as asked. */
+/** `npm run soak -- [--fleet [--size grown|tight [--no-cpu]]] --minutes N [--seed S]`: random schedules for as long as asked. */
 import { parseArgs } from 'node:util';
 import { createRandom, drawActions, runSchedule } from '@baobabdeck/emulator';
 
@@ -9,7 +9,10 @@
   options: {
     /** Plays schedulers with workers and hosts; otherwise gateways with targets. */
     fleet: { type: 'boolean', default: false },
-    /** Of the fleet: `small` with every kind of trouble, or `grown` with bursts on bounded processors. */
+    /**
+     * Of the fleet: `small` with every kind of trouble, `tight` with small limits, wide jobs and foreign entries besides, or
+     * `grown` with bursts on bounded processors.
+     */
     size: { type: 'string', default: 'small' },
     /** Lets what processes do take no time. */
     'no-cpu': { type: 'boolean', default: false },
@@ -26,10 +29,10 @@
   !(minutes > 0) ||
   !Number.isInteger(firstSeed) ||
   !(mostSeeds > 0) ||
-  !['small', 'grown'].includes(values.size)
+  !['small', 'tight', 'grown'].includes(values.size)
 ) {
   process.stderr.write(
-    'soak: [2009] expected --minutes and --seeds above 0, a whole --seed and --size small or grown\n',
+    'soak: [2009] expected --minutes and --seeds above 0, a whole --seed and --size small, tight or grown\n',
   );
   process.exit(2);
 }
@@ -51,14 +54,16 @@
 /** Loads the emulator, which counts the processes' work only if that is asked for beforehand. */
 async function loadFleetPlay(): Promise<(seed: number) => Promise<SeedReport>> {
   if (values.size === 'grown') await import('@baobabdeck/fleet-emulator/count-from-now-on');
-  const { GROWN_SIZE, playSchedule, playTurns, SMALL_PLAY } = await import('@baobabdeck/fleet-emulator');
+  const { GROWN_SIZE, playSchedule, playTurns, SMALL_PLAY, TIGHT_LIMITS_PLAY } =
+    await import('@baobabdeck/fleet-emulator');
+  const schedule = values.size === 'tight' ? TIGHT_LIMITS_PLAY : SMALL_PLAY;
   const { costs, ...free } = GROWN_SIZE;
   const grown = values['no-cpu'] || costs === undefined ? free : { ...free, costs };
   return async (seed) => {
     const { violations, errors, accepted, world } =
       values.size === 'grown'
         ? await playTurns({ seed, size: grown, turns: GROWN_TURNS })
-        : await playSchedule({ ...SMALL_PLAY, seed });
+        : await playSchedule({ ...schedule, seed });
     if (values.size === 'grown') {
       process.stdout.write(`seed ${seed}: ${world.referee.servedShare().toFixed(3)} served\n`);
     }
