--- a/packages/scheduling/src/__tests__/wide-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/wide-jobs.test.ts
@@ -194,10 +194,16 @@
   it('goes before parts that were recorded earlier', (t) => {
     const part = { jobId: 'a', occurrence: 0, part: 0 };
     const stale = { ...part, steps: [{ step: 0, tasks: [{ ...task, ...sound, index: 5 }] }] };
-    t.deepEqual(
-      doneTasks([...records, { offset: 0, record: { kind: 'job-part-progress', part: stale } }]),
-      [2],
-    );
+    const withStale: readonly StoredServiceRecord[] = [
+      { offset: 0, record: { kind: 'job-part-progress', part: stale } },
+      ...records,
+    ];
+    t.deepEqual(doneTasks(withStale), [2]);
+    const harness = createServiceHarness(withStale);
+    harness.addWorkers(['w1', 'w2']);
+    harness.advance(10);
+    // The part is recorded anew and holds nothing of its former content.
+    t.deepEqual(doneTasks(harness.records()), [2]);
   });
 });
 
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -254,7 +254,10 @@
     occurrencesDone: PersistentSet(progress.occurrencesDone),
     occurrencesDoneBelow: progress.occurrencesDoneBelow,
     hasStarted: progress.hasStarted,
-    recordedOccurrences: restoreRecordedOccurrences(occurrences, head.occurrences.length === 0 ? parts : []),
+    recordedOccurrences: restoreRecordedOccurrences(
+      head.occurrences.length === 0 ? occurrences : PersistentMap(),
+      parts,
+    ),
     endedInVersion: isActive ? null : 0,
     endedAt: isActive ? null : state.now,
   });
