--- a/packages/scheduling/src/decide/placement/eligible-workers.ts
+++ b/packages/scheduling/src/decide/placement/eligible-workers.ts
@@ -9,8 +9,8 @@
 import type { StepRequest } from '../../model/job.js';
 import { reservedResourcesOf } from '../../model/step-needs.js';
 import type { InterferenceState } from '../../state/interference-state.js';
-import { createStartSlots, type StartSlots } from '../../state/start-slots.js';
 import type { ServiceState, WorkerState } from '../../state/service-state.js';
+import { createStartSlots, type StartSlots } from './start-slots.js';
 import { freeCapacityOf, isEligible, isEligibleForOverdueTask } from './eligibility.js';
 
 /** Workers that may get tasks, with the free capacity of each. */
--- a/packages/scheduling/src/state/start-slots.ts
+++ b/packages/scheduling/src/decide/placement/start-slots.ts
@@ -2,17 +2,9 @@
  * Bounds the starts in progress on each worker, from placement until the worker has answered. Without a bound a step of
  * thousands of tasks queues more orders than the owner can send before their timeout, and holds up every other job.
  */
-import type { TaskKey } from '../model/job.js';
-import type { WorkerState } from './service-state.js';
-
-/** The most starts in progress on one worker; a few times the connections to it. */
-const STARTS_PER_WORKER = 32;
-
-/** The most of them that belong to one step, so that the tasks of other jobs can start beside it. */
-const STARTS_OF_STEP_PER_WORKER = 24;
-
-/** Starts in progress at which a worker is considered for further tasks, so that they are placed in batches. */
-const REFILL_STARTS = STARTS_PER_WORKER / 2;
+import type { TaskKey } from '../../model/job.js';
+import type { WorkerState } from '../../state/service-state.js';
+import { STARTS_OF_STEP_PER_WORKER, STARTS_PER_WORKER } from '../../state/start-limits.js';
 
 /** Starts that may begin on each worker while tasks are placed one after the other. */
 export interface StartSlots {
@@ -44,8 +36,3 @@
     },
   };
 }
-
-/** Returns whether a worker that had more starts in progress may get a batch of further tasks. */
-export function isRefillDue(startsBefore: number, startsAfter: number): boolean {
-  return startsBefore > REFILL_STARTS && startsAfter <= REFILL_STARTS;
-}
--- a/packages/scheduling/src/state/worker-index.ts
+++ b/packages/scheduling/src/state/worker-index.ts
@@ -1,6 +1,6 @@
 /** Keeps the indexes over all workers up to date with each worker that changes. */
 import type { ServiceState, WorkerState } from './service-state.js';
-import { isRefillDue } from './start-slots.js';
+import { isRefillDue } from './start-limits.js';
 import { updateService } from './update.js';
 
 function mayTakeTasks({
