--- a/packages/scheduling/src/state/tasks.ts
+++ b/packages/scheduling/src/state/tasks.ts
@@ -139,7 +139,7 @@
   return isBeingStarted(run) && !isStarting ? endStart(next, key, run.workerId) : next;
 }
 
-function isBeingStarted({ phase }: Run): boolean {
+function isBeingStarted({ phase }: Pick<Run, 'phase'>): boolean {
   return phase === 'recording' || phase === 'starting';
 }
 
@@ -151,17 +151,20 @@
   return setWorker(state, updateWorker(worker, { startingTasks }));
 }
 
+/** Reserves capacity of a worker for a run that is on it or may be, or that is about to be started on it. */
 function reserveCapacity(
   state: ServiceState,
   key: TaskKey,
-  workerId: string,
   step: StepRequest,
+  { workerId, phase }: Pick<Run, 'workerId' | 'phase'>,
 ): ServiceState {
   const worker = state.workers.get(workerId);
   if (worker === undefined) return state;
+  const { startingTasks } = worker;
   return setWorker(
     state,
     updateWorker(worker, {
+      startingTasks: isBeingStarted({ phase }) ? startingTasks.set(taskIdOf(key), key) : startingTasks,
       committed: addResources(worker.committed, reservedResourcesOf(step)),
       lastingCount: worker.lastingCount + Number(step.isLasting),
       tasks: worker.tasks.set(taskIdOf(key), key),
@@ -208,21 +211,7 @@
     }),
   );
   const marked = countRuns(markJobChanged(state, changed), job.request, key.step, 1);
-  return beginStart(
-    reserveCapacity(marked, key, run.workerId, stepRequestOf(job.request, key.step)),
-    key,
-    run.workerId,
-  );
-}
-
-/** Adds a task to the starts in progress on a worker. */
-function beginStart(state: ServiceState, key: TaskKey, workerId: string): ServiceState {
-  const worker = state.workers.get(workerId);
-  if (worker === undefined) return state;
-  return setWorker(
-    state,
-    updateWorker(worker, { startingTasks: worker.startingTasks.set(taskIdOf(key), key) }),
-  );
+  return reserveCapacity(marked, key, stepRequestOf(job.request, key.step), run);
 }
 
 /** Keeps capacity of a worker for a task whose run is being stopped. */
@@ -325,7 +314,7 @@
     if (job !== undefined && run.incarnation <= incarnation) {
       const crash = run.incarnation < incarnation ? (run.crash ?? UNWITNESSED_CRASH) : run.crash;
       next = changeRun(next, key, run, (current) => updateRun(current, { incarnation, crash }));
-      next = reserveCapacity(next, key, workerId, stepRequestOf(job.request, key.step));
+      next = reserveCapacity(next, key, stepRequestOf(job.request, key.step), run);
     }
     next = clearOrphan(next, key);
   }
