Split what does two jobs, and let test titles say whole claims

Reading the parts of a job, and records that are too large, have modules of their own; the line about such a record stands once. No behaviour changes.

--- a/packages/fleet-emulator/src/__tests__/referee-hosts.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee-hosts.test.ts
@@ -3,8 +3,8 @@
 import { createScene, planOf, rulesOf } from './referee-scene.js';
 
 describe('the referee', ({ describe: within }) => {
-  within('sees a host', ({ it: sees }) => {
-    sees('ordered by two holders in turn', (t) => {
+  within('hosts', ({ it: itJudges }) => {
+    itJudges('reports a host that two holders order in turn', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onHostOrdered(scene.host, 'node-0', 1);
       scene.pass(1_000);
@@ -12,14 +12,14 @@
       t.deepEqual(rulesOf(scene), ['one-holder-a-host']);
     });
 
-    sees('taken down while as many others of its wave are as may be', (t) => {
+    itJudges('reports a host that is taken down while as many others of its wave are down as may be', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onWaveAsked(1, ['host-0', 'host-1'], 1);
       scene.referee.onHostTaken(scene.host, 'node-0', 1, 1);
       t.deepEqual(rulesOf(scene), ['wave-within-limit']);
     });
 
-    sees('that has not begun when its wave is told completed', (t) => {
+    itJudges('reports a host that has not begun its maintenance when its wave is shown as completed', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onWaveAsked(1, ['host-0'], 1);
       scene.referee.onWaveCompleted(1);
--- a/packages/fleet-emulator/src/__tests__/referee-jobs.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee-jobs.test.ts
@@ -4,49 +4,52 @@
 import { createScene, FIRST, planOf, rulesOf, type Scene, STEP } from './referee-scene.js';
 
 describe('the referee', ({ describe: within }) => {
-  within('sees a job at rest', ({ it: sees }) => {
+  within('jobs after the traffic', ({ it: itJudges }) => {
     const accepted = (plan: JobPlan): Scene => {
       const scene = createScene(plan);
       scene.referee.onSubmitAnswered('a', 'accepted');
       return scene;
     };
 
-    sees('of which nothing runs beside free room', async (t) => {
+    itJudges('reports a job of which nothing runs although there is capacity', async (t) => {
       const scene = accepted(planOf({}));
       await scene.referee.watchRest(4_000);
       t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
     });
 
-    sees('whose lasting task does not run beside free room', async (t) => {
+    itJudges('reports a job whose lasting task does not run although there is capacity', async (t) => {
       const scene = accepted(planOf({ isLasting: true }));
       scene.start(FIRST, 1);
       await scene.referee.watchRest(4_000);
       t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
     });
 
-    sees('whose lasting task does not run beside free room in a busy service', async (t) => {
-      const lasting = { isLasting: true, needs: { ...STEP.needs, milliCores: 500 } };
-      const scene = accepted(planOf(lasting, { needs: { ...STEP.needs, milliCores: 2_000 } }));
-      scene.start(FIRST, 1);
-      scene.start({ ...FIRST, step: 1 }, 1);
-      await scene.referee.watchRest(4_000);
-      t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
-    });
+    itJudges(
+      'reports a job whose lasting task does not run although there is capacity in a busy service',
+      async (t) => {
+        const lasting = { isLasting: true, needs: { ...STEP.needs, milliCores: 500 } };
+        const scene = accepted(planOf(lasting, { needs: { ...STEP.needs, milliCores: 2_000 } }));
+        scene.start(FIRST, 1);
+        scene.start({ ...FIRST, step: 1 }, 1);
+        await scene.referee.watchRest(4_000);
+        t.deepEqual(rulesOf(scene), ['nothing-waits-beside-room']);
+      },
+    );
 
-    sees('and nothing in one of which something runs', async (t) => {
+    itJudges('accepts a job of which a task runs', async (t) => {
       const scene = accepted(planOf({}));
       scene.start(FIRST, 1);
       await scene.referee.watchRest(4_000);
       t.deepEqual(rulesOf(scene), []);
     });
 
-    sees('and nothing in one that has room for one task only', async (t) => {
+    itJudges('accepts a waiting job if there is capacity for one task only', async (t) => {
       const scene = accepted(planOf({ needs: { ...STEP.needs, milliCores: 2_500 } }));
       await scene.referee.watchRest(4_000);
       t.deepEqual(rulesOf(scene), []);
     });
 
-    sees('that was done too late to be served', (t) => {
+    itJudges('counts a job that was done too late as not served', (t) => {
       const scene = accepted(planOf({ taskCount: 1 }));
       scene.start(FIRST, 1);
       scene.pass(6_001);
@@ -55,7 +58,7 @@
       t.deepEqual(rulesOf(scene), ['enough-is-served']);
     });
 
-    sees('and nothing in one that was done within three times its objective', (t) => {
+    itJudges('counts a job that was done within three times its objective as served', (t) => {
       const scene = accepted(planOf({ taskCount: 1 }));
       scene.start(FIRST, 1);
       scene.pass(6_000);
@@ -84,29 +87,29 @@
     });
   });
 
-  within('sees a status', ({ it: sees }) => {
-    sees('that is shown too early', (t) => {
+  within('the status of jobs', ({ it: itJudges }) => {
+    itJudges('reports a status that is shown too early', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
       scene.referee.onStatusShown('a', 'completed');
       t.deepEqual(rulesOf(scene), ['status-is-true']);
     });
 
-    sees('of a failure that was none', (t) => {
+    itJudges('reports a failure without cause', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
       scene.referee.onStatusShown('a', 'failed');
       t.deepEqual(rulesOf(scene), ['status-is-true']);
     });
 
-    sees('of a cancelling that nobody asked for', (t) => {
+    itJudges('reports a cancellation that nobody requested', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
       scene.referee.onStatusShown('a', 'cancelled');
       t.deepEqual(rulesOf(scene), ['status-is-true']);
     });
 
-    sees('that is missing for an accepted job', (t) => {
+    itJudges('reports a missing status of an accepted job', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
       scene.pass(3_001);
--- a/packages/fleet-emulator/src/__tests__/referee-tasks.test.ts
+++ b/packages/fleet-emulator/src/__tests__/referee-tasks.test.ts
@@ -16,15 +16,15 @@
     t.deepEqual(rulesOf(scene), []);
   });
 
-  within('sees a task', ({ it: sees }) => {
-    sees('run twice at the same time', (t) => {
+  within('tasks', ({ it: itJudges }) => {
+    itJudges('reports a task that runs twice at the same time', (t) => {
       const scene = createScene(planOf({}));
       scene.start(FIRST, 1);
       scene.start(FIRST, 2);
       t.deepEqual(rulesOf(scene), ['runs-once']);
     });
 
-    sees('start again once its success was acknowledged', (t) => {
+    itJudges('reports a task that starts again after its success was acknowledged', (t) => {
       const scene = createScene(planOf({}));
       scene.start(FIRST, 1);
       scene.end(FIRST, 1, 'done');
@@ -33,7 +33,7 @@
       t.deepEqual(rulesOf(scene), ['runs-once']);
     });
 
-    sees('succeed after it was started again', (t) => {
+    itJudges('reports a task that succeeds after it was started again', (t) => {
       const scene = createScene(planOf({}));
       scene.start(FIRST, 1);
       scene.end(FIRST, 1, 'done');
@@ -42,13 +42,13 @@
       t.deepEqual(rulesOf(scene), ['runs-once']);
     });
 
-    sees('start before the step that it waits for is done', (t) => {
+    itJudges('reports a task that starts before the step that it depends on is done', (t) => {
       const scene = createScene(planOf({}, { after: [0] }));
       scene.start({ ...FIRST, step: 1 }, 1);
       t.deepEqual(rulesOf(scene), ['steps-in-order']);
     });
 
-    sees('start more often than it may fail', (t) => {
+    itJudges('reports a task that starts more often than it may fail', (t) => {
       const scene = createScene(planOf({}));
       [1, 2, 3].forEach((run) => {
         scene.start(FIRST, run);
@@ -59,26 +59,26 @@
       t.deepEqual(rulesOf(scene), ['attempts-within-limit']);
     });
 
-    sees('wait for its gang in vain', (t) => {
+    itJudges('reports a task that waits for its gang in vain', (t) => {
       const scene = createScene(planOf({ isGang: true }));
       scene.start(FIRST, 1);
       scene.end(FIRST, 1, 'alone');
       t.deepEqual(rulesOf(scene), ['gangs-together']);
     });
 
-    sees('start that nobody handed in', (t) => {
+    itJudges('reports a task that starts although nobody submitted its job', (t) => {
       const scene = createScene(planOf({}));
       scene.start({ ...FIRST, jobId: 'b' }, 1);
       t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
     });
 
-    sees('start with another specification', (t) => {
+    itJudges('reports a task that starts with another specification', (t) => {
       const scene = createScene(planOf({}));
       scene.start(FIRST, 1, { specification: 'other work' });
       t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
     });
 
-    sees('start long after its job was cancelled', (t) => {
+    itJudges('reports a task that starts long after its job was cancelled', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onCancelAcknowledged('a');
       scene.pass(3_001);
@@ -86,21 +86,21 @@
       t.deepEqual(rulesOf(scene), ['only-what-was-asked']);
     });
 
-    sees('start of a job that was refused', (t) => {
+    itJudges('reports a task that starts although its job was refused', (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'refused');
       scene.start(FIRST, 1);
       t.deepEqual(rulesOf(scene), ['refused-never-runs']);
     });
 
-    sees('beside more of its step than may share a worker', (t) => {
+    itJudges('reports a task on a worker with more tasks of its step than may share one', (t) => {
       const scene = createScene(planOf({ maximumPerWorker: 1 }));
       scene.start(FIRST, 1);
       scene.start(SECOND, 1);
       t.deepEqual(rulesOf(scene), ['spread-kept']);
     });
 
-    sees('taken away while as many others are away as may be', (t) => {
+    itJudges('reports a lasting task that is stopped while as many others are absent as may be', (t) => {
       const scene = createScene(planOf({ isLasting: true, maximumAbsent: 1 }));
       scene.start(FIRST, 1);
       scene.start(SECOND, 1);
@@ -110,14 +110,14 @@
       t.deepEqual(rulesOf(scene), ['absent-within-limit']);
     });
 
-    sees('left undone', async (t) => {
+    itJudges('reports a task that is never done', async (t) => {
       const scene = createScene(planOf({}));
       scene.referee.onSubmitAnswered('a', 'accepted');
       await scene.referee.checkRest();
       t.deepEqual(rulesOf(scene), ['work-goes-on']);
     });
 
-    sees('run on though its job was cancelled', async (t) => {
+    itJudges('reports a task that runs on although its job was cancelled', async (t) => {
       const scene = createScene(planOf({}));
       scene.start(FIRST, 1);
       scene.referee.onCancelSent('a');
--- a/packages/scheduler/src/__tests__/append-batches.test.ts
+++ b/packages/scheduler/src/__tests__/append-batches.test.ts
@@ -16,7 +16,7 @@
 const LIMITS: AppendLimits = { recordBytes: 100, requestBytes: 250 };
 
 describe('records cut into appends', ({ it }) => {
-  it('are storable exactly up to the limit and with a key of up to 255 bytes', (t) => {
+  it('accepts records up to the limit, with a key of up to 255 bytes', (t) => {
     t.is(storedBytesOf(recordOf('key', 96)), 100);
     t.true(isStorable(recordOf('key', 96), LIMITS));
     t.false(isStorable(recordOf('key', 97), LIMITS));
@@ -24,7 +24,7 @@
     t.false(isStorable(recordOf('ü'.repeat(128), 0), { recordBytes: 1_000 }));
   });
 
-  it('stay within the limit, in order and complete, and groups stay whole if they fit into one append', (t) => {
+  it('keeps appends within the limit, all records in order, and groups whole if they fit into one append', (t) => {
     const group = fc.array(fc.nat({ max: 95 }), { maxLength: 8 });
     const property = fc.property(fc.array(group, { maxLength: 12 }), (sizes) => {
       const groups = sizes.map((ofGroup, index) =>
--- a/packages/scheduler/src/__tests__/inbox-pages.test.ts
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -61,7 +61,7 @@
 }
 
 describe('an inbox of several pages', ({ it }) => {
-  it('is read to its end before a job counts as unknown', async (t) => {
+  it('reads the inbox to its end before a job counts as unknown', async (t) => {
     const clock = createManualClock();
     const owner = await claimService(clock, createPagedStore(clock, ['a', 'b', 'c']));
     t.true(await owner.catchUp());
@@ -70,7 +70,7 @@
     await owner.stop();
   });
 
-  it('proves no ownership before its last page is read', async (t) => {
+  it('takes no page but the last one for a proof of ownership', async (t) => {
     const clock = createManualClock();
     const owner = await claimService(clock, createPagedStore(clock, ['a', 'b', 'c']));
     const claimedAt = clock.steadyNow();
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -63,7 +63,7 @@
 }
 
 describe('a job whose record exceeds the limit of the store', ({ it }) => {
-  it('is refused at once as too large, and nothing is stored', async (t) => {
+  it('refuses a job above the record limit at once and stores nothing', async (t) => {
     const { frontend, stored } = createHarness(null);
     const steps = Array.from({ length: 1_000 }, () => PLAIN_STEP);
     const job = { jobId: 'a', specification: 's', steps, repetition: null };
--- a/packages/scheduler/src/__tests__/unexpected-errors.test.ts
+++ b/packages/scheduler/src/__tests__/unexpected-errors.test.ts
@@ -156,7 +156,7 @@
   CALLS.forEach(([activity, call, outcome]) => {
     within(activity, ({ it }) => {
       FAILURES.forEach(([failure, fail]) => {
-        it(`has its failure outcome and one log line if it ${failure}`, async (t) => {
+        it(`returns its failure outcome and writes one log line if it ${failure}`, async (t) => {
           const { lines, report } = createRecorder();
           t.deepEqual(await call(fail, report), outcome);
           t.deepEqual(
@@ -170,7 +170,7 @@
 });
 
 describe('background work that fails unexpectedly', ({ it }) => {
-  it('is reported, and its failure is handled', async (t) => {
+  it('reports the error of background work and calls its failure handler', async (t) => {
     const { lines, report } = createRecorder();
     const clock = createManualClock();
     let failures = 0;
@@ -182,7 +182,7 @@
     t.deepEqual(lines, [{ event: 'unexpectedError', activity: 'claim', err: BROKEN }]);
   });
 
-  it('goes on after a pause if it is repeated', async (t) => {
+  it('repeats background work after a pause when a step has failed', async (t) => {
     const { lines, report } = createRecorder();
     const clock = createManualClock();
     let steps = 0;
@@ -203,7 +203,7 @@
 });
 
 describe('an effect of an owner that fails unexpectedly', ({ it }) => {
-  it('keeps neither the other effects nor the next events from their turn', (t) => {
+  it('performs the other effects and the next events when one effect fails', (t) => {
     const { lines, write, report } = createRecorder();
     const clock = createManualClock();
     const performed: string[] = [];
@@ -237,7 +237,7 @@
     t.deepEqual(lines, [{ event: 'unexpectedError', activity: 'first-1', err: BROKEN, service: 'quotes' }]);
   });
 
-  it('costs the service nothing but the order to one worker', async (t) => {
+  it('sends orders to the other workers when the order to one worker fails', async (t) => {
     const { lines, write } = createRecorder();
     const clock = createManualClock();
     const renewed: string[] = [];
@@ -289,7 +289,7 @@
 });
 
 describe('an error while the records of an owner are encoded', ({ it }) => {
-  it('ends its ownership, so that the service does not stand still', async (t) => {
+  it('gives up a service whose records cannot be encoded', async (t) => {
     const { lines, write } = createRecorder();
     const clock = createManualClock();
     let isEnded = false;
--- a/packages/scheduler/src/owner/owned-journal.ts
+++ b/packages/scheduler/src/owner/owned-journal.ts
@@ -7,8 +7,9 @@
 import type { OwnerLoad } from '../measure/owner-load.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { KeyedRecord, LogPartition, Store } from '../ports/index.js';
-import { cutIntoAppends, isStorable, storedBytesOf } from './append-batches.js';
+import { cutIntoAppends, isStorable } from './append-batches.js';
 import { OWNER_PRODUCER } from './claim.js';
+import { createLargeRecordReporter } from './large-records.js';
 
 const RETRY_DELAY_MILLISECONDS = 100;
 
@@ -62,16 +63,17 @@
   let nextSequence = 1;
   let pendingAppend: Promise<void> = Promise.resolve();
 
-  const reportTooLarge = (record: KeyedRecord, detail: string): void =>
-    parts.writeEvent('recordTooLarge', {
-      ...parts.logFields,
-      key: record.key,
-      bytes: storedBytesOf(record),
-      outcome: 'left out',
-      detail,
-    });
+  const reportLargeRecord = createLargeRecordReporter(parts.writeEvent, parts.logFields);
 
-  /** Returns the offset and time of a stored append; null if the owner is closed or fenced. */
+  const isAccepted = (record: KeyedRecord): boolean => {
+    const isWithinLimit = isStorable(record, store.limits);
+    if (!isWithinLimit) {
+      reportLargeRecord(record, 'left out', `the store accepts ${store.limits.recordBytes} bytes`);
+    }
+    return isWithinLimit;
+  };
+
+  /** Retries an append until it is stored or refused for good; null if the owner is closed or fenced meanwhile. */
   const appendUntilSettled = async (
     appendId: number,
     records: readonly KeyedRecord[],
@@ -106,7 +108,7 @@
     for (const record of records) {
       const stored = await appendUntilSettled(appendId, [record]);
       if (stored === null) return null;
-      if (stored === 'invalid') reportTooLarge(record, 'refused by the store');
+      if (stored === 'invalid') reportLargeRecord(record, 'left out', 'refused by the store');
       else first ??= stored;
     }
     return first ?? appendNothing(appendId);
@@ -122,13 +124,7 @@
     groups: readonly (readonly KeyedRecord[])[],
     onStored: OnStored,
   ): Promise<void> => {
-    const storable = groups.map((group) =>
-      group.filter((record) => {
-        const fits = isStorable(record, store.limits);
-        if (!fits) reportTooLarge(record, `the store accepts ${store.limits.recordBytes} bytes`);
-        return fits;
-      }),
-    );
+    const storable = groups.map((group) => group.filter(isAccepted));
     const appends = cutIntoAppends(storable, store.limits);
     let firstOffset: number | null = null;
     let askedAt = -Infinity;
--- a/packages/scheduler/src/owner/record-groups.ts
+++ b/packages/scheduler/src/owner/record-groups.ts
@@ -2,32 +2,14 @@
 import type { ServiceRecord } from '@baobabdeck/scheduling';
 import type { AppendLimits, KeyedRecord } from '../ports/index.js';
 import { isStorable } from './append-batches.js';
+import { withoutCheckpoints, type ReportLargeRecord } from './large-records.js';
 import { encodeRecord } from './record-codec.js';
 
-/** Called for a record that only fits without the checkpoints of its tasks, which then start from the beginning. */
-export type ReportLargeRecord = (record: KeyedRecord) => void;
-
 function jobIdOf(record: ServiceRecord): string | null {
   if (record.kind === 'job-part-progress' || record.kind === 'job-part-forgotten') return record.part.jobId;
   return record.kind === 'job-progress' || record.kind === 'job-forgotten' ? record.jobId : null;
 }
 
-function withoutCheckpoints(record: ServiceRecord): ServiceRecord {
-  if (record.kind === 'job-part-progress') {
-    const steps = record.part.steps.map(({ step, tasks }) => ({
-      step,
-      tasks: tasks.map((task) => ({ ...task, checkpoint: '' })),
-    }));
-    return { ...record, part: { ...record.part, steps } };
-  }
-  if (record.kind !== 'job-progress') return record;
-  const occurrences = record.progress.occurrences.map(({ occurrence, steps }) => ({
-    occurrence,
-    steps: steps.map((tasks) => tasks.map((task) => ({ ...task, checkpoint: '' }))),
-  }));
-  return { ...record, progress: { ...record.progress, occurrences } };
-}
-
 function encodeWithin(
   record: ServiceRecord,
   limits: AppendLimits,
@@ -36,7 +18,9 @@
   const encoded = encodeRecord(record);
   const large = encoded.filter((one) => !isStorable(one, limits));
   if (large.length === 0) return encoded;
-  large.forEach(onLarge);
+  large.forEach((one) =>
+    onLarge(one, 'stored without checkpoints', `the store accepts ${limits.recordBytes} bytes`),
+  );
   return encodeRecord(withoutCheckpoints(record));
 }
 
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -16,9 +16,9 @@
 import { createOwnerLoad } from '../measure/owner-load.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
-import { storedBytesOf } from './append-batches.js';
 import { claimService, type ClaimedService } from './claim.js';
 import { decodeReadable } from './decoded-record.js';
+import { createLargeRecordReporter } from './large-records.js';
 import { openJournal, type OwnedJournal } from './owned-journal.js';
 import { decodeRecord, encodeRequestTombstones, encodeRecord } from './record-codec.js';
 import { encodeGroups } from './record-groups.js';
@@ -78,6 +78,7 @@
   const isOpen = (): boolean => !closed;
   const reportError = createErrorReporter((name, fields) => writeEvent(name, { service, ...fields }));
   const background = createBackgroundWork(clock, reportError);
+  const reportLargeRecord = createLargeRecordReporter(writeEvent, { service });
   const currentState = (): ServiceState | null => (closed ? null : (loop?.state() ?? null));
 
   /** Gives up the service after an unexpected error; it is claimed again after a pause and restored from its logs. */
@@ -122,14 +123,7 @@
     // The progress of a job is deleted after its request, so that no owner finds the request alone and runs the job again.
     if (forgotten.length > 0) await dropRequests(forgotten);
     if (!isOpen()) return;
-    const groups = encodeGroups(records, store.limits, (record) =>
-      writeEvent('recordTooLarge', {
-        service,
-        key: record.key,
-        bytes: storedBytesOf(record),
-        outcome: 'stored without checkpoints',
-      }),
-    );
+    const groups = encodeGroups(records, store.limits, reportLargeRecord);
     journal?.append(appendId, groups, (_firstOffset, askedAt) =>
       dispatch({ kind: 'records-stored', appendId, askedAt }),
     );
--- a/packages/scheduling/src/__tests__/job-weight.test.ts
+++ b/packages/scheduling/src/__tests__/job-weight.test.ts
@@ -10,7 +10,7 @@
 }
 
 describe('a job with many tasks', ({ it }) => {
-  it('holds one list for all steps of one width before a task has started', (t) => {
+  it('shares one list of tasks among all steps of one width before a task has started', (t) => {
     const harness = createServiceHarness();
     const steps = Array.from({ length: 300 }, (_, step) => ({
       taskCount: 10_000,
@@ -22,7 +22,7 @@
     t.is(new Set(states.map(({ tasks }) => tasks)).size, 1);
   });
 
-  it('changes the task that starts, and no other', (t) => {
+  it('changes only the tasks that start', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1']);
     harness.accept(jobOf('a', [{ taskCount: 6 }, { taskCount: 6 }]));
@@ -43,14 +43,14 @@
     repetition: { times: 1_000_000_000, firstDueAt: PAST, intervalMilliseconds: 0 },
   });
 
-  it('has a bounded number of them in progress', (t) => {
+  it('begins 256 occurrences that are due', (t) => {
     const harness = createServiceHarness();
     harness.accept(request);
     harness.advance(100);
     t.is(occurrencesOf(harness).length, MOST_OCCURRENCES);
   });
 
-  it('begins further ones as earlier ones finish', (t) => {
+  it('begins a further occurrence when an earlier one has finished', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1']);
     harness.accept(request);
--- a/packages/scheduling/src/__tests__/start-slots.test.ts
+++ b/packages/scheduling/src/__tests__/start-slots.test.ts
@@ -9,7 +9,7 @@
 const ANSWERS_UNTIL_REFILL = 16;
 
 describe('starts in progress', ({ describe: within, it }) => {
-  it('are bounded for each worker, and further tasks follow once half of them are answered', (t) => {
+  it('starts further tasks on a worker once half of its starts are answered', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1', 'w2']);
     harness.accept(jobOf('a', [{ taskCount: 500, needs: SMALL }]));
@@ -34,7 +34,7 @@
     t.is(answers[ANSWERS_UNTIL_REFILL - 1], ANSWERS_UNTIL_REFILL);
   });
 
-  it('leave slots on each worker for the tasks of other jobs', (t) => {
+  it('starts tasks of another job beside a step that has all its slots', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1']);
     harness.accept(jobOf('a', [{ taskCount: 500, needs: SMALL }]));
@@ -43,7 +43,7 @@
     t.true(effectsOf(starts, 'start-run').every(({ address }) => address.task.jobId === 'b'));
   });
 
-  it('come to all tasks of a wide step, however often workers answer late', (t) => {
+  it('starts all tasks of a wide step although workers answer late', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1', 'w2']);
     harness.accept(jobOf('a', [{ taskCount: 300, needs: SMALL }]));
@@ -60,7 +60,7 @@
   });
 
   within('of a gang', ({ it: ofGang }) => {
-    ofGang('are not bounded, since its members start together', (t) => {
+    ofGang('starts all members of a gang together, however many they are', (t) => {
       const harness = createServiceHarness();
       harness.addWorkers(['w1']);
       const starts = harness.accept(jobOf('a', [{ taskCount: 100, needs: SMALL, isGang: true }]));
--- a/packages/scheduling/src/__tests__/wide-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/wide-jobs.test.ts
@@ -81,13 +81,13 @@
 }
 
 describe('a wide job', ({ describe: within, it }) => {
-  it('is recorded in parts of a fixed number of tasks', (t) => {
+  it('records no more than 64 tasks in one record', (t) => {
     const records = recordsOf(startWideJob());
     t.is(largestRecord(records), TASKS_PER_PART);
     t.deepEqual([...new Set(partsIn(records))], [0, 1, 2, 3]);
   });
 
-  it('has only the part recorded again in which a task has ended', (t) => {
+  it('records only the part again in which a task has ended', (t) => {
     const harness = startWideJob();
     const before = harness.records().length;
     endTask(harness, 70, 1);
@@ -99,7 +99,7 @@
     );
   });
 
-  it('has no part recorded again because of a report without changes', (t) => {
+  it('records no part again because of a report without changes', (t) => {
     const harness = startWideJob();
     endTask(harness, 0, 1);
     const before = harness.records().length;
@@ -107,7 +107,7 @@
     t.deepEqual(partsIn(recordsOf(harness, before)), [0]);
   });
 
-  it('has its parts deleted when it is forgotten', (t) => {
+  it('deletes the parts of a forgotten job', (t) => {
     const harness = startWideJob();
     harness.cancel('a');
     harness
@@ -125,7 +125,7 @@
   });
 
   within('after a change of the owner', ({ it: after }) => {
-    after('keeps every task as it was recorded', (t) => {
+    after('restores every task as it was recorded', (t) => {
       const harness = startWideJob();
       [3, 70, 130, 199].forEach((index, position) => endTask(harness, index, position + 1));
       const next = createServiceHarness(newestOf(harness.records()));
@@ -137,7 +137,7 @@
       t.is(tasks.filter(({ runs }) => runs.length === 1).length, TASKS - 4);
     });
 
-    after('never loses an end that an earlier prefix of the log has shown', (t) => {
+    after('keeps each end that an earlier prefix of the log has shown', (t) => {
       const harness = startWideJob();
       [3, 70, 130, 199].forEach((index, position) => endTask(harness, index, position + 1));
       const records = harness.records();
@@ -178,7 +178,7 @@
     { offset: 2, record: { kind: 'job-progress', jobId: 'a', progress } },
   ];
 
-  it('is read, and recorded in parts with the next change', (t) => {
+  it('reads progress of an earlier version, and records it in parts with the next change', (t) => {
     t.deepEqual(doneTasks(records), [2]);
     const harness = createServiceHarness(records);
     harness.addWorkers(['w1', 'w2']);
@@ -191,7 +191,7 @@
     t.deepEqual(doneTasks(harness.records()), [2]);
   });
 
-  it('goes before parts that were recorded earlier', (t) => {
+  it('ignores parts that are older than progress recorded as a whole', (t) => {
     const part = { jobId: 'a', occurrence: 0, part: 0 };
     const stale = { ...part, steps: [{ step: 0, tasks: [{ ...task, ...sound, index: 5 }] }] };
     const withStale: readonly StoredServiceRecord[] = [
@@ -213,7 +213,7 @@
     repetition: { times: 3, firstDueAt: DAY, intervalMilliseconds: 1_000 },
   });
 
-  it('has the parts of finished occurrences deleted, and starts none of them again after a takeover', (t) => {
+  it('deletes the parts of finished occurrences, and starts none of their tasks again after a takeover', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1']);
     harness.accept(request);
--- a/packages/scheduling/src/__tests__/worker-ends.test.ts
+++ b/packages/scheduling/src/__tests__/worker-ends.test.ts
@@ -33,7 +33,7 @@
 }
 
 describe('a worker that lists some of its ends', ({ describe: within, it }) => {
-  it('has none of its tasks started again, and the other ends are applied when they are listed', (t) => {
+  it('starts no task again whose end is not listed yet, and applies the end when it is listed', (t) => {
     const harness = startTasks();
     t.deepEqual(startsOf(harness.report('w1', FIRST_LIST)), []);
     harness.advance(10);
@@ -41,7 +41,7 @@
     t.true(isCompleted(harness));
   });
 
-  it('has a task started again that a complete list omits', (t) => {
+  it('starts a task again that a complete list omits', (t) => {
     const harness = startTasks();
     harness.report('w1', FIRST_LIST);
     harness.advance(10);
@@ -49,7 +49,7 @@
   });
 
   within('after a change of the owner', ({ it: after }) => {
-    after('has none of its tasks started again', (t) => {
+    after('starts no task again whose end is not listed yet', (t) => {
       const harness = takeOver(startTasks());
       harness.dispatch({
         kind: 'workers-listed',
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -4,14 +4,18 @@
 import { restoreInterference } from '../decide/interference/record.js';
 import type {
   InterferenceRecord,
-  JobPart,
   JobPartProgress,
   JobProgress,
-  OccurrenceProgress,
   StoredServiceRecord,
   TaskProgress,
 } from '../model/records.js';
 import { setJob } from '../state/job-index.js';
+import {
+  completeWithParts,
+  createPartRecords,
+  restoreRecordedOccurrences,
+  type PartRecords,
+} from './restore-parts.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
 import { fullPaceBudget } from '../state/pace-budget.js';
@@ -184,52 +188,6 @@
 /** Upper limit of a job's age. A higher age, from a clock that jumped, counts as this one. */
 const MAX_JOB_AGE_MILLISECONDS = 60_000;
 
-/** Returns the progress of an occurrence that the parts of a job record together. */
-function joinParts(occurrence: number, parts: readonly JobPartProgress[]): OccurrenceProgress {
-  const steps: TaskProgress[][] = [];
-  for (const { step, tasks } of parts.flatMap((part) => part.steps)) {
-    steps[step] = [...(steps[step] ?? []), ...tasks];
-  }
-  return { occurrence, steps: Array.from(steps, (tasks) => tasks ?? []) };
-}
-
-function groupByOccurrence(
-  parts: readonly JobPartProgress[],
-): ReadonlyMap<number, readonly JobPartProgress[]> {
-  const groups = new Map<number, JobPartProgress[]>();
-  for (const part of parts) {
-    const group = groups.get(part.occurrence);
-    if (group === undefined) groups.set(part.occurrence, [part]);
-    else group.push(part);
-  }
-  return groups;
-}
-
-/** Completes the progress of a job by its parts. Earlier versions record the progress of every job as a whole. */
-function withParts(progress: JobProgress, parts: readonly JobPartProgress[]): JobProgress {
-  if (progress.occurrences.length > 0 || parts.length === 0) return progress;
-  const occurrences = [...groupByOccurrence(parts)].map(([occurrence, ofOccurrence]) =>
-    joinParts(occurrence, ofOccurrence),
-  );
-  return { ...progress, occurrences };
-}
-
-/** Returns the parts that have a record. Those that `occurrences` were not restored from are recorded again. */
-function restoreRecordedOccurrences(
-  occurrences: PersistentMap<number, OccurrenceState>,
-  parts: readonly JobPartProgress[],
-): JobState['recordedOccurrences'] {
-  return PersistentMap(
-    [...groupByOccurrence(parts)].map(([occurrence, ofOccurrence]) => [
-      occurrence,
-      {
-        tasksByStep: occurrences.get(occurrence)?.steps.map(({ tasks }) => tasks) ?? [],
-        parts: PersistentSet(ofOccurrence.map(({ part }) => part)),
-      },
-    ]),
-  );
-}
-
 function restoreJob(
   state: ServiceState,
   request: JobRequest,
@@ -240,7 +198,7 @@
   const age = Math.min(MAX_JOB_AGE_MILLISECONDS, Math.max(0, acceptedAgo));
   const fresh = newJob(updateService(state, { now: state.now - age }), request);
   if (head === undefined) return fresh;
-  const progress = withParts(head, parts);
+  const progress = completeWithParts(head, parts);
   const dueAt = state.now - age;
   const isActive = progress.phase === 'active';
   const recorded = restoreOccurrences(request, progress, dueAt, state.now);
@@ -266,25 +224,16 @@
 interface RecordsByKind {
   readonly requests: Map<string, JobRequest>;
   readonly progress: Map<string, JobProgress>;
-  readonly parts: Map<string, Map<string, JobPartProgress>>;
+  readonly parts: PartRecords;
   readonly cancelled: Set<string>;
   readonly released: Map<string, number>;
   readonly interference: InterferenceRecord | null;
 }
 
-function partIdOf({ occurrence, part }: JobPart): string {
-  return `${occurrence}/${part}`;
-}
-
-function addPart(parts: Map<string, Map<string, JobPartProgress>>, part: JobPartProgress): void {
-  const known = parts.get(part.jobId) ?? new Map<string, JobPartProgress>();
-  parts.set(part.jobId, known.set(partIdOf(part), part));
-}
-
 function groupRecords(records: readonly StoredServiceRecord[]): RecordsByKind {
   const requests = new Map<string, JobRequest>();
   const progress = new Map<string, JobProgress>();
-  const parts = new Map<string, Map<string, JobPartProgress>>();
+  const parts = createPartRecords();
   const cancelled = new Set<string>();
   const released = new Map<string, number>();
   let interference: InterferenceRecord | null = null;
@@ -293,8 +242,8 @@
       requests.set(record.request.jobId, record.request);
     }
     if (record.kind === 'job-progress') progress.set(record.jobId, record.progress);
-    if (record.kind === 'job-part-progress') addPart(parts, record.part);
-    if (record.kind === 'job-part-forgotten') parts.get(record.part.jobId)?.delete(partIdOf(record.part));
+    if (record.kind === 'job-part-progress') parts.add(record.part);
+    if (record.kind === 'job-part-forgotten') parts.remove(record.part);
     if (record.kind === 'job-cancelled') cancelled.add(record.jobId);
     if (record.kind === 'worker-released') released.set(record.workerId, record.incarnation);
     if (record.kind === 'worker-returned') released.delete(record.workerId);
@@ -332,7 +281,7 @@
   let state = updateService(emptyState(input), { releasedWorkers: PersistentMap(released) });
   if (interference !== null) state = withRestoredInterference(state, interference);
   for (const [jobId, request] of requests) {
-    const job = restoreJob(state, request, progress.get(jobId), [...(parts.get(jobId)?.values() ?? [])]);
+    const job = restoreJob(state, request, progress.get(jobId), parts.ofJob(jobId));
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
   for (const [key, { runs }, , { request }] of [...startedTasks(state)]) {
