--- a/packages/scheduling/src/__tests__/start-slots.test.ts
+++ b/packages/scheduling/src/__tests__/start-slots.test.ts
@@ -59,6 +59,21 @@
     t.is(harness.state().waiting.total.tasks, 0);
   });
 
+  it('starts the other tasks of a wide step on other workers if one answers no start', (t) => {
+    const harness = createServiceHarness();
+    harness.addWorkers(['mute', 'w2']);
+    harness.accept(jobOf('a', [{ taskCount: 300, needs: SMALL }]));
+    for (let round = 0; round < 1_000 && harness.state().waiting.total.tasks > 0; round += 1) {
+      for (const { address } of harness.takeStarts()) {
+        const outcome = address.workerId === 'mute' ? 'unanswered' : 'started';
+        harness.dispatch({ kind: 'start-settled', address, outcome, clockMilliseconds: 10_000 });
+      }
+      harness.advance(10);
+    }
+    t.is(harness.state().waiting.total.tasks, 0);
+    t.is(harness.state().workers.get('mute')?.startingTasks.size, STARTS_OF_STEP);
+  });
+
   within('of a gang', ({ it: ofGang }) => {
     ofGang('starts all members of a gang together, however many they are', (t) => {
       const harness = createServiceHarness();
