--- a/packages/scheduling/src/__tests__/wide-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/wide-jobs.test.ts
@@ -205,6 +205,20 @@
     // The part is recorded anew and holds nothing of its former content.
     t.deepEqual(doneTasks(harness.records()), [2]);
   });
+
+  it('deletes older parts with the job, also those without progress since', (t) => {
+    const part = { jobId: 'a', occurrence: 0, part: 3 };
+    const harness = createServiceHarness([
+      { offset: 0, record: { kind: 'job-part-progress', part: { ...part, steps: [] } } },
+      ...records,
+    ]);
+    harness.cancel('a');
+    for (let elapsed = 0; elapsed < 130; elapsed += 1) harness.advance(1_000);
+    const deleted = recordsOf(harness).flatMap((record) =>
+      record.kind === 'job-part-forgotten' ? [record.part.part] : [],
+    );
+    t.true(deleted.includes(3));
+  });
 });
 
 describe('a repeating job', ({ it }) => {
