--- a/packages/bench/src/queue-model.ts
+++ b/packages/bench/src/queue-model.ts
@@ -14,7 +14,7 @@
 
 interface GroupState {
   free: number;
-  longRunning: number;
+  runningLongTasks: number;
   readonly short: Arrival[];
   readonly long: Arrival[];
 }
@@ -36,7 +36,7 @@
   const schedule = createSchedule();
   const states = groups.map(({ slots }): GroupState => ({
     free: slots,
-    longRunning: 0,
+    runningLongTasks: 0,
     short: [],
     long: [],
   }));
@@ -47,15 +47,16 @@
     const state = states[index] as GroupState;
     const { longSlots } = groups[index] as SlotGroup;
     while (state.free > 0) {
-      const next = state.short.shift() ?? (state.longRunning < longSlots ? state.long.shift() : undefined);
+      const next =
+        state.short.shift() ?? (state.runningLongTasks < longSlots ? state.long.shift() : undefined);
       if (next === undefined) return;
       state.free -= 1;
-      state.longRunning += next.isLong ? 1 : 0;
+      state.runningLongTasks += next.isLong ? 1 : 0;
       const waits = next.isLong ? longWaits : shortWaits;
       waits.push(schedule.now() - next.atMilliseconds + overheadMilliseconds);
       schedule.after(next.runMilliseconds + overheadMilliseconds, () => {
         state.free += 1;
-        state.longRunning -= next.isLong ? 1 : 0;
+        state.runningLongTasks -= next.isLong ? 1 : 0;
         startNext(index);
       });
     }
