Keep jobs whose tasks exceed a lowered cap instead of failing them

Cause: a service owner took the cap of its newest grants as final. It ended each job with a task or gang above that cap, at the next grants, at acceptance, or after the last run. A cap is configuration and may be raised again, so nothing that cannot be undone may follow from it.

Change: no cap ends a job any more. Such tasks and gangs wait until they fit.

--- a/packages/scheduling/src/decide/shares/workspace-limits.ts
+++ b/packages/scheduling/src/decide/shares/workspace-limits.ts
@@ -1,5 +1,4 @@
 /** Decides what a service may start of a workspace within the part of its cap that the fleet owner has granted. */
-import type { JobRequest } from '../../model/job.js';
 import { addResources, fits, NO_RESOURCES, type Resources } from '../../model/resources.js';
 import {
   capToResources,
@@ -10,7 +9,6 @@
   type WorkspaceUse,
 } from '../../model/workspace.js';
 import type { ServiceState } from '../../state/service-state.js';
-import { startNeedsOf } from '../../state/workspaces.js';
 
 /**
  * Returns the most that the service may have running of a workspace. Without a grant nothing may start, unless the
@@ -32,14 +30,6 @@
   return fits(addResources(running, needs), capToResources(limitOf(state, workspace)));
 }
 
-/** Returns whether a task or gang of a job needs more than the whole cap of its workspace, so that it can never start. */
-export function exceedsCap({ workspaces }: ServiceState, { workspace, steps }: JobRequest): boolean {
-  const granted = workspace === null ? undefined : workspaces.grants.get(workspace);
-  if (granted === undefined) return false;
-  const cap = capToResources(granted.cap);
-  return steps.some((step) => !fits(startNeedsOf(step), cap));
-}
-
 /** Returns the need of the waiting tasks that may not start within the limits of their workspaces, in thousandths of a core. */
 export function sumWithheldMilliCores(state: ServiceState): number {
   let total = 0;
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -24,7 +24,7 @@
 import { handleWorkerReported, handleWorkerSilent } from './reports.js';
 import { considerWorker } from '../state/worker-index.js';
 import { handleHostsListed, handleWorkersListed, renewDueLeases } from './workers.js';
-import { endIdleOversizedJobs, endOversizedJob, handleWorkspacesConfigured } from './workspace-grants.js';
+import { handleWorkspacesConfigured } from './workspace-grants.js';
 import { updateService } from '../state/update.js';
 
 function* giveUpOwnership(state: ServiceState, reason: string): ServiceStep<ServiceState> {
@@ -57,7 +57,7 @@
   switch (record.kind) {
     case 'job-accepted':
       if (record.request.service !== state.service) return state;
-      return yield* endOversizedJob(yield* acceptJob(state, record.request), record.request.jobId);
+      return yield* acceptJob(state, record.request);
     case 'job-cancelled':
       return yield* cancelJob(state, record.jobId);
     case 'ownership-claimed':
@@ -130,7 +130,7 @@
   const state = updateService(before, { ticks: { count: before.ticks.count + 1, lastAt: before.now } });
   let next = yield* renewDueLeases(yield* dropLapsedRuns(state));
   next = yield* stopObsoleteRuns(next);
-  next = yield* endIdleOversizedJobs(yield* ejectUnhealthyWorkers(next));
+  next = yield* ejectUnhealthyWorkers(next);
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
   if (isFullScanDue(next)) next = yield* reviewInterference(next);
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -227,7 +227,7 @@
   let next: ServiceState = updateService(trackProof(state, epoch, sequence), {
     lastFleetMessage: { epoch, sequence },
   });
-  if (grants !== undefined && grants !== null) next = yield* applyGrants(next, grants);
+  if (grants !== undefined && grants !== null) next = applyGrants(next, grants);
   for (const hostId of event.returns) next = yield* returnHost(next, hostId);
   for (const request of event.releases) next = yield* requestHost(next, request);
   return yield* drainLeavingWorkers(next);
--- a/packages/scheduling/src/state/workspaces-state.ts
+++ b/packages/scheduling/src/state/workspaces-state.ts
@@ -1,5 +1,5 @@
 /** State of the workspaces in a service. */
-import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
+import { Map as PersistentMap } from 'immutable';
 import type { Instant } from '../model/instant.js';
 import type { Resources } from '../model/resources.js';
 import type { WorkspaceGrant, WorkspaceTerms } from '../model/workspace.js';
@@ -28,8 +28,6 @@
   /** A message of the fleet owner after which the ownership is not yet proven. */
   readonly unprovenMessage: { readonly sequence: number; readonly at: Instant } | null;
   readonly provenSequence: number;
-  /** Jobs with runs of which a task or gang has come to need more than the cap; they end with their last run. */
-  readonly oversizedJobIds: PersistentSet<string>;
 }
 
 /** State of a service without workspaces. */
@@ -41,5 +39,4 @@
   cappedVersion: 0,
   unprovenMessage: null,
   provenSequence: 0,
-  oversizedJobIds: PersistentSet(),
 };
