Run tasks that need more than a cap one at a time

Cause: a limit allowed a start only within the cap.

Change: the fleet owner lets one service at a time make one start that exceeds the cap (`oversizedLimit` of a grant), once at most half of the cap is in use and every service has acknowledged that it makes no other start. Such starts and all others take turns (oversized-turn.ts). Gangs that exceed the cap by more than one task wait; they attract neither cap nor hosts. Reports state what waits above the cap apart from the rest, so the largest start that divides a cap fits into it. `explain job` shows `withheldBy`.

While more runs than a lowered cap allows, no service starts anything: a service that kept a part of the lower cap started tasks beside another one's runs above it, found by reading. The test "applies the higher cap ..." demanded a limit of 4 cores beside 10 that ran; it now demands 0, and 4 once 3 run. Reports and grants are applied in grant-reports.ts, split off from grants.ts.

--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -1,10 +1,15 @@
 /** Builds the descriptions for operators: the status of this process, and the state of a job, worker, host or pool. */
 import {
   selectSlowedWorkers,
+  selectWithheldBy,
   selectWorkspaceUse,
   selectWorstPairs,
+  startSizeOf,
+  stepRequestOf,
   type FleetState,
+  type JobState,
   type ServiceState,
+  type StepState,
   type TaskState,
   type WorkspaceUse,
   type WorstPair,
@@ -90,7 +95,7 @@
   };
 }
 
-function describeTasks(tasks: readonly TaskState[]): unknown {
+function describeTasks(tasks: readonly TaskState[]): object {
   return {
     tasks: tasks.length,
     done: tasks.filter((task) => task.isDone).length,
@@ -101,6 +106,18 @@
   };
 }
 
+/** Describes a step of a job, with the reason for which the limits of its workspace keep its waiting tasks from starting. */
+function describeStep(state: ServiceState, { request }: JobState, step: StepState, index: number): unknown {
+  const isReady = step.readySince !== null;
+  const size = startSizeOf(stepRequestOf(request, index));
+  const isWaiting = isReady && step.waitingCount > 0;
+  return {
+    isReady,
+    withheldBy: isWaiting ? selectWithheldBy(state, request.workspace, size) : null,
+    ...describeTasks(step.tasks),
+  };
+}
+
 function explainJob(states: readonly ServiceState[], jobId: string): unknown {
   for (const state of states) {
     const job = state.jobs.get(jobId);
@@ -113,10 +130,7 @@
         ageMilliseconds: Math.round(state.now - job.arrivedAt),
         occurrences: [...job.occurrences.values()].map(({ occurrence, steps }) => ({
           occurrence,
-          steps: steps.map(({ tasks, readySince }) => ({
-            isReady: readySince !== null,
-            ...(describeTasks(tasks) as object),
-          })),
+          steps: steps.map((step, index) => describeStep(state, job, step, index)),
         })),
       };
     }
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -46,7 +46,16 @@
   ownerEpoch: z.number(),
   cappedVersion: z.number(),
   workspaces: z
-    .array(z.object({ workspace: z.string(), limit: resourceCap, cap: resourceCap, weight: z.number() }))
+    .array(
+      z.object({
+        workspace: z.string(),
+        limit: resourceCap,
+        cap: resourceCap,
+        // Earlier versions allow no start that exceeds the cap.
+        oversizedLimit: resourceCap.nullable().default(null),
+        weight: z.number(),
+      }),
+    )
     .readonly(),
 });
 
@@ -174,7 +183,9 @@
             running: resources,
             waiting: resources,
             largestStart: resources,
+            hasOversizedStart: z.boolean().default(false),
             granted: resourceCap,
+            mayStartOversized: z.boolean().default(false),
           }),
         )
         .default([]),
--- a/packages/scheduling/src/__tests__/workspace-grants.test.ts
+++ b/packages/scheduling/src/__tests__/workspace-grants.test.ts
@@ -119,7 +119,9 @@
         running: resourcesOf(running),
         waiting: resourcesOf(waiting),
         largestStart: resourcesOf(1_000),
+        hasOversizedStart: false,
         granted,
+        mayStartOversized: false,
       };
       const acknowledged = fleet.state().grants.services.get(service)?.sentSequence ?? 0;
       const { provenSequence = 0 } = fields;
@@ -229,9 +231,23 @@
       configure(exchange, 2, coresOf(4_000));
       t.deepEqual(exchange.send('a'), [10_000]);
       exchange.fleet.advance(4_100);
+      // 10 cores are in use: a start would add to what is above the cap.
+      t.deepEqual(exchange.send('a'), [0]);
+      exchange.report('a', 3_000, 40_000);
       t.deepEqual(exchange.send('a'), [4_000]);
     });
 
+    test('lets no service start anything while the runs of another exceed a lowered cap', (t) => {
+      const exchange = exchangeInUse();
+      exchange.report('b', 0, 50_000);
+      configure(exchange, 2, coresOf(4_000));
+      exchange.fleet.advance(4_100);
+      exchange.send('a', 'b');
+      exchange.report('a', 10_000, 40_000);
+      exchange.report('b', 0, 50_000);
+      t.deepEqual(exchange.send('a', 'b'), [0, 0]);
+    });
+
     test('raises nothing of a newly capped workspace until every service owner knows of the cap', (t) => {
       const exchange = exchangeOf([], 1, NO_CAP);
       exchange.send('a', 'b');
--- a/packages/scheduling/src/__tests__/workspace-limits.test.ts
+++ b/packages/scheduling/src/__tests__/workspace-limits.test.ts
@@ -15,12 +15,18 @@
   harness: ServiceHarness,
   limit: ResourceCap,
   sequence: number,
-  { epoch = 1, ownerEpoch = 1, cap = coresOf(80_000) } = {},
+  fields: {
+    epoch?: number;
+    ownerEpoch?: number;
+    cap?: ResourceCap;
+    oversizedLimit?: ResourceCap | null;
+  } = {},
 ): void {
+  const { epoch = 1, ownerEpoch = 1, cap = coresOf(80_000), oversizedLimit = null } = fields;
   const grants = {
     ownerEpoch,
     cappedVersion: 0,
-    workspaces: [{ workspace: 'north', limit, cap, weight: 1 }],
+    workspaces: [{ workspace: 'north', limit, cap, oversizedLimit, weight: 1 }],
   };
   harness.dispatch({ kind: 'hosts-wished', releases: [], returns: [], epoch, sequence, grants });
 }
--- a/packages/scheduling/src/decide/placement/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -28,8 +28,8 @@
   type EligibleWorkers,
 } from './eligible-workers.js';
 import { chooseWorker, countRunsByWorker, incrementCount, type RunCounts } from './choose-worker.js';
-import { fitsLimit } from '../shares/workspace-limits.js';
-import { startNeedsOf } from '../../state/workspaces.js';
+import { mayStart } from '../shares/workspace-limits.js';
+import { startSizeOf } from '../shares/oversized-starts.js';
 import { newRun } from './new-run.js';
 import { updateService } from '../../state/update.js';
 
@@ -84,10 +84,11 @@
   const counts = countRunsByWorker(waiting.request, waiting.step);
   const hasSlot = (worker: WorkerState): boolean =>
     eligible.startSlots.hasSlot(worker, taskKeyOf(waiting, 0));
+  const size = startSizeOf(waiting.request);
   let next = state;
   for (const [index, task] of waiting.step.tasks.entries()) {
     if (isTaskWaiting(task) && !task.isQuarantined) {
-      if (!fitsLimit(next, waiting.job.request.workspace, waiting.request.needs)) return next;
+      if (!mayStart(next, waiting.job.request.workspace, size)) return next;
       const chosen = chooseWorker(waiting.request, task, eligible, counts, hasSlot);
       if (chosen === null) return next;
       incrementCount(counts, chosen);
@@ -120,7 +121,7 @@
 ): ServiceStep<ServiceState> {
   const { tasks } = waiting.step;
   if (tasks.some((task) => task.runs.length > 0 || task.isQuarantined)) return state;
-  if (!fitsLimit(state, waiting.job.request.workspace, startNeedsOf(waiting.request))) return state;
+  if (!mayStart(state, waiting.job.request.workspace, startSizeOf(waiting.request))) return state;
   const chosenWorkers = chooseGangWorkers(waiting, eligible) ?? [];
   const runNumber = Math.max(...tasks.map((task) => task.lastRun)) + 1;
   let next = state;
@@ -160,8 +161,8 @@
 ): Generator<WaitingEntry, void, void> {
   let skipped = 0;
   for (const entry of orderWaitingSteps(state)) {
-    const [, { workspace, startNeeds }] = entry;
-    if (fitsLimit(current(), workspace, startNeeds)) yield entry;
+    const [, load] = entry;
+    if (mayStart(current(), load.workspace, load)) yield entry;
     else skipped += 1;
     if (skipped >= SKIPPED_STEPS_PER_EVENT) return;
   }
--- /dev/null
+++ b/packages/scheduling/src/decide/shares/capped-plan.ts
@@ -0,0 +1,126 @@
+/** Plans what each service may start of a capped workspace: its part of the cap, or one start that exceeds the cap. */
+import type { Instant } from '../../model/instant.js';
+import {
+  addResources,
+  fits,
+  NO_RESOURCES,
+  subtractResources,
+  type Resources,
+} from '../../model/resources.js';
+import {
+  capBesideOversized,
+  hasRoomForOversized,
+  nextTurn,
+  type OversizedTurn,
+  type WorkspaceSituation,
+} from './oversized-turn.js';
+import { divideCap, type ServiceHolding } from './workspace-grants.js';
+
+/** What one service holds of a workspace, with its starts that exceed the cap. */
+export interface WorkspaceHolding extends ServiceHolding {
+  readonly hasOversizedStart: boolean;
+  /** Whether the service may be allowed such a start by grants that are in force or under way. */
+  readonly mayStartOversized: boolean;
+}
+
+/** Next limits of one service. */
+export interface PlannedLimits {
+  readonly service: string;
+  readonly limit: Resources;
+  /** The most that may be running before the last run of a start that exceeds the cap; null if none is allowed. */
+  readonly oversizedLimit: Resources | null;
+}
+
+/** Next limits of all services in a workspace, and whose turn it is. */
+export interface CappedPlan {
+  readonly turn: OversizedTurn;
+  readonly limits: readonly PlannedLimits[];
+}
+
+function sumRunning(holdings: readonly WorkspaceHolding[]): Resources {
+  return holdings.reduce((sum, { running }) => addResources(sum, running), NO_RESOURCES);
+}
+
+function situationOf(cap: Resources, holdings: readonly WorkspaceHolding[]): WorkspaceSituation {
+  return {
+    cap,
+    running: sumRunning(holdings),
+    oversizedServices: holdings
+      .filter(({ hasOversizedStart }) => hasOversizedStart)
+      .map(({ service }) => service),
+    hasOrdinaryStart: holdings.some(({ waiting }) => !fits(waiting, NO_RESOURCES)),
+  };
+}
+
+/** Returns whether no service can make a start any more except by new grants. */
+function areStartsHeld(holdings: readonly WorkspaceHolding[]): boolean {
+  return holdings.every(({ limit }) => fits(limit, NO_RESOURCES));
+}
+
+/** Returns whether the start that exceeds the cap may be made now. */
+function isOversizedAllowed(
+  situation: WorkspaceSituation,
+  holdings: readonly WorkspaceHolding[],
+  turn: OversizedTurn,
+): boolean {
+  const others = holdings.filter(({ service }) => service !== turn.service);
+  return (
+    turn.heldSince !== null &&
+    hasRoomForOversized(situation) &&
+    areStartsHeld(holdings) &&
+    others.every(({ mayStartOversized }) => !mayStartOversized)
+  );
+}
+
+/** Holds back all starts but the one that exceeds the cap, once it may be made. */
+function planHeld(
+  { cap, running }: WorkspaceSituation,
+  holdings: readonly WorkspaceHolding[],
+  turn: OversizedTurn,
+  isAllowed: boolean,
+): CappedPlan {
+  const limits = holdings.map((holding) => {
+    const isNext = isAllowed && holding.service === turn.service;
+    const runningElsewhere = subtractResources(running, holding.running);
+    return {
+      service: holding.service,
+      limit: NO_RESOURCES,
+      oversizedLimit: isNext ? subtractResources(cap, runningElsewhere) : null,
+    };
+  });
+  return { turn: { ...turn, isAllowed: turn.isAllowed || isAllowed }, limits };
+}
+
+/**
+ * Plans the next limits of a workspace.
+ * @param cap the cap of the workspace, Infinity for no limit
+ * @param holdings what every service holds that may have runs of the workspace, in the same order each time
+ * @param formerTurn whose turn it was
+ * @param areAllKnown whether the grants in force at all services are known, without which nothing is raised
+ * @param now the time of the fleet owner
+ * @param firstIndex number of the service that comes first if the cap does not suffice
+ */
+export function planCappedWorkspace(
+  cap: Resources,
+  holdings: readonly WorkspaceHolding[],
+  formerTurn: OversizedTurn,
+  areAllKnown: boolean,
+  now: Instant,
+  firstIndex: number,
+): CappedPlan {
+  const situation = situationOf(cap, holdings);
+  const turn = nextTurn(formerTurn, situation, now);
+  // While more runs than the cap allows, no start may add to it, not even one that needs other resources.
+  if (turn.heldSince !== null || !fits(situation.running, cap)) {
+    const isAllowed = areAllKnown && isOversizedAllowed(situation, holdings, turn);
+    return planHeld(situation, holdings, turn, isAllowed);
+  }
+  const shared = turn.service === null ? cap : capBesideOversized(cap);
+  const mayRaise = areAllKnown && holdings.every(({ mayStartOversized }) => !mayStartOversized);
+  const limits = [...divideCap(shared, holdings, mayRaise, firstIndex)].map(([service, limit]) => ({
+    service,
+    limit,
+    oversizedLimit: null,
+  }));
+  return { turn, limits };
+}
--- a/packages/scheduling/src/fleet/grant-state.ts
+++ b/packages/scheduling/src/fleet/grant-state.ts
@@ -1,6 +1,7 @@
 /** State of the grants of the fleet owner. */
 import type { Map as PersistentMap } from 'immutable';
 import type { WorkspaceConfiguration } from '../decide/shares/caps-in-force.js';
+import type { OversizedTurn } from '../decide/shares/oversized-turn.js';
 import type { Instant } from '../model/instant.js';
 import type { Resources } from '../model/resources.js';
 import type { ServiceGrants, WorkspaceUse } from '../model/workspace.js';
@@ -15,6 +16,8 @@
   readonly sent: ServiceGrants | null;
   /** Highest limit by workspace that may be in force at the service. */
   readonly limits: ReadonlyMap<string, Resources>;
+  /** Workspaces of which the service may be allowed a start that exceeds the cap. */
+  readonly oversizedAllowed: ReadonlySet<string>;
   /** The use of each workspace in the newest report. */
   readonly uses: ReadonlyMap<string, WorkspaceUse>;
   readonly reportedAt: Instant | null;
@@ -37,6 +40,32 @@
   /** Version that has capped each capped workspace. */
   readonly cappedSince: ReadonlyMap<string, number>;
   readonly services: PersistentMap<string, ServiceGrantState>;
+  /** Turns of the workspaces with starts that exceed their caps. */
+  readonly oversizedTurns: ReadonlyMap<string, OversizedTurn>;
   /** When each capped workspace last had runs or waiting tasks. */
   readonly neededAt: ReadonlyMap<string, Instant>;
 }
+
+/** State of a service that has not reported. */
+export const UNKNOWN_SERVICE: ServiceGrantState = {
+  ownerEpoch: 0,
+  sentSequence: 0,
+  sent: null,
+  limits: new Map(),
+  oversizedAllowed: new Set(),
+  uses: new Map(),
+  reportedAt: null,
+  acknowledgedVersion: 0,
+  confirmingSequence: null,
+  isKnown: false,
+};
+
+/** Returns the state of a service. */
+export function grantStateOf({ services }: FleetGrants, service: string): ServiceGrantState {
+  return services.get(service) ?? UNKNOWN_SERVICE;
+}
+
+/** Returns the grants with another state of a service. */
+export function withGrantState(grants: FleetGrants, service: string, known: ServiceGrantState): FleetGrants {
+  return { ...grants, services: grants.services.set(service, known) };
+}
--- a/packages/scheduling/src/fleet/grants.ts
+++ b/packages/scheduling/src/fleet/grants.ts
@@ -1,7 +1,8 @@
 /** Grants each service a part of the caps of the workspaces, and keeps which limits may be in force where. */
 import { Map as PersistentMap } from 'immutable';
 import { termsInForce, versionsInForce } from '../decide/shares/caps-in-force.js';
-import { divideCap, type ServiceHolding } from '../decide/shares/workspace-grants.js';
+import { planCappedWorkspace, type WorkspaceHolding } from '../decide/shares/capped-plan.js';
+import { FIRST_TURN } from '../decide/shares/oversized-turn.js';
 import type { Instant } from '../model/instant.js';
 import { fits, maximumResources, NO_RESOURCES, type Resources } from '../model/resources.js';
 import type { ServiceReport } from '../model/service-report.js';
@@ -16,7 +17,8 @@
   type WorkspaceUse,
 } from '../model/workspace.js';
 import type { FleetEventOf } from './event.js';
-import type { FleetGrants, ServiceGrantState } from './grant-state.js';
+import { applyGrantReport } from './grant-reports.js';
+import { grantStateOf, withGrantState, type FleetGrants, type ServiceGrantState } from './grant-state.js';
 import type { FleetState } from './state.js';
 import { updateFleet } from './update.js';
 
@@ -29,18 +31,6 @@
 /** Longest time that a message with grants is under way. */
 const MESSAGE_MILLISECONDS = 1_000;
 
-const UNKNOWN_SERVICE: ServiceGrantState = {
-  ownerEpoch: 0,
-  sentSequence: 0,
-  sent: null,
-  limits: new Map(),
-  uses: new Map(),
-  reportedAt: null,
-  acknowledgedVersion: 0,
-  confirmingSequence: null,
-  isKnown: false,
-};
-
 /** Unlimited amounts of each resource. */
 const UNLIMITED: Resources = capToResources(NO_CAP);
 
@@ -64,6 +54,7 @@
     versions: [],
     cappedSince: new Map(),
     services: PersistentMap(),
+    oversizedTurns: new Map(),
     neededAt: new Map(),
   };
 }
@@ -72,14 +63,6 @@
   return updateFleet(state, { grants: { ...state.grants, ...changes } });
 }
 
-function serviceStateOf({ grants }: FleetState, service: string): ServiceGrantState {
-  return grants.services.get(service) ?? UNKNOWN_SERVICE;
-}
-
-function setService(state: FleetState, service: string, known: ServiceGrantState): FleetState {
-  return updateGrants(state, { services: state.grants.services.set(service, known) });
-}
-
 /** Takes note of the workspaces of a version of the configuration. */
 export function handleFleetWorkspacesConfigured(
   state: FleetState,
@@ -91,50 +74,9 @@
   return updateGrants(state, { versions: [known, ...versionsInForce(versions, state.now)] });
 }
 
-/** Returns which of the limits may be in force after a report. */
-function limitsAfterReport(known: ServiceGrantState, report: ServiceReport): ReadonlyMap<string, Resources> {
-  const reported = new Map(
-    report.workspaces.map(({ workspace, granted }) => [workspace, capToResources(granted)]),
-  );
-  const isNewOwner = report.grants.ownerEpoch > known.ownerEpoch;
-  // Messages that are under way can change nothing any more: they are older, or for an earlier owner of the service.
-  if (isNewOwner || report.grants.sequence === known.sentSequence) return reported;
-  const merged = new Map(known.limits);
-  for (const [workspace, limit] of reported) {
-    merged.set(workspace, maximumResources(limit, known.limits.get(workspace) ?? NO_RESOURCES));
-  }
-  return merged;
-}
-
-function isOwnerKnown({ grants }: FleetState, known: ServiceGrantState, report: ServiceReport): boolean {
-  if (grants.aloneSince === -Infinity) return true;
-  return known.confirmingSequence !== null && report.grants.provenSequence >= known.confirmingSequence;
-}
-
-function acknowledgedVersionOf(known: ServiceGrantState, report: ServiceReport): number {
-  const isAcknowledged =
-    known.sent !== null &&
-    known.sent.ownerEpoch === report.grants.ownerEpoch &&
-    report.grants.sequence === known.sentSequence;
-  if (isAcknowledged) return Math.max(known.sent.cappedVersion, known.acknowledgedVersion);
-  return report.grants.ownerEpoch > known.ownerEpoch ? 0 : known.acknowledgedVersion;
-}
-
-/** Applies the uses and acknowledged grants of a report. Reports of earlier owners of the service are ignored. */
+/** Applies the uses and acknowledged grants of a report. */
 export function recordGrantReport(state: FleetState, report: ServiceReport): FleetState {
-  const known = serviceStateOf(state, report.service);
-  const isOutdated =
-    report.grants.epoch !== state.grants.epoch || report.grants.ownerEpoch < known.ownerEpoch;
-  if (isOutdated) return state;
-  return setService(state, report.service, {
-    ...known,
-    ownerEpoch: report.grants.ownerEpoch,
-    limits: limitsAfterReport(known, report),
-    uses: new Map(report.workspaces.map((use) => [use.workspace, use])),
-    reportedAt: state.now,
-    acknowledgedVersion: acknowledgedVersionOf(known, report),
-    isKnown: known.isKnown || isOwnerKnown(state, known, report),
-  });
+  return updateFleet(state, { grants: applyGrantReport(state.grants, report, state.now) });
 }
 
 /** Returns the services that may have runs of workspaces: those of the configuration, and others with reported use. */
@@ -152,8 +94,8 @@
   return hasAcknowledgedCap ? (known.limits.get(workspace) ?? NO_RESOURCES) : UNLIMITED;
 }
 
-function holdingOf(state: FleetState, service: string, workspace: string): ServiceHolding {
-  const known = serviceStateOf(state, service);
+function holdingOf(state: FleetState, service: string, workspace: string): WorkspaceHolding {
+  const known = grantStateOf(state.grants, service);
   const use = known.uses.get(workspace);
   return {
     service,
@@ -162,20 +104,56 @@
     running: use?.running ?? NO_RESOURCES,
     waiting: use?.waiting ?? NO_RESOURCES,
     largestStart: use?.largestStart ?? NO_RESOURCES,
+    hasOversizedStart: use?.hasOversizedStart ?? false,
+    mayStartOversized: known.oversizedAllowed.has(workspace),
   };
 }
 
 /** Next grants of all services, by service and workspace. */
 type Plan = ReadonlyMap<string, Map<string, WorkspaceGrant>>;
 
-function planCapped(state: FleetState, services: readonly string[], terms: WorkspaceTerms, plan: Plan): void {
+/** Plans the grants of a capped workspace. */
+function planCapped(
+  state: FleetState,
+  services: readonly string[],
+  terms: WorkspaceTerms,
+  plan: Plan,
+): FleetState {
   const { name, weight, cap } = terms;
-  const mayRaise = services.every((service) => serviceStateOf(state, service).isKnown);
-  const holdings = services.map((service) => holdingOf(state, service, name));
-  const turn = Math.floor(state.now / TURN_MILLISECONDS);
-  for (const [service, limit] of divideCap(capToResources(cap), holdings, mayRaise, turn)) {
-    plan.get(service)?.set(name, { workspace: name, limit: resourcesToCap(limit), cap, weight });
+  const { oversizedTurns } = state.grants;
+  const { turn, limits } = planCappedWorkspace(
+    capToResources(cap),
+    services.map((service) => holdingOf(state, service, name)),
+    oversizedTurns.get(name) ?? FIRST_TURN,
+    services.every((service) => grantStateOf(state.grants, service).isKnown),
+    state.now,
+    Math.floor(state.now / TURN_MILLISECONDS),
+  );
+  for (const { service, limit, oversizedLimit } of limits) {
+    plan.get(service)?.set(name, {
+      workspace: name,
+      limit: resourcesToCap(limit),
+      cap,
+      oversizedLimit: oversizedLimit === null ? null : resourcesToCap(oversizedLimit),
+      weight,
+    });
   }
+  return updateGrants(state, { oversizedTurns: new Map(oversizedTurns).set(name, turn) });
+}
+
+/** Plans the grants of all capped workspaces in use. */
+function planAllCapped(
+  state: FleetState,
+  services: readonly string[],
+  terms: ReadonlyMap<string, WorkspaceTerms>,
+  plan: Plan,
+): FleetState {
+  let next = state;
+  for (const workspace of state.grants.neededAt.keys()) {
+    const known = terms.get(workspace);
+    if (known !== undefined && isCapped(known.cap)) next = planCapped(next, services, known, plan);
+  }
+  return next;
 }
 
 /** Lifts the limits of workspaces that are no longer capped, such as those that were removed. */
@@ -185,20 +163,21 @@
   terms: ReadonlyMap<string, WorkspaceTerms>,
   plan: Plan,
 ): void {
-  const { uses, sent } = serviceStateOf(state, service);
+  const { uses, sent } = grantStateOf(state.grants, service);
   const sentWorkspaces = new Set(sent?.workspaces.map(({ workspace }) => workspace));
   for (const { workspace, granted } of uses.values()) {
     const known = terms.get(workspace);
     const isLimited = known !== undefined && isCapped(known.cap);
     if (!isLimited && (isCapped(granted) || sentWorkspaces.has(workspace))) {
-      const grant = { workspace, limit: NO_CAP, cap: NO_CAP, weight: known?.weight ?? 1 };
+      const weight = known?.weight ?? 1;
+      const grant = { workspace, limit: NO_CAP, cap: NO_CAP, oversizedLimit: null, weight };
       plan.get(service)?.set(workspace, grant);
     }
   }
 }
 
-function hasNeed({ running, waiting }: WorkspaceUse): boolean {
-  return !fits(maximumResources(running, waiting), NO_RESOURCES);
+function hasNeed({ running, waiting, hasOversizedStart }: WorkspaceUse): boolean {
+  return hasOversizedStart || !fits(maximumResources(running, waiting), NO_RESOURCES);
 }
 
 /** Returns when each workspace last had runs or waiting tasks, without those for which that was long ago. */
@@ -224,7 +203,27 @@
   return new Map(capped.map(({ name }) => [name, cappedSince.get(name) ?? version]));
 }
 
-/** Records that a message is sent, with limits that may come into force as soon as it arrives. */
+/** Returns the state of a service after grants were sent that may come into force as soon as they arrive. */
+function withSentGrants(
+  known: ServiceGrantState,
+  workspaces: readonly WorkspaceGrant[],
+  cappedVersion: number,
+): ServiceGrantState {
+  if (known.ownerEpoch === 0) return { ...known, sent: null };
+  const limits = new Map(known.limits);
+  for (const { workspace, limit } of workspaces) {
+    limits.set(workspace, maximumResources(capToResources(limit), limits.get(workspace) ?? NO_RESOURCES));
+  }
+  const allowed = workspaces.filter(({ oversizedLimit }) => oversizedLimit !== null);
+  return {
+    ...known,
+    sent: { ownerEpoch: known.ownerEpoch, cappedVersion, workspaces },
+    limits,
+    oversizedAllowed: new Set([...known.oversizedAllowed, ...allowed.map(({ workspace }) => workspace)]),
+  };
+}
+
+/** Records that a message with grants is sent to a service. */
 function recordSent(
   state: FleetState,
   service: string,
@@ -232,19 +231,15 @@
   grants: ReadonlyMap<string, WorkspaceGrant>,
   cappedVersion: number,
 ): FleetState {
-  const known = serviceStateOf(state, service);
+  const known = grantStateOf(state.grants, service);
   const isAlone = state.now >= state.grants.aloneSince;
-  const workspaces = [...grants.values()];
-  const limits = new Map(known.limits);
-  for (const { workspace, limit } of workspaces) {
-    limits.set(workspace, maximumResources(capToResources(limit), limits.get(workspace) ?? NO_RESOURCES));
-  }
-  return setService(state, service, {
-    ...known,
-    sentSequence: sequence,
-    sent: known.ownerEpoch === 0 ? null : { ownerEpoch: known.ownerEpoch, cappedVersion, workspaces },
-    limits: known.ownerEpoch === 0 ? known.limits : limits,
-    confirmingSequence: known.confirmingSequence ?? (isAlone ? sequence : null),
+  const sent = withSentGrants(known, [...grants.values()], cappedVersion);
+  return updateFleet(state, {
+    grants: withGrantState(state.grants, service, {
+      ...sent,
+      sentSequence: sequence,
+      confirmingSequence: known.confirmingSequence ?? (isAlone ? sequence : null),
+    }),
   });
 }
 
@@ -265,10 +260,7 @@
   let next = updateGrants(state, { versions, cappedSince, neededAt });
   const services = grantedServices(next);
   const plan: Plan = new Map(services.map((service) => [service, new Map<string, WorkspaceGrant>()]));
-  for (const workspace of neededAt.keys()) {
-    const known = terms.get(workspace);
-    if (known !== undefined && isCapped(known.cap)) planCapped(next, services, known, plan);
-  }
+  next = planAllCapped(next, services, terms, plan);
   for (const service of services) planUncapped(next, service, terms, plan);
   const cappedVersion = Math.max(0, ...cappedSince.values());
   for (const { service, sequence } of messages) {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,7 +14,8 @@
   StartOutcome,
   StopOutcome,
 } from './state/event.js';
-export { selectWorkspaceUse } from './decide/shares/workspace-limits.js';
+export { startSizeOf } from './decide/shares/oversized-starts.js';
+export { selectWithheldBy, selectWorkspaceUse } from './decide/shares/workspace-limits.js';
 export { selectServiceReport } from './service/demand.js';
 export { selectReleaseProgress } from './service/release.js';
 export { selectSlowedWorkers, selectWorstPairs, type WorstPair } from './decide/interference/worst-pairs.js';
@@ -24,7 +25,8 @@
 export { selectQueueStatistics, type QueueStatistics } from './service/queue-statistics.js';
 export { isJobOfOtherWorkspace, selectJobStatus, selectPendingCount } from './service/selectors.js';
 export type { Instant } from './model/instant.js';
-export type { ServiceState, TaskState } from './state/service-state.js';
+export { stepRequestOf } from './model/step-needs.js';
+export type { JobState, ServiceState, StepState, TaskState } from './state/service-state.js';
 export type { FleetDecision, FleetEffect, FleetEvent, FleetStep, HostOrderOutcome } from './fleet/event.js';
 export { reduceFleet, restoreFleet, type FleetRestoreParts } from './fleet/reduce.js';
 export type {
--- a/packages/scheduling/src/model/workspace.ts
+++ b/packages/scheduling/src/model/workspace.ts
@@ -31,6 +31,11 @@
   readonly limit: ResourceCap;
   /** The cap of the workspace over all services. */
   readonly cap: ResourceCap;
+  /**
+   * The most that the service may have running of the workspace before the last run of a start that exceeds the cap;
+   * null if no such start is allowed.
+   */
+  readonly oversizedLimit: ResourceCap | null;
   readonly weight: number;
 }
 
@@ -51,11 +56,16 @@
   readonly workspace: string;
   /** Needs of the runs that may be at work, from their placement to their removal. */
   readonly running: Resources;
+  /** Needs of the waiting tasks whose starts fit into the cap. */
   readonly waiting: Resources;
-  /** The most that has to start at once: one task, or all tasks of a gang. */
+  /** The most of them that has to start at once: one task, or all tasks of a gang. */
   readonly largestStart: Resources;
+  /** Whether a start waits that exceeds the cap and may run once the workspace has little else running. */
+  readonly hasOversizedStart: boolean;
   /** The limit that the service owner applies. */
   readonly granted: ResourceCap;
+  /** Whether the service owner may make a start that exceeds the cap. */
+  readonly mayStartOversized: boolean;
 }
 
 /** The message of the fleet owner whose grants a service owner applies. */
--- a/packages/scheduling/src/service/demand.ts
+++ b/packages/scheduling/src/service/demand.ts
@@ -4,6 +4,7 @@
 import { countFitting, type Resources } from '../model/resources.js';
 import type { HostLoad, ServiceReport } from '../model/service-report.js';
 import { estimateOfferedMilliCores } from '../state/arrivals.js';
+import { classifyStartOf, startSizeOf } from '../decide/shares/oversized-starts.js';
 import { selectWorkspaceUse, sumWithheldMilliCores } from '../decide/shares/workspace-limits.js';
 import { selectReleaseProgress } from './release.js';
 import type { JobState, ServiceState, StepState, WorkerState } from '../state/service-state.js';
@@ -41,14 +42,30 @@
     .reduce((sum, step) => sum + step.taskCount * step.needs.milliCores, 0);
 }
 
+/** Returns whether a step is a gang that the cap of its workspace keeps from starting, and of which nothing runs. */
+function isGangBeyondCap(state: ServiceState, job: JobState, index: number): boolean {
+  const request = stepRequestOf(job.request, index);
+  if (!request.isGang) return false;
+  const startClass = classifyStartOf(state, job.request.workspace, startSizeOf(request));
+  const isRunning = [...job.occurrences.values()].some(({ steps }) =>
+    steps[index]?.tasks.some(({ runs }) => runs.length > 0),
+  );
+  return startClass === 'impossible' && !isRunning;
+}
+
+/** Returns the steps of a job that may run under the cap of its workspace, with their indexes. */
+function stepsWithinCap(state: ServiceState, job: JobState): readonly (readonly [number, StepRequest])[] {
+  return [...job.request.steps.entries()].filter(([index]) => !isGangBeyondCap(state, job, index));
+}
+
 function minimumHostsOfStep({ isLasting, isGang, taskCount, maximumPerWorker }: StepRequest): number {
   const needsCoscheduling = isLasting || isGang;
   return needsCoscheduling && maximumPerWorker !== null ? Math.ceil(taskCount / maximumPerWorker) : 0;
 }
 
 function minimumHosts(state: ServiceState): number {
-  const steps = coscheduledJobs(state).flatMap((job) => job.request.steps);
-  return Math.max(0, ...steps.map(minimumHostsOfStep));
+  const steps = coscheduledJobs(state).flatMap((job) => stepsWithinCap(state, job));
+  return Math.max(0, ...steps.map(([, step]) => minimumHostsOfStep(step)));
 }
 
 /** Counts the lasting tasks that keep a requested host from being drained: nothing is reserved for them elsewhere. */
@@ -88,11 +105,13 @@
   if (jobs.length === 0) return 0;
   const candidates = candidatesOf(state);
   let maximum = 0;
-  for (const { request, occurrences } of jobs) {
-    for (const { occurrence, steps } of occurrences.values()) {
-      for (const [index, step] of steps.entries()) {
-        const key = { jobId: request.jobId, occurrence, step: index, index: 0 };
-        const missing = missingHostsOfStep(state, key, stepRequestOf(request, index), step, candidates);
+  for (const job of jobs) {
+    const { jobId } = job.request;
+    for (const [index, request] of stepsWithinCap(state, job)) {
+      for (const { occurrence, steps } of job.occurrences.values()) {
+        const step = steps[index];
+        const key = { jobId, occurrence, step: index, index: 0 };
+        const missing = step === undefined ? 0 : missingHostsOfStep(state, key, request, step, candidates);
         maximum = Math.max(maximum, missing);
       }
     }
--- a/packages/scheduling/src/service/quarantine.ts
+++ b/packages/scheduling/src/service/quarantine.ts
@@ -3,7 +3,7 @@
  * time starts beside other tasks, on a worker that gets no further ones.
  */
 import { Map as PersistentMap } from 'immutable';
-import { fitsLimit } from '../decide/shares/workspace-limits.js';
+import { mayStart } from '../decide/shares/workspace-limits.js';
 import { multiplyResources } from '../model/resources.js';
 import type { ServiceStep } from '../state/effect.js';
 import { mayIssueOrders } from '../state/lease.js';
@@ -183,8 +183,9 @@
   let next = state;
   for (const suspect of waiting) {
     if (isFull(isolation)) return next;
-    const needs = multiplyResources(suspect.request.needs, suspect.members.length);
-    const isWithinLimit = fitsLimit(next, suspect.job.request.workspace, needs);
+    const taskNeeds = suspect.request.needs;
+    const startNeeds = multiplyResources(taskNeeds, suspect.members.length);
+    const isWithinLimit = mayStart(next, suspect.job.request.workspace, { startNeeds, taskNeeds });
     const free = candidates.filter(({ worker }) => !isolated.has(worker.listing.workerId));
     const chosen = isWithinLimit ? planIsolation(suspect, free) : null;
     const isAllowed = chosen !== null && mayIsolate(isolation, chosen, state.now - suspect.waitingSince);
--- a/packages/scheduling/src/service/workspace-grants.ts
+++ b/packages/scheduling/src/service/workspace-grants.ts
@@ -1,5 +1,6 @@
 /** Applies the grants of the fleet owner and the workspaces of the configuration. */
 import { Map as PersistentMap } from 'immutable';
+import { isOversizedAllowed } from '../decide/shares/oversized-starts.js';
 import { limitOf } from '../decide/shares/workspace-limits.js';
 import { capToResources, type ServiceGrants } from '../model/workspace.js';
 import { fits } from '../model/resources.js';
@@ -15,7 +16,8 @@
       capToResources(limitOf(state, workspace)),
       capToResources(limitOf(former, workspace)),
     );
-    if (waitingTasks > 0 && isRaised) return true;
+    const isNewlyAllowed = isOversizedAllowed(state, workspace) && !isOversizedAllowed(former, workspace);
+    if (waitingTasks > 0 && (isRaised || isNewlyAllowed)) return true;
   }
   return false;
 }
