Play caps below single tasks, and serve large tasks beside lasting ones

And by reading: a task between half of the cap and the cap waited for good while tasks that last left it too little of the cap, although its workspace used less than half (LOST).

Change: LOW_CAPS_PLAY lowers caps below the tasks that wait and run, for some seconds and for good, in series, among all troubles. The referee knows when the cap of a workspace lets a task wait (half of it in use, or a gang beyond it), only in these plays; the other plays keep the strict rule. After the rest a watch of 15 s reports work that stands still. It took members of a done gang for work that stands still; a gang is done with one of its members, as in the other rules.

The allowance for starts that exceed the cap now also serves a start that exceeds half of the cap and finds too little left of its service's limit, once at most half of the cap has been in use for a second.

--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -1,7 +1,9 @@
 /** Rules on what callers are told of their jobs, and on work that must go on. */
+import type { TaskKey } from '@baobabdeck/scheduling';
 import { stepOfTask } from './job-plans.js';
 import type { Referee, RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
+import type { WorkspaceRules } from './workspace-rules.js';
 
 /** Time after the acceptance of a job from which on it must be known everywhere. */
 const VISIBLE_MILLISECONDS = 3_000;
@@ -22,17 +24,19 @@
 }
 
 /** Creates the rules. */
-export function createJobRules({ time, plans }: RefereeParts, sightings: Sightings): JobRules {
-  const { report, jobs, jobOf, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
+export function createJobRules(
+  { time, plans }: RefereeParts,
+  sightings: Sightings,
+  mayWait: WorkspaceRules['mayWait'],
+): JobRules {
+  const { report, jobs, jobOf, runsOf, isOn, isStepDone, isTaskDone, allTasks } = sightings;
   const { hasFailedOften, mayBeGivenUp } = sightings;
   let completed = 0;
 
   const isTrulyDone = (jobId: string): boolean => {
     const plan = plans.get(jobId);
     if (plan === undefined) return false;
-    return allTasks(jobId).every((key) =>
-      plan.job.steps[key.step]?.isGang === true ? isStepDone(key, key.step) : hasDone(key),
-    );
+    return allTasks(jobId).every(isTaskDone);
   };
 
   const onStatusShown: Referee['onStatusShown'] = (jobId, status) => {
@@ -77,6 +81,12 @@
     }
   };
 
+  /** Whether a task is not done, its turn has come, and the cap of its workspace allows it no waiting. */
+  const shouldRun = (key: TaskKey): boolean => {
+    const after = stepOfTask(plans, key)?.after ?? [];
+    return !isTaskDone(key) && after.every((step) => isStepDone(key, step)) && !mayWait(key);
+  };
+
   /** What should go on and does not, by job. */
   const findIdle = (): ReadonlyMap<string, string> => {
     const idle = new Map<string, string>();
@@ -85,8 +95,10 @@
       if (!job.isAccepted || isOver || job.cancelSentAt !== null || mayBeGivenUp(jobId)) continue;
       const tasks = allTasks(jobId);
       const lasting = tasks.filter((key) => stepOfTask(plans, key)?.isLasting === true);
-      const lastingOff = lasting.filter((key) => !runsOf(key).some(isOn));
-      if (!tasks.some((key) => runsOf(key).some(isOn))) idle.set(jobId, 'nothing of it runs');
+      const lastingOff = lasting.filter((key) => !runsOf(key).some(isOn) && !mayWait(key));
+      // Only caps keep a job from going on: where none does, its tasks are not looked at one by one.
+      const isWithheld = tasks.some(mayWait) && !tasks.some(shouldRun);
+      if (!isWithheld && !tasks.some((key) => runsOf(key).some(isOn))) idle.set(jobId, 'nothing of it runs');
       else if (lastingOff.length > 0) idle.set(jobId, `${lastingOff.length} lasting tasks do not run`);
     }
     return idle;
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -14,11 +14,17 @@
 import {
   beginTrouble,
   CAPACITY_TROUBLE_KINDS,
+  LOW_CAP_TROUBLE_KINDS,
   RELAY_TROUBLE_KINDS,
   TROUBLE_KINDS,
   type TroubleKind,
 } from './troubles.js';
-import { grantWholeCaps, PLAYED_WORKSPACES } from './workspace-play.js';
+import {
+  allowNoOversizedStarts,
+  grantWholeCaps,
+  LOW_CAP_WORKSPACES,
+  PLAYED_WORKSPACES,
+} from './workspace-play.js';
 import { createWorld, type WorldSize } from './world.js';
 
 /** What to play. */
@@ -35,6 +41,8 @@
   readonly crashes: CrashHabits;
   /** Milliseconds between two requests for the number of pending jobs of a queue; null for no such requests. */
   readonly countMilliseconds: number | null;
+  /** Time after the rest in which no job may stand still for long beside capacity; none where left out. */
+  readonly watchedMilliseconds?: number;
 }
 
 /** A small system with every kind of trouble. */
@@ -114,7 +122,29 @@
   kinds: [],
 };
 
-/** The same with callers who ask how many jobs wait. */
+/** Workspaces whose caps are lowered below the tasks that wait and run, in series, among all troubles. */
+export const LOW_CAPS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...WORKSPACE_PLAY,
+  size: { ...WORKSPACE_PLAY.size, workspaces: LOW_CAP_WORKSPACES },
+  troubleEveryMilliseconds: 1_500,
+  kinds: TROUBLE_KINDS.flatMap((kind) => [kind, ...LOW_CAP_TROUBLE_KINDS]),
+  watchedMilliseconds: 15_000,
+};
+
+/** The same without other troubles. */
+export const CALM_LOW_CAPS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...LOW_CAPS_PLAY,
+  troubleEveryMilliseconds: 6_000,
+  kinds: LOW_CAP_TROUBLE_KINDS,
+};
+
+/** The same where no start that exceeds a cap is allowed, which the rule on work that stands still must notice. */
+export const NO_OVERSIZED_STARTS_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...CALM_LOW_CAPS_PLAY,
+  size: { ...LOW_CAPS_PLAY.size, alterPeerRequest: allowNoOversizedStarts },
+};
+
+/** The small system with callers who ask how many jobs wait. */
 export const COUNTING_PLAY: Omit<PlayOptions, 'seed'> = { ...SMALL_PLAY, countMilliseconds: 400 };
 
 const STRONG_COUNT = 3;
@@ -180,6 +210,7 @@
   };
   if (options.kinds.length > 0) time.after(random.exponential(options.troubleEveryMilliseconds), next);
   await time.runUntil(until + REST_MILLISECONDS);
+  if (options.watchedMilliseconds !== undefined) await referee.watchRest(options.watchedMilliseconds);
   await referee.checkRest();
   return resultOf(world);
 }
--- a/packages/fleet-emulator/src/referee.ts
+++ b/packages/fleet-emulator/src/referee.ts
@@ -18,8 +18,8 @@
   const capacityRules = createCapacityRules(parts, sightings);
   const workspaceRules = createWorkspaceRules(parts, sightings, parts.workspaces);
   const hostRules = createHostRules(parts, sightings, taskRules.onStop);
-  const jobRules = createJobRules(parts, sightings);
-  const restRules = createRestRules(parts, sightings);
+  const jobRules = createJobRules(parts, sightings, workspaceRules.mayWait);
+  const restRules = createRestRules(parts, sightings, workspaceRules.mayWait);
   return {
     ...restRules,
     ...taskRules,
--- a/packages/fleet-emulator/src/rest-rules.ts
+++ b/packages/fleet-emulator/src/rest-rules.ts
@@ -3,6 +3,7 @@
 import { stepOfTask, sumOfNeeds } from './job-plans.js';
 import type { Referee, RefereeParts } from './referee-types.js';
 import type { Sightings } from './sightings.js';
+import type { WorkspaceRules } from './workspace-rules.js';
 
 /** Time for which work may stand still beside free room. */
 const STILL_MILLISECONDS = 3_000;
@@ -32,8 +33,12 @@
 }
 
 /** Creates the rules. */
-export function createRestRules({ time, plans, hosts }: RefereeParts, sightings: Sightings): RestRules {
-  const { report, jobs, runsOf, isOn, hasDone, isStepDone, allTasks } = sightings;
+export function createRestRules(
+  { time, plans, hosts }: RefereeParts,
+  sightings: Sightings,
+  mayWait: WorkspaceRules['mayWait'],
+): RestRules {
+  const { report, jobs, runsOf, isOn, isStepDone, isTaskDone, allTasks } = sightings;
   const { hasFailedOften, mayBeGivenUp } = sightings;
 
   const roomOf = (service: string): Room => {
@@ -77,7 +82,7 @@
 
   /** Tasks that could run now and do not: of a job of which nothing runs, or lasting ones. */
   const stillTasks = (jobId: string): readonly TaskKey[] => {
-    const tasks = allTasks(jobId).filter((key) => !hasDone(key));
+    const tasks = allTasks(jobId).filter((key) => !isTaskDone(key));
     const isJobOn = tasks.some((key) => runsOf(key).some(isOn));
     return tasks.filter((key) => {
       if (runsOf(key).some(isOn) || !isTurn(key)) return false;
@@ -99,7 +104,7 @@
       const isWanted = job.isAccepted && job.cancelSentAt === null && !isHopeless;
       if (plan === undefined || !isWanted) return [];
       const room = roomFor(plan.service);
-      return stillTasks(jobId).some((key) => hasRoomFor(room, key)) ? [jobId] : [];
+      return stillTasks(jobId).some((key) => hasRoomFor(room, key) && !mayWait(key)) ? [jobId] : [];
     });
   };
 
--- a/packages/fleet-emulator/src/sightings.ts
+++ b/packages/fleet-emulator/src/sightings.ts
@@ -77,6 +77,8 @@
   readonly hasDone: (key: TaskKey) => boolean;
   readonly tasksOfStep: (key: TaskKey, step: number) => readonly TaskKey[];
   readonly isStepDone: (key: TaskKey, step: number) => boolean;
+  /** Whether a task is done; all tasks of a gang are done with one of them. */
+  readonly isTaskDone: (key: TaskKey) => boolean;
   /** Whether one of its tasks has failed as often as one may. */
   readonly hasFailedOften: (jobId: string) => boolean;
   /** Whether one of its tasks has crashed so many workers that it may be given up. */
@@ -132,6 +134,8 @@
     const isGang = plans.get(key.jobId)?.job.steps[step]?.isGang === true;
     return isGang ? tasks.some(hasDone) : tasks.every(hasDone);
   };
+  const isTaskDone = (key: TaskKey): boolean =>
+    plans.get(key.jobId)?.job.steps[key.step]?.isGang === true ? isStepDone(key, key.step) : hasDone(key);
 
   const allTasks = (jobId: string): readonly TaskKey[] => {
     const plan = plans.get(jobId);
@@ -177,6 +181,7 @@
     hasDone,
     tasksOfStep,
     isStepDone,
+    isTaskDone,
     hasFailedOften,
     mayBeGivenUp,
     allTasks,
--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -33,7 +33,9 @@
   | 'cut-nodes'
   | 'peers-late'
   | 'peer-answers-lost'
-  | 'caps-changed';
+  | 'caps-changed'
+  | 'caps-lowered'
+  | 'caps-lowered-for-some-time';
 
 /** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
@@ -65,6 +67,9 @@
 /** Kinds that change the capacity of workers. */
 export const CAPACITY_TROUBLE_KINDS: readonly TroubleKind[] = ['shrinking-worker'];
 
+/** Kinds that lower the caps of workspaces below single tasks and gangs, for some time and for good. */
+export const LOW_CAP_TROUBLE_KINDS: readonly TroubleKind[] = ['caps-lowered', 'caps-lowered-for-some-time'];
+
 /** Kinds that concern processes which relay orders for others. */
 export const RELAY_TROUBLE_KINDS: readonly TroubleKind[] = [
   'kill-node',
@@ -79,6 +84,9 @@
 /** What a worker that shrinks has left of its capacity at the most. */
 const LARGEST_SHRUNK_SHARE = 0.7;
 
+/** Least time for which caps are low: until no service counts on the former ones any more. */
+const LOW_CAPS_MILLISECONDS = 4_000;
+
 const LONGEST_MILLISECONDS = 6_000;
 const DOWN_MILLISECONDS = 1_500;
 
@@ -112,6 +120,18 @@
   world.time.after(lasting, () => directions.forEach((direction) => cuts.delete(direction)));
 }
 
+function lowerCaps({ referee, operator, random }: World): void {
+  referee.onCapsChanged(changeCaps(operator, random, true));
+}
+
+/** Raises the caps after some time, unless they have been changed again by then. */
+function restoreCapsAfter({ referee, operator, random, time }: World, milliseconds: number): void {
+  const { version } = operator.configuration;
+  time.after(milliseconds, () => {
+    if (operator.configuration.version === version) referee.onCapsChanged(changeCaps(operator, random));
+  });
+}
+
 function startWave(world: World): void {
   const { operator, random, referee, fleet } = world;
   const wave = operator.waves.length + 1;
@@ -217,6 +237,13 @@
     case 'caps-changed':
       world.referee.onCapsChanged(changeCaps(world.operator, random));
       break;
+    case 'caps-lowered':
+      lowerCaps(world);
+      break;
+    case 'caps-lowered-for-some-time':
+      lowerCaps(world);
+      restoreCapsAfter(world, LOW_CAPS_MILLISECONDS + lasting);
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
--- a/packages/fleet-emulator/src/workspace-play.ts
+++ b/packages/fleet-emulator/src/workspace-play.ts
@@ -12,6 +12,8 @@
 export interface PlayedWorkspaces {
   readonly workspaces: readonly Workspace[];
   readonly workspaceOf: (jobId: string) => string | null;
+  /** Whether caps are lowered below single tasks and gangs. */
+  readonly hasLowCaps: boolean;
 }
 
 const CAPPED = ['north', 'south'];
@@ -33,20 +35,34 @@
     workspaceOf('uncapped', null),
   ],
   workspaceOf: (jobId) => NAMES[Number.parseInt(jobId.slice(-1), 16) % NAMES.length] ?? null,
+  hasLowCaps: false,
 };
 
+/** The same with caps that are lowered below single tasks and gangs. */
+export const LOW_CAP_WORKSPACES: PlayedWorkspaces = { ...PLAYED_WORKSPACES, hasLowCaps: true };
+
+/** Range of caps that hold no gang, and of which most hold few of the tasks of a play. */
+const LEAST_LOW_CAP_MILLI_CORES = 300;
+const LOW_CAP_RANGE_MILLI_CORES = 3_700;
+
 function drawCap(random: RandomSource): number {
   return LOWEST_CAP_MILLI_CORES + random.below(CAP_RANGE_MILLI_CORES);
 }
 
-/** Publishes a version of the configuration with other caps, and returns its workspaces. */
+function drawLowCap(random: RandomSource): number {
+  return LEAST_LOW_CAP_MILLI_CORES + random.below(LOW_CAP_RANGE_MILLI_CORES);
+}
+
+/** Publishes a version of the configuration with other caps, low ones where asked for, and returns its workspaces. */
 export function changeCaps(
   operator: { configuration: QueueConfiguration },
   random: RandomSource,
+  areLow = false,
 ): readonly Workspace[] {
   const { configuration } = operator;
+  const draw = areLow ? drawLowCap : drawCap;
   const workspaces = configuration.workspaces.map((workspace) =>
-    workspace.cap.milliCores === null ? workspace : workspaceOf(workspace.name, drawCap(random)),
+    workspace.cap.milliCores === null ? workspace : workspaceOf(workspace.name, draw(random)),
   );
   operator.configuration = { ...configuration, version: configuration.version + 1, workspaces };
   return workspaces;
@@ -78,6 +94,13 @@
   return typeof content === 'object' && content !== null && 'grants' in content && content.grants !== null;
 }
 
+/** Allows no start that exceeds the cap. The rule on work that stands still has to notice it. */
+export function allowNoOversizedStarts(content: unknown): unknown {
+  if (!hasGrants(content) || content.grants === null) return content;
+  const workspaces = content.grants.workspaces.map((grant) => ({ ...grant, oversizedLimit: null }));
+  return { ...content, grants: { ...content.grants, workspaces } };
+}
+
 /** Gives every service the whole cap instead of its part. The assertion on caps has to notice it. */
 export function grantWholeCaps(content: unknown): unknown {
   if (!hasGrants(content) || content.grants === null) return content;
--- a/packages/fleet-emulator/src/workspace-rules.ts
+++ b/packages/fleet-emulator/src/workspace-rules.ts
@@ -1,5 +1,5 @@
-/** Rule on what the workspaces have running on all workers together. */
-import { NO_RESOURCES, taskIdOf } from '@baobabdeck/scheduling';
+/** Rule on what the workspaces have running on all workers together, and on which of their tasks may wait for it. */
+import { NO_RESOURCES, taskIdOf, type TaskKey } from '@baobabdeck/scheduling';
 import type { Workspace } from '@baobabdeck/scheduler';
 import { stepOfTask } from './job-plans.js';
 import type { ObservedStart } from './observer.js';
@@ -16,10 +16,18 @@
  */
 const FORMER_CAP_MILLISECONDS = 15_000;
 
+/** Share of its cap from which on a workspace may keep its tasks waiting. */
+const BUSY_SHARE = 0.5;
+
 /** Observations that the rule receives. */
 export interface WorkspaceRules {
   readonly onStart: (started: ObservedStart) => void;
   readonly onCapsChanged: (workspaces: readonly Workspace[]) => void;
+  /**
+   * Whether the cap of its workspace allows a task to wait: at least half of the cap is in use, or the task belongs to a
+   * gang that exceeds the cap by more than one task. Always false in plays whose caps hold every task and gang.
+   */
+  readonly mayWait: (key: TaskKey) => boolean;
 }
 
 interface KnownCap {
@@ -72,5 +80,15 @@
     }
   };
 
-  return { onStart, onCapsChanged };
+  const mayWait = (key: TaskKey): boolean => {
+    const workspace = played?.workspaceOf(key.jobId) ?? null;
+    if (played === null || workspace === null || !played.hasLowCaps) return false;
+    const cap = caps.get(workspace)?.at(-1)?.milliCores ?? Infinity;
+    const running = runningOf(workspace);
+    const step = stepOfTask(plans, key);
+    const otherMembers = step?.isGang === true ? (step.taskCount - 1) * step.needs.milliCores : 0;
+    return running >= cap * BUSY_SHARE || running + otherMembers > cap;
+  };
+
+  return { onStart, onCapsChanged, mayWait };
 }
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -51,7 +51,7 @@
         workspace: z.string(),
         limit: resourceCap,
         cap: resourceCap,
-        // Earlier versions allow no start that exceeds the cap.
+        // Earlier versions allow no start beyond the limit.
         oversizedLimit: resourceCap.nullable().default(null),
         weight: z.number(),
       }),
@@ -184,6 +184,7 @@
             waiting: resources,
             largestStart: resources,
             hasOversizedStart: z.boolean().default(false),
+            hasLargeStart: z.boolean().default(false),
             granted: resourceCap,
             mayStartOversized: z.boolean().default(false),
           }),
--- a/packages/scheduling/src/__tests__/oversized-starts.test.ts
+++ b/packages/scheduling/src/__tests__/oversized-starts.test.ts
@@ -161,6 +161,8 @@
   oversizedRuns: number;
   ordinaryWaiting: number;
   oversizedWaiting: number;
+  /** Whether a start waits that fits into the cap, but not into the limit. */
+  largeWaiting: boolean;
   limit: number;
   oversizedLimit: number | null;
   /** Limits that were sent and not yet applied. */
@@ -173,6 +175,7 @@
     oversizedRuns: 0,
     ordinaryWaiting,
     oversizedWaiting,
+    largeWaiting: false,
     limit: 0,
     oversizedLimit: null,
     pending: null,
@@ -199,6 +202,7 @@
       waiting: known.ordinaryWaiting > 0 ? resourcesOf(known.ordinaryWaiting * 1_000) : NO_RESOURCES,
       largestStart: resourcesOf(known.ordinaryWaiting > 0 ? 1_000 : 0),
       hasOversizedStart: known.oversizedWaiting > 0,
+      hasLargeStart: known.largeWaiting,
       mayStartOversized: known.oversizedLimit !== null || (known.pending?.oversizedLimit ?? null) !== null,
     };
   };
@@ -290,6 +294,42 @@
   });
 });
 
+describe('a start that fits into the cap, but not beside runs that last', () => {
+  test('may be made once its workspace has used at most half of its cap for a second', (t) => {
+    const services = { a: serviceOf(0, 0), b: serviceOf(0, 0) };
+    services.a.running = 1_000;
+    services.b.largeWaiting = true;
+    const model = createModel(services);
+    for (let now = 0; now < 1_000; now += EXCHANGE_MILLISECONDS) {
+      model.exchange(now);
+      t.is(services.b.oversizedLimit, null);
+    }
+    model.exchange(1_000);
+    model.exchange(1_000 + EXCHANGE_MILLISECONDS);
+    t.is(services.b.oversizedLimit, CAP_MILLI_CORES - 1_000);
+    services.b.running = 2_500;
+    model.exchange(1_000 + 2 * EXCHANGE_MILLISECONDS);
+    t.is(services.b.oversizedLimit, null);
+  });
+
+  test('is made by its service beyond the limit', (t) => {
+    const harness = harnessWithWorkers();
+    harness.accept(jobOf('j', [{ needs: resourcesOf(2_500) }], { workspace: 'north' }));
+    grant(harness, 1, 2_000, null);
+    t.is(harness.takeStarts().length, 0);
+    t.true(selectServiceReport(harness.state()).workspaces[0]?.hasLargeStart);
+    grant(harness, 2, 0, coresOf(2_000));
+    t.is(harness.takeStarts().length, 1);
+  });
+
+  test('is reported only if its limit has too little left', (t) => {
+    const harness = createServiceHarness();
+    harness.accept(jobOf('j', [{ needs: resourcesOf(2_500) }], { workspace: 'north' }));
+    grant(harness, 1, CAP_MILLI_CORES, null);
+    t.false(selectServiceReport(harness.state()).workspaces[0]?.hasLargeStart);
+  });
+});
+
 describe('a plan for a capped workspace', () => {
   const cap = capToResources(coresOf(CAP_MILLI_CORES));
   const holdingOf = (service: string, fields: Partial<WorkspaceHolding> = {}): WorkspaceHolding => ({
@@ -300,6 +340,7 @@
     waiting: NO_RESOURCES,
     largestStart: NO_RESOURCES,
     hasOversizedStart: false,
+    hasLargeStart: false,
     mayStartOversized: false,
     ...fields,
   });
--- a/packages/scheduling/src/__tests__/workspace-grants.test.ts
+++ b/packages/scheduling/src/__tests__/workspace-grants.test.ts
@@ -120,6 +120,7 @@
         waiting: resourcesOf(waiting),
         largestStart: resourcesOf(1_000),
         hasOversizedStart: false,
+        hasLargeStart: false,
         granted,
         mayStartOversized: false,
       };
--- a/packages/scheduling/src/decide/shares/capped-plan.ts
+++ b/packages/scheduling/src/decide/shares/capped-plan.ts
@@ -1,4 +1,4 @@
-/** Plans what each service may start of a capped workspace: its part of the cap, or one start that exceeds the cap. */
+/** Plans what each service may start of a capped workspace: its part of the cap, or one start beyond the limits. */
 import type { Instant } from '../../model/instant.js';
 import {
   addResources,
@@ -7,8 +7,8 @@
   subtractResources,
   type Resources,
 } from '../../model/resources.js';
+import { capBesideOversized } from '../../model/workspace.js';
 import {
-  capBesideOversized,
   hasRoomForOversized,
   nextTurn,
   type OversizedTurn,
@@ -16,10 +16,11 @@
 } from './oversized-turn.js';
 import { divideCap, type ServiceHolding } from './workspace-grants.js';
 
-/** What one service holds of a workspace, with its starts that exceed the cap. */
+/** What one service holds of a workspace, with its starts beyond the limits. */
 export interface WorkspaceHolding extends ServiceHolding {
   readonly hasOversizedStart: boolean;
-  /** Whether the service may be allowed such a start by grants that are in force or under way. */
+  readonly hasLargeStart: boolean;
+  /** Whether the service may be allowed a start beyond its limit by grants that are in force or under way. */
   readonly mayStartOversized: boolean;
 }
 
@@ -27,7 +28,7 @@
 export interface PlannedLimits {
   readonly service: string;
   readonly limit: Resources;
-  /** The most that may be running before the last run of a start that exceeds the cap; null if none is allowed. */
+  /** The most that may be running before the last run of a start beyond the limit; null if none is allowed. */
   readonly oversizedLimit: Resources | null;
 }
 
@@ -41,13 +42,16 @@
   return holdings.reduce((sum, { running }) => addResources(sum, running), NO_RESOURCES);
 }
 
+function servicesOf(holdings: readonly WorkspaceHolding[]): readonly string[] {
+  return holdings.map(({ service }) => service);
+}
+
 function situationOf(cap: Resources, holdings: readonly WorkspaceHolding[]): WorkspaceSituation {
   return {
     cap,
     running: sumRunning(holdings),
-    oversizedServices: holdings
-      .filter(({ hasOversizedStart }) => hasOversizedStart)
-      .map(({ service }) => service),
+    oversizedServices: servicesOf(holdings.filter(({ hasOversizedStart }) => hasOversizedStart)),
+    largeServices: servicesOf(holdings.filter(({ hasLargeStart }) => hasLargeStart)),
     hasOrdinaryStart: holdings.some(({ waiting }) => !fits(waiting, NO_RESOURCES)),
   };
 }
@@ -57,7 +61,7 @@
   return holdings.every(({ limit }) => fits(limit, NO_RESOURCES));
 }
 
-/** Returns whether the start that exceeds the cap may be made now. */
+/** Returns whether the start beyond the limits may be made now. */
 function isOversizedAllowed(
   situation: WorkspaceSituation,
   holdings: readonly WorkspaceHolding[],
@@ -72,7 +76,7 @@
   );
 }
 
-/** Holds back all starts but the one that exceeds the cap, once it may be made. */
+/** Holds back all starts but the one beyond the limits, once it may be made. */
 function planHeld(
   { cap, running }: WorkspaceSituation,
   holdings: readonly WorkspaceHolding[],
--- a/packages/scheduling/src/decide/shares/oversized-starts.ts
+++ b/packages/scheduling/src/decide/shares/oversized-starts.ts
@@ -1,6 +1,6 @@
 /**
- * Starts that exceed the cap of their workspace. The limit of a workspace allows one task beyond the cap, so a task
- * larger than the cap may run, one at a time, while the workspace has little else running.
+ * Starts beyond the limits of their workspace. A workspace may have its cap and one task more running, so a task larger
+ * than the cap, or than what others leave of it, may run, one at a time, while the workspace has little else running.
  */
 import {
   addResources,
@@ -12,7 +12,7 @@
   type Resources,
 } from '../../model/resources.js';
 import type { StepRequest } from '../../model/job.js';
-import { capToResources, type WorkspaceGrant } from '../../model/workspace.js';
+import { capBesideOversized, capToResources, type WorkspaceGrant } from '../../model/workspace.js';
 import type { ServiceState } from '../../state/service-state.js';
 import type { WaitingLoad } from '../../state/waiting-queue.js';
 import { startNeedsOf } from '../../state/workspaces.js';
@@ -54,17 +54,22 @@
   return cap === null ? 'within-cap' : classifyStart(size, cap);
 }
 
-/** Returns whether the newest grants allow a start that exceeds the cap of a workspace. */
+/** Returns whether the newest grants allow a start beyond the limit of a workspace. */
 export function isOversizedAllowed({ workspaces }: ServiceState, workspace: string): boolean {
   return (workspaces.grants.get(workspace)?.oversizedLimit ?? null) !== null;
 }
 
-/** Returns whether a start that exceeds the cap may be made now. */
+function runningOf({ workspaces }: ServiceState, workspace: string): Resources {
+  return workspaces.loads.get(workspace)?.running ?? NO_RESOURCES;
+}
+
+/** Returns whether a start beyond the limit may be made now. */
 export function mayStartOversized(state: ServiceState, workspace: string, size: StartSize): boolean {
   const grant = state.workspaces.grants.get(workspace);
   if (grant === undefined || grant.oversizedLimit === null) return false;
-  if (classifyStart(size, capToResources(grant.cap)) !== 'oversized') return false;
-  const running = state.workspaces.loads.get(workspace)?.running ?? NO_RESOURCES;
+  const besideOversized = capBesideOversized(capToResources(grant.cap));
+  const running = runningOf(state, workspace);
+  if (fits(size.startNeeds, besideOversized) || !fits(running, besideOversized)) return false;
   const beforeLastRun = subtractResources(addResources(running, size.startNeeds), size.taskNeeds);
   return fits(beforeLastRun, capToResources(grant.oversizedLimit));
 }
@@ -77,67 +82,94 @@
   readonly largestStart: Resources;
   /** The largest waiting start that exceeds the cap by at most one task; null for none. */
   readonly oversizedStart: Resources | null;
+  /** The largest waiting start that exceeds half of the cap, but not the cap, nor fits into the limit; null for none. */
+  readonly largeStart: Resources | null;
 }
 
 const NOTHING_WAITING: WaitingByClass = {
   waiting: NO_RESOURCES,
   largestStart: NO_RESOURCES,
   oversizedStart: null,
+  largeStart: null,
 };
 
-function addWaiting(sums: WaitingByClass, load: WaitingLoad, cap: Resources): WaitingByClass {
-  switch (classifyStart(load, cap)) {
+/** What limits the starts of a workspace in a service. */
+interface StartBounds {
+  readonly cap: Resources;
+  /** What is left of the limit of the service. */
+  readonly left: Resources;
+}
+
+function isLarge({ startNeeds }: StartSize, { cap, left }: StartBounds): boolean {
+  return !fits(startNeeds, capBesideOversized(cap)) && !fits(startNeeds, left);
+}
+
+function largerOf(known: Resources | null, needs: Resources): Resources {
+  return maximumResources(known ?? NO_RESOURCES, needs);
+}
+
+function addWaiting(sums: WaitingByClass, load: WaitingLoad, bounds: StartBounds): WaitingByClass {
+  const { startNeeds } = load;
+  switch (classifyStart(load, bounds.cap)) {
     case 'within-cap':
       return {
         ...sums,
         waiting: addResources(sums.waiting, multiplyResources(load.taskNeeds, load.tasks)),
-        largestStart: maximumResources(sums.largestStart, load.startNeeds),
+        largestStart: maximumResources(sums.largestStart, startNeeds),
+        largeStart: isLarge(load, bounds) ? largerOf(sums.largeStart, startNeeds) : sums.largeStart,
       };
     case 'oversized':
-      return {
-        ...sums,
-        oversizedStart: maximumResources(sums.oversizedStart ?? NO_RESOURCES, load.startNeeds),
-      };
+      return { ...sums, oversizedStart: largerOf(sums.oversizedStart, startNeeds) };
     default:
       return sums;
   }
 }
 
-/** Returns the workspaces of which a start that exceeds the cap may wait, with their caps. */
-function workspacesToScan({ workspaces }: ServiceState): ReadonlyMap<string, Resources> {
-  const caps = new Map<string, Resources>();
-  for (const [workspace, { largestStart, waitingTasks }] of workspaces.loads) {
-    const cap = capOf(workspaces.grants.get(workspace));
-    if (cap !== null && waitingTasks > 0 && !fits(largestStart, cap)) caps.set(workspace, cap);
+function boundsOf(state: ServiceState, grant: WorkspaceGrant): StartBounds {
+  const left = subtractResources(capToResources(grant.limit), runningOf(state, grant.workspace));
+  return { cap: capToResources(grant.cap), left };
+}
+
+/** Returns the workspaces of which a start beyond the limit may wait. */
+function workspacesToScan(state: ServiceState): ReadonlyMap<string, StartBounds> {
+  const { loads, grants } = state.workspaces;
+  const scanned = new Map<string, StartBounds>();
+  for (const [workspace, { largestStart, waitingTasks }] of loads) {
+    const grant = grants.get(workspace);
+    if (grant !== undefined && waitingTasks > 0) {
+      const bounds = boundsOf(state, grant);
+      const startNeeds = largestStart;
+      if (isLarge({ startNeeds, taskNeeds: startNeeds }, bounds)) scanned.set(workspace, bounds);
+    }
   }
-  return caps;
+  return scanned;
 }
 
-/** Returns what waits of each workspace of which a start that exceeds the cap may wait. Scans the queue only for these. */
-function scanOversized(state: ServiceState): ReadonlyMap<string, WaitingByClass> {
-  const caps = workspacesToScan(state);
-  const sums = new Map([...caps.keys()].map((workspace) => [workspace, NOTHING_WAITING]));
-  if (caps.size === 0) return sums;
+/** Returns what waits of each workspace of which a start beyond the limit may wait. Scans the queue only for these. */
+function scanWaiting(state: ServiceState): ReadonlyMap<string, WaitingByClass> {
+  const boundsByWorkspace = workspacesToScan(state);
+  const sums = new Map([...boundsByWorkspace.keys()].map((workspace) => [workspace, NOTHING_WAITING]));
+  if (boundsByWorkspace.size === 0) return sums;
   for (const load of state.waiting.steps.values()) {
-    const cap = load.workspace === null ? undefined : caps.get(load.workspace);
-    if (load.workspace !== null && cap !== undefined) {
-      sums.set(load.workspace, addWaiting(sums.get(load.workspace) ?? NOTHING_WAITING, load, cap));
+    const bounds = load.workspace === null ? undefined : boundsByWorkspace.get(load.workspace);
+    if (load.workspace !== null && bounds !== undefined) {
+      sums.set(load.workspace, addWaiting(sums.get(load.workspace) ?? NOTHING_WAITING, load, bounds));
     }
   }
   return sums;
 }
 
-function withinCap({ waiting, largestStart }: WorkspaceLoad): WaitingByClass {
-  return { waiting, largestStart, oversizedStart: null };
+function ordinaryOnly({ waiting, largestStart }: WorkspaceLoad): WaitingByClass {
+  return { waiting, largestStart, oversizedStart: null, largeStart: null };
 }
 
 /** Returns what waits of each workspace that has runs or waiting tasks. */
 export function selectWaitingByClass(state: ServiceState): ReadonlyMap<string, WaitingByClass> {
-  const scanned = scanOversized(state);
+  const scanned = scanWaiting(state);
   return new Map(
     [...state.workspaces.loads].map(([workspace, load]) => [
       workspace,
-      scanned.get(workspace) ?? withinCap(load),
+      scanned.get(workspace) ?? ordinaryOnly(load),
     ]),
   );
 }
--- a/packages/scheduling/src/decide/shares/workspace-limits.ts
+++ b/packages/scheduling/src/decide/shares/workspace-limits.ts
@@ -1,5 +1,5 @@
 /** Decides what a service may start of a workspace within the part of its cap that the fleet owner has granted. */
-import { addResources, fits, NO_RESOURCES } from '../../model/resources.js';
+import { addResources, fits, maximumResources, NO_RESOURCES } from '../../model/resources.js';
 import {
   capToResources,
   isCapped,
@@ -65,12 +65,13 @@
 
 /** Returns the need of the waiting tasks of a workspace that may start, in thousandths of a core. */
 function startableMilliCores(state: ServiceState, workspace: string, waits: WaitingByClass): number {
-  const { waiting, oversizedStart } = waits;
+  const { waiting, oversizedStart, largeStart } = waits;
   const running = state.workspaces.loads.get(workspace)?.running ?? NO_RESOURCES;
   const limit = capToResources(limitOf(state, workspace));
-  const oversized = isOversizedAllowed(state, workspace) ? oversizedStart : null;
+  const beyondLimit = maximumResources(oversizedStart ?? NO_RESOURCES, largeStart ?? NO_RESOURCES);
+  const allowedBeyondLimit = isOversizedAllowed(state, workspace) ? beyondLimit.milliCores : 0;
   const withinLimit = Math.min(waiting.milliCores, Math.max(0, limit.milliCores - running.milliCores));
-  return withinLimit + (oversized?.milliCores ?? 0);
+  return withinLimit + allowedBeyondLimit;
 }
 
 /** Returns the need of the waiting tasks that may not start within the limits of their workspaces, in thousandths of a core. */
@@ -96,6 +97,7 @@
       waiting: waits?.waiting ?? NO_RESOURCES,
       largestStart: waits?.largestStart ?? NO_RESOURCES,
       hasOversizedStart: (waits?.oversizedStart ?? null) !== null,
+      hasLargeStart: (waits?.largeStart ?? null) !== null,
       granted: limitOf(state, workspace),
       mayStartOversized: isOversizedAllowed(state, workspace),
     };
--- a/packages/scheduling/src/fleet/grants.ts
+++ b/packages/scheduling/src/fleet/grants.ts
@@ -105,6 +105,7 @@
     waiting: use?.waiting ?? NO_RESOURCES,
     largestStart: use?.largestStart ?? NO_RESOURCES,
     hasOversizedStart: use?.hasOversizedStart ?? false,
+    hasLargeStart: use?.hasLargeStart ?? false,
     mayStartOversized: known.oversizedAllowed.has(workspace),
   };
 }
--- a/packages/scheduling/src/model/workspace.ts
+++ b/packages/scheduling/src/model/workspace.ts
@@ -1,5 +1,5 @@
 /** Workspaces: groups of callers with a common share of the capacity and a common limit on what they run. */
-import type { Resources } from './resources.js';
+import { multiplyResources, type Resources } from './resources.js';
 
 /** The most that a workspace may have running, by resource; null for no limit. */
 export interface ResourceCap {
@@ -32,8 +32,8 @@
   /** The cap of the workspace over all services. */
   readonly cap: ResourceCap;
   /**
-   * The most that the service may have running of the workspace before the last run of a start that exceeds the cap;
-   * null if no such start is allowed.
+   * The most that the service may have running of the workspace before the last run of a start that exceeds half of the
+   * cap and does not fit into the limit; null if no such start is allowed.
    */
   readonly oversizedLimit: ResourceCap | null;
   readonly weight: number;
@@ -62,9 +62,11 @@
   readonly largestStart: Resources;
   /** Whether a start waits that exceeds the cap and may run once the workspace has little else running. */
   readonly hasOversizedStart: boolean;
+  /** Whether a start waits that exceeds half of the cap, but not the cap, and for which the limit has too little left. */
+  readonly hasLargeStart: boolean;
   /** The limit that the service owner applies. */
   readonly granted: ResourceCap;
-  /** Whether the service owner may make a start that exceeds the cap. */
+  /** Whether the service owner may make a start beyond its limit. */
   readonly mayStartOversized: boolean;
 }
 
@@ -79,6 +81,14 @@
   readonly provenSequence: number;
 }
 
+/** Share of its cap that a workspace may use when a start beyond its limits is made. */
+const SHARE_BESIDE_OVERSIZED = 0.5;
+
+/** Returns what a workspace may have running when a start beyond its limits is made. */
+export function capBesideOversized(cap: Resources): Resources {
+  return multiplyResources(cap, SHARE_BESIDE_OVERSIZED);
+}
+
 /** Returns whether a cap limits any resource. */
 export function isCapped({ milliCores, memoryMegabytes, accelerators }: ResourceCap): boolean {
   return milliCores !== null || memoryMegabytes !== null || accelerators !== null;
