Divide what runs leave of a cap, so that lasting runs block no service

Cause: a scarce cap was divided as a whole, in multiples of the largest start. Beside a run that lasts, the parts added up to what it leaves, but none held a start, and the next second another service came first.

Change: limits are raised by the part of what the runs leave, for services below their part by need, in whole starts. Limits are lowered as before, to the part of the whole cap.

--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -17,6 +17,9 @@
 /** Time in which work that has ended by itself starts again. */
 const RESTART_MILLISECONDS = 2_000;
 
+/** Time between two looks for idle work. */
+const LOOK_MILLISECONDS = 500;
+
 /** What the rules hear, and when they are asked. */
 export interface JobRules extends Pick<Referee, 'onStatusShown' | 'onPendingCounted' | 'checkRest'> {
   /** Jobs that were shown as completed. */
@@ -25,7 +28,7 @@
 
 /** Creates the rules. */
 export function createJobRules(
-  { time, plans }: RefereeParts,
+  { time, plans, workspaces }: RefereeParts,
   sightings: Sightings,
   mayWait: WorkspaceRules['mayWait'],
 ): JobRules {
@@ -113,12 +116,24 @@
     }
   };
 
+  /** Idle work after the time to start again; where caps make tasks take turns, only what was idle all the while. */
+  const findIdleAfterRestart = async (): Promise<ReadonlySet<string>> => {
+    const until = time.now() + RESTART_MILLISECONDS;
+    const looks: ReadonlyMap<string, string>[] = [];
+    while (time.now() < until) {
+      await time.runUntil(Math.min(until, time.now() + LOOK_MILLISECONDS));
+      looks.push(findIdle());
+    }
+    const last = new Set(looks.at(-1)?.keys());
+    if (workspaces?.hasLowCaps !== true) return last;
+    return new Set([...last].filter((jobId) => looks.every((look) => look.has(jobId))));
+  };
+
   /** Work that has just ended is given time to start again. */
   const checkRest = async (): Promise<void> => {
     checkCancelled();
     const first = findIdle();
-    await time.runUntil(time.now() + RESTART_MILLISECONDS);
-    const second = findIdle();
+    const second = await findIdleAfterRestart();
     first.forEach((detail, jobId) => {
       if (second.has(jobId)) {
         report('work-goes-on', `${jobId} is ${jobOf(jobId).shown ?? 'unknown'}: ${detail}`);
--- a/packages/scheduling/src/__tests__/workspace-grants.test.ts
+++ b/packages/scheduling/src/__tests__/workspace-grants.test.ts
@@ -66,6 +66,18 @@
     t.deepEqual(coresByService(8_000, holdings, true, 2), { a: 0, b: 0, c: 4_000, d: 4_000 });
   });
 
+  test('gives what runs that last leave of the cap to one service at a time', (t) => {
+    // Guards against parts that add up to the cap and let nothing start beside a run that lasts.
+    const holdings = [
+      holdingOf('a', 1_000, 1_000, 20_000, 1_800),
+      holdingOf('b', 0, 0, 12_000, 2_100),
+      holdingOf('c', 0, 0, 7_000, 1_900),
+    ];
+    t.deepEqual(coresByService(2_200, holdings), { a: 2_200, b: 0, c: 0 });
+    // The limit of `a` is lowered to its part, since it is not its turn; its runs go on.
+    t.deepEqual(coresByService(2_200, holdings, true, 1), { a: 33, b: 1_200, c: 0 });
+  });
+
   test('raises no limit by more than nobody holds, and lowers at once', (t) => {
     const holdings = [holdingOf('a', 10_000, 6_000, 0), holdingOf('b', 0, 0, 90_000)];
     t.deepEqual(coresByService(10_000, holdings), { a: 1_000, b: 0 });
--- a/packages/scheduling/src/decide/shares/workspace-grants.ts
+++ b/packages/scheduling/src/decide/shares/workspace-grants.ts
@@ -74,12 +74,51 @@
   return addEvenly(parts, left);
 }
 
+/**
+ * Divides what the runs leave of a cap that does not suffice among the services that have less than their part, again in
+ * whole starts. Runs may last, so parts of the whole cap could add up to what is left and let nothing start.
+ */
+function divideRest(cap: number, holdings: readonly Holding[], totalNeed: number): readonly number[] {
+  const rest = Math.max(0, cap - sum(holdings.map(({ running }) => running)));
+  const deficits = holdings.map(({ need, running }) => Math.max(0, (cap * need) / totalNeed - running));
+  const totalDeficit = sum(deficits);
+  if (rest === 0 || totalDeficit === 0) return holdings.map(() => 0);
+  const starts = holdings.map(({ start }) => Math.min(Math.max(1, start), rest));
+  const raises = deficits.map((deficit, index) => {
+    const start = starts[index] ?? 1;
+    return Math.floor((rest * deficit) / totalDeficit / start) * start;
+  });
+  let left = rest - sum(raises);
+  for (const [index, deficit] of deficits.entries()) {
+    const start = starts[index] ?? 1;
+    if (deficit > 0 && start <= left) {
+      raises[index] = (raises[index] ?? 0) + start;
+      left -= start;
+    }
+  }
+  return raises;
+}
+
+/** Parts of a resource that a service should have. */
+interface Target {
+  /** Its part by need, to which its limit is lowered if it has more. */
+  readonly part: number;
+  /** What it should get beside its runs, if anything. */
+  readonly raised: number | null;
+}
+
 /** Returns the part that each service should have: its need, and an equal part of what nobody needs. */
-function targetsOf(cap: number, holdings: readonly Holding[]): readonly number[] {
+function targetsOf(cap: number, holdings: readonly Holding[]): readonly Target[] {
   const needs = holdings.map(({ need }) => need);
   const totalNeed = sum(needs);
-  if (totalNeed <= cap) return addEvenly(needs, cap - totalNeed);
-  return divideScarce(cap, holdings, totalNeed);
+  if (totalNeed <= cap) {
+    return addEvenly(needs, cap - totalNeed).map((part) => ({ part, raised: part }));
+  }
+  const raises = divideRest(cap, holdings, totalNeed);
+  return divideScarce(cap, holdings, totalNeed).map((part, index) => {
+    const raise = raises[index] ?? 0;
+    return { part, raised: raise > 0 ? (holdings[index]?.running ?? 0) + raise : null };
+  });
 }
 
 function limitsOf(cap: number, holdings: readonly Holding[], mayRaise: boolean): readonly number[] {
@@ -88,10 +127,11 @@
   const held = holdings.map(({ limit, running }) => Math.max(limit, running));
   let free = mayRaise ? cap - sum(held) : 0;
   return holdings.map(({ lowestLimit }, index) => {
-    const target = targets[index] ?? 0;
+    const { part, raised } = targets[index] ?? { part: 0, raised: null };
     const holds = held[index] ?? 0;
-    if (target <= holds || free <= 0) return Math.min(lowestLimit, target);
-    const raise = Math.min(target - holds, free);
+    if (raised === null || raised < holds) return Math.min(lowestLimit, Math.max(part, raised ?? 0));
+    if (raised === holds || free <= 0) return Math.min(lowestLimit, raised);
+    const raise = Math.min(raised - holds, free);
     free -= raise;
     return holds + raise;
   });
