--- a/packages/scheduling/src/decide/shares/workspace-grants.ts
+++ b/packages/scheduling/src/decide/shares/workspace-grants.ts
@@ -52,51 +52,69 @@
   return parts.map((part) => part + Math.floor(amount / parts.length));
 }
 
+/** How an amount is divided: by share, in whole starts. */
+interface Division {
+  /** Shares of the services; their sum is 1. */
+  readonly shares: readonly number[];
+  /** What a service needs for one start. */
+  readonly starts: readonly number[];
+  /** Returns whether a service with a part wants another start. */
+  readonly wantsMore: (index: number, part: number) => boolean;
+}
+
 /**
- * Divides a cap that does not suffice in proportion to need, in whole starts: parts that are smaller than a task would
- * let nothing start. What is left goes to one service after the other, from the first on.
+ * Divides an amount in whole starts: parts that are smaller than a task would let nothing start. What is left goes to one
+ * service after the other, from the first on.
+ * @returns the parts, and what is too little for another start
  */
-function divideScarce(cap: number, holdings: readonly Holding[], totalNeed: number): readonly number[] {
-  const starts = holdings.map(({ start }) => Math.min(Math.max(1, start), cap));
-  const parts = holdings.map(({ need }, index) => {
+function divideInStarts(
+  amount: number,
+  { shares, starts, wantsMore }: Division,
+): { readonly parts: readonly number[]; readonly left: number } {
+  const parts = shares.map((share, index) => {
     const start = starts[index] ?? 1;
-    return Math.floor((cap * need) / totalNeed / start) * start;
+    return Math.floor((amount * share) / start) * start;
   });
-  let left = cap - sum(parts);
-  for (const [index, { need }] of holdings.entries()) {
-    const start = starts[index] ?? 1;
+  let left = amount - sum(parts);
+  for (const [index, start] of starts.entries()) {
     const part = parts[index] ?? 0;
-    if (part < need && start <= left) {
+    if (wantsMore(index, part) && start <= left) {
       parts[index] = part + start;
       left -= start;
     }
   }
+  return { parts, left };
+}
+
+/** Returns what each service needs for one start, at most `largest`. */
+function startsUpTo(largest: number, holdings: readonly Holding[]): readonly number[] {
+  return holdings.map(({ start }) => Math.min(Math.max(1, start), largest));
+}
+
+/** Divides a cap that does not suffice in proportion to need. */
+function divideScarce(cap: number, holdings: readonly Holding[], totalNeed: number): readonly number[] {
+  const { parts, left } = divideInStarts(cap, {
+    shares: holdings.map(({ need }) => need / totalNeed),
+    starts: startsUpTo(cap, holdings),
+    wantsMore: (index, part) => part < (holdings[index]?.need ?? 0),
+  });
   return addEvenly(parts, left);
 }
 
 /**
- * Divides what the runs leave of a cap that does not suffice among the services that have less than their part, again in
- * whole starts. Runs may last, so parts of the whole cap could add up to what is left and let nothing start.
+ * Divides what the runs leave of a cap that does not suffice among the services that have less than their part. Runs may
+ * last, so parts of the whole cap could add up to what is left and let nothing start.
  */
 function divideRest(cap: number, holdings: readonly Holding[], totalNeed: number): readonly number[] {
-  const rest = Math.max(0, cap - sum(holdings.map(({ running }) => running)));
+  const rest = cap - sum(holdings.map(({ running }) => running));
   const deficits = holdings.map(({ need, running }) => Math.max(0, (cap * need) / totalNeed - running));
   const totalDeficit = sum(deficits);
-  if (rest === 0 || totalDeficit === 0) return holdings.map(() => 0);
-  const starts = holdings.map(({ start }) => Math.min(Math.max(1, start), rest));
-  const raises = deficits.map((deficit, index) => {
-    const start = starts[index] ?? 1;
-    return Math.floor((rest * deficit) / totalDeficit / start) * start;
-  });
-  let left = rest - sum(raises);
-  for (const [index, deficit] of deficits.entries()) {
-    const start = starts[index] ?? 1;
-    if (deficit > 0 && start <= left) {
-      raises[index] = (raises[index] ?? 0) + start;
-      left -= start;
-    }
-  }
-  return raises;
+  if (rest <= 0 || totalDeficit === 0) return holdings.map(() => 0);
+  return divideInStarts(rest, {
+    shares: deficits.map((deficit) => deficit / totalDeficit),
+    starts: startsUpTo(rest, holdings),
+    wantsMore: (index) => (deficits[index] ?? 0) > 0,
+  }).parts;
 }
 
 /** Parts of a resource that a service should have. */
--- a/packages/scheduling/src/decide/shares/workspace-limits.ts
+++ b/packages/scheduling/src/decide/shares/workspace-limits.ts
@@ -13,10 +13,10 @@
   classifyStartOf,
   isOversizedAllowed,
   mayStartOversized,
-  selectWaitingByClass,
+  runningOf,
   type StartSize,
-  type WaitingByClass,
 } from './oversized-starts.js';
+import { selectWaitingByClass, type WaitingByClass } from './waiting-by-class.js';
 
 /**
  * Returns the most that the service may have running of a workspace. Without a grant nothing may start, unless the
@@ -34,7 +34,7 @@
 /** Returns whether the service may make a start of a workspace now. */
 export function mayStart(state: ServiceState, workspace: string | null, size: StartSize): boolean {
   if (workspace === null) return true;
-  const running = state.workspaces.loads.get(workspace)?.running ?? NO_RESOURCES;
+  const running = runningOf(state, workspace);
   const limit = capToResources(limitOf(state, workspace));
   return fits(addResources(running, size.startNeeds), limit) || mayStartOversized(state, workspace, size);
 }
@@ -66,7 +66,7 @@
 /** Returns the need of the waiting tasks of a workspace that may start, in thousandths of a core. */
 function startableMilliCores(state: ServiceState, workspace: string, waits: WaitingByClass): number {
   const { waiting, oversizedStart, largeStart } = waits;
-  const running = state.workspaces.loads.get(workspace)?.running ?? NO_RESOURCES;
+  const running = runningOf(state, workspace);
   const limit = capToResources(limitOf(state, workspace));
   const beyondLimit = maximumResources(oversizedStart ?? NO_RESOURCES, largeStart ?? NO_RESOURCES);
   const allowedBeyondLimit = isOversizedAllowed(state, workspace) ? beyondLimit.milliCores : 0;
