Give no turn to a large start while starts elsewhere cannot be held back

Cause: found by reading. After a change of the fleet owner, and while a service is silent, a turn of an oversized start lowered the limits of all services to zero, although it could not be allowed and nothing could be raised again.

Change: turns begin only while every service is known, and has reported within a second unless it may start nothing of the workspace.

Measured: three new tests, of which "a service is not known" and "does not respond" failed before.

--- a/packages/scheduling/src/__tests__/oversized-turn.test.ts
+++ b/packages/scheduling/src/__tests__/oversized-turn.test.ts
@@ -53,6 +53,7 @@
     hasOversizedStart: known.oversizedWaiting > 0,
     hasLargeStart: known.largeWaiting,
     mayStartOversized: known.oversizedLimit !== null,
+    isResponding: true,
   });
   const total = (): number => Object.values(services).reduce((sum, { running }) => sum + running, 0);
   const start = (service: string, known: ModelService): void => {
@@ -170,6 +171,7 @@
     hasOversizedStart: false,
     hasLargeStart: false,
     mayStartOversized: false,
+    isResponding: true,
     ...fields,
   });
   const oversizedServices = (holdings: readonly WorkspaceHolding[], areAllKnown = true): readonly string[] =>
@@ -191,8 +193,28 @@
     t.deepEqual(oversizedServices([wanting, holdingOf('b', { mayStartOversized: true })]), []);
   });
 
-  test('allows none while a service is not known', (t) => {
-    t.deepEqual(oversizedServices([wanting, holdingOf('b')], false), []);
+  describe('holds no service back in vain', () => {
+    const limitOfOther = (fields: Partial<WorkspaceHolding>, areAllKnown: boolean): number | undefined => {
+      const limit = resourcesOf(1_000);
+      const waiting = resourcesOf(9_000);
+      const other = holdingOf('b', { limit, lowestLimit: limit, waiting, largestStart: limit, ...fields });
+      const { limits } = planCappedWorkspace(CAP, [wanting, other], FIRST_TURN, areAllKnown, 0, 1);
+      return limits.find(({ service }) => service === 'b')?.limit.milliCores;
+    };
+
+    test('while a service is not known', (t) => {
+      t.deepEqual(oversizedServices([wanting, holdingOf('b')], false), []);
+      t.is(limitOfOther({}, false), 1_000);
+    });
+
+    test('while a service that may start something does not respond', (t) => {
+      t.is(limitOfOther({ isResponding: false }, true), 3_000);
+      t.is(limitOfOther({}, true), 0);
+    });
+
+    test('for a service that does not respond and may start nothing', (t) => {
+      t.deepEqual(oversizedServices([wanting, holdingOf('b', { isResponding: false })]), ['a']);
+    });
   });
 
   test('raises no limit while a service may be allowed a start that exceeds the cap', (t) => {
--- a/packages/scheduling/src/decide/shares/capped-plan.ts
+++ b/packages/scheduling/src/decide/shares/capped-plan.ts
@@ -9,6 +9,7 @@
 } from '../../model/resources.js';
 import { capBesideOversized } from '../../model/workspace.js';
 import {
+  FIRST_TURN,
   hasRoomForOversized,
   nextTurn,
   type OversizedTurn,
@@ -22,6 +23,8 @@
   readonly hasLargeStart: boolean;
   /** Whether the service may be allowed a start beyond its limit by grants that are in force or under way. */
   readonly mayStartOversized: boolean;
+  /** Whether the service has reported lately. */
+  readonly isResponding: boolean;
 }
 
 /** Next limits of one service. */
@@ -95,6 +98,23 @@
   return { turn: { ...turn, isAllowed: turn.isAllowed || isAllowed }, limits };
 }
 
+/** Returns whether all starts could be held back soon: limits of services that do not respond stay in force. */
+function canHoldStarts(holdings: readonly WorkspaceHolding[]): boolean {
+  return holdings.every(({ limit, isResponding }) => isResponding || fits(limit, NO_RESOURCES));
+}
+
+/** Returns whose turn it is. Without knowledge of all grants in force, a turn would only hold the others back. */
+function turnOf(
+  formerTurn: OversizedTurn,
+  situation: WorkspaceSituation,
+  holdings: readonly WorkspaceHolding[],
+  areAllKnown: boolean,
+  now: Instant,
+): OversizedTurn {
+  if (areAllKnown && canHoldStarts(holdings)) return nextTurn(formerTurn, situation, now);
+  return { ...FIRST_TURN, lastService: formerTurn.service ?? formerTurn.lastService, ordinarySince: now };
+}
+
 /**
  * Plans the next limits of a workspace.
  * @param cap the cap of the workspace, Infinity for no limit
@@ -113,11 +133,10 @@
   firstIndex: number,
 ): CappedPlan {
   const situation = situationOf(cap, holdings);
-  const turn = nextTurn(formerTurn, situation, now);
+  const turn = turnOf(formerTurn, situation, holdings, areAllKnown, now);
   // While more runs than the cap allows, no start may add to it, not even one that needs other resources.
   if (turn.heldSince !== null || !fits(situation.running, cap)) {
-    const isAllowed = areAllKnown && isOversizedAllowed(situation, holdings, turn);
-    return planHeld(situation, holdings, turn, isAllowed);
+    return planHeld(situation, holdings, turn, isOversizedAllowed(situation, holdings, turn));
   }
   const shared = turn.service === null ? cap : capBesideOversized(cap);
   const mayRaise = areAllKnown && holdings.every(({ mayStartOversized }) => !mayStartOversized);
--- a/packages/scheduling/src/fleet/grants.ts
+++ b/packages/scheduling/src/fleet/grants.ts
@@ -28,6 +28,9 @@
 /** Time after which another service comes first when a cap is divided in parts of whole tasks. */
 const TURN_MILLISECONDS = 1_000;
 
+/** Age of its newest report up to which a service counts as responding; reports come several times a second. */
+const RESPONSE_MILLISECONDS = 1_000;
+
 /** Longest time that a message with grants is under way. */
 const MESSAGE_MILLISECONDS = 1_000;
 
@@ -107,6 +110,7 @@
     hasOversizedStart: use?.hasOversizedStart ?? false,
     hasLargeStart: use?.hasLargeStart ?? false,
     mayStartOversized: known.oversizedAllowed.has(workspace),
+    isResponding: state.now - (known.reportedAt ?? -Infinity) <= RESPONSE_MILLISECONDS,
   };
 }
 
