--- a/packages/scheduling/src/decide/shares/capped-plan.ts
+++ b/packages/scheduling/src/decide/shares/capped-plan.ts
@@ -65,7 +65,7 @@
 }
 
 /** Returns whether the start beyond the limits may be made now. */
-function isOversizedAllowed(
+function canAllowOversized(
   situation: WorkspaceSituation,
   holdings: readonly WorkspaceHolding[],
   turn: OversizedTurn,
@@ -136,7 +136,7 @@
   const turn = turnOf(formerTurn, situation, holdings, areAllKnown, now);
   // While more runs than the cap allows, no start may add to it, not even one that needs other resources.
   if (turn.heldSince !== null || !fits(situation.running, cap)) {
-    return planHeld(situation, holdings, turn, isOversizedAllowed(situation, holdings, turn));
+    return planHeld(situation, holdings, turn, canAllowOversized(situation, holdings, turn));
   }
   const shared = turn.service === null ? cap : capBesideOversized(cap);
   const mayRaise = areAllKnown && holdings.every(({ mayStartOversized }) => !mayStartOversized);
--- a/packages/scheduling/src/decide/shares/oversized-starts.ts
+++ b/packages/scheduling/src/decide/shares/oversized-starts.ts
@@ -1,6 +1,7 @@
 /**
  * Starts beyond the limits of their workspace. A workspace may have its cap and one task more running, so a task larger
- * than the cap, or than what others leave of it, may run, one at a time, while the workspace has little else running.
+ * than the cap, or than what others leave of it, may run, one at a time, while the workspace has little else running. A
+ * start that makes use of this is called oversized.
  */
 import {
   addResources,
--- a/packages/scheduling/src/fleet/grants.ts
+++ b/packages/scheduling/src/fleet/grants.ts
@@ -2,7 +2,7 @@
 import { Map as PersistentMap } from 'immutable';
 import { termsInForce, versionsInForce } from '../decide/shares/caps-in-force.js';
 import { planCappedWorkspace, type WorkspaceHolding } from '../decide/shares/capped-plan.js';
-import { FIRST_TURN } from '../decide/shares/oversized-turn.js';
+import { FIRST_TURN, type OversizedTurn } from '../decide/shares/oversized-turn.js';
 import type { Instant } from '../model/instant.js';
 import { fits, maximumResources, NO_RESOURCES, type Resources } from '../model/resources.js';
 import type { ServiceReport } from '../model/service-report.js';
@@ -117,19 +117,18 @@
 /** Next grants of all services, by service and workspace. */
 type Plan = ReadonlyMap<string, Map<string, WorkspaceGrant>>;
 
-/** Plans the grants of a capped workspace. */
+/** Plans the grants of a capped workspace, and returns whose turn it is. */
 function planCapped(
   state: FleetState,
   services: readonly string[],
   terms: WorkspaceTerms,
   plan: Plan,
-): FleetState {
+): OversizedTurn {
   const { name, weight, cap } = terms;
-  const { oversizedTurns } = state.grants;
   const { turn, limits } = planCappedWorkspace(
     capToResources(cap),
     services.map((service) => holdingOf(state, service, name)),
-    oversizedTurns.get(name) ?? FIRST_TURN,
+    state.grants.oversizedTurns.get(name) ?? FIRST_TURN,
     services.every((service) => grantStateOf(state.grants, service).isKnown),
     state.now,
     Math.floor(state.now / TURN_MILLISECONDS),
@@ -143,7 +142,7 @@
       weight,
     });
   }
-  return updateGrants(state, { oversizedTurns: new Map(oversizedTurns).set(name, turn) });
+  return turn;
 }
 
 /** Plans the grants of all capped workspaces in use. */
@@ -153,12 +152,14 @@
   terms: ReadonlyMap<string, WorkspaceTerms>,
   plan: Plan,
 ): FleetState {
-  let next = state;
+  const oversizedTurns = new Map<string, OversizedTurn>();
   for (const workspace of state.grants.neededAt.keys()) {
     const known = terms.get(workspace);
-    if (known !== undefined && isCapped(known.cap)) next = planCapped(next, services, known, plan);
+    if (known !== undefined && isCapped(known.cap)) {
+      oversizedTurns.set(workspace, planCapped(state, services, known, plan));
+    }
   }
-  return next;
+  return updateGrants(state, { oversizedTurns });
 }
 
 /** Lifts the limits of workspaces that are no longer capped, such as those that were removed. */
@@ -262,10 +263,10 @@
   const terms = termsInForce(versions);
   const cappedSince = trackCaps(grants, terms);
   const neededAt = trackNeeds(state);
-  let next = updateGrants(state, { versions, cappedSince, neededAt });
-  const services = grantedServices(next);
+  const begun = updateGrants(state, { versions, cappedSince, neededAt });
+  const services = grantedServices(begun);
   const plan: Plan = new Map(services.map((service) => [service, new Map<string, WorkspaceGrant>()]));
-  next = planAllCapped(next, services, terms, plan);
+  let next = planAllCapped(begun, services, terms, plan);
   for (const service of services) planUncapped(next, service, terms, plan);
   const cappedVersion = Math.max(0, ...cappedSince.values());
   for (const { service, sequence } of messages) {
