--- a/packages/fleet-emulator/src/job-rules.ts
+++ b/packages/fleet-emulator/src/job-rules.ts
@@ -99,7 +99,7 @@
       const tasks = allTasks(jobId);
       const lasting = tasks.filter((key) => stepOfTask(plans, key)?.isLasting === true);
       const lastingOff = lasting.filter((key) => !runsOf(key).some(isOn) && !mayWait(key));
-      // Only caps keep a job from going on: where none does, its tasks are not looked at one by one.
+      // A cap withholds a job if it lets a task of it wait and no other task of it could run.
       const isWithheld = tasks.some(mayWait) && !tasks.some(shouldRun);
       if (!isWithheld && !tasks.some((key) => runsOf(key).some(isOn))) idle.set(jobId, 'nothing of it runs');
       else if (lastingOff.length > 0) idle.set(jobId, `${lastingOff.length} lasting tasks do not run`);
