Tell callers and the log why a job has failed, and by which evidence

The status of a job said `failed` alone, and the log gave one sentence without the evidence and without the cap in force.

Change: jobs end as failed in one place, from a typed failure: failed runs of a task, or crashes of workers under it. Earlier records and peers have no reason.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -95,6 +95,11 @@
   },
   jobEnded: { number: 512, level: 'info', message: 'job ended' },
   jobForgotten: { number: 513, level: 'info', message: 'status of an ended job deleted' },
+  jobFailed: {
+    number: 514,
+    level: 'warn',
+    message: 'job failed; the fields give the evidence and the limits in force',
+  },
   taskPlaced: {
     number: 521,
     level: 'info',
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -3,7 +3,12 @@
 import { createFrontend, type Frontend } from '../frontend/frontend.js';
 import { decodeRecord } from '../owner/record-codec.js';
 import type { ServiceOwner } from '../owner/service-owner.js';
-import { parsePeerRequest, type PeerRequest, type PeerResponse } from '../peers/messages.js';
+import {
+  parsePeerRequest,
+  parsePeerResponse,
+  type PeerRequest,
+  type PeerResponse,
+} from '../peers/messages.js';
 import { createPeerRequestHandler } from '../peers/peer-request-handler.js';
 import type { KeyedRecord, Queue } from '../ports/index.js';
 import { PUBLISHED_LIMITS } from './published-limits.js';
@@ -89,7 +94,11 @@
   });
 
   it('is asked for and cancelled with the workspace of the caller', async (t) => {
-    const { frontend, requests } = createHarness({ kind: 'job-status', status: 'queued' });
+    const { frontend, requests } = createHarness({
+      kind: 'job-status',
+      status: 'queued',
+      failureReason: null,
+    });
     t.is((await frontend.cancel(QUEUE, 'a', 1_000, 'red')).kind, 'cancelled');
     t.deepEqual(
       requests.map((request) => [request.kind, 'workspace' in request ? request.workspace : 'absent']),
@@ -107,6 +116,11 @@
     t.deepEqual(stored, []);
   });
 
+  it('has no reason of its failure from an owner of an earlier version', (t) => {
+    const response = parsePeerResponse({ kind: 'job-status', status: 'failed' });
+    t.deepEqual(response, { kind: 'job-status', status: 'failed', failureReason: null });
+  });
+
   it('is not cancelled while its owner cannot confirm the workspace of the caller', async (t) => {
     const { frontend, stored } = createHarness(null);
     t.is((await frontend.cancel(QUEUE, 'a', 1_000, 'blue')).kind, 'unavailable');
--- a/packages/scheduler/src/__tests__/record-codec.test.ts
+++ b/packages/scheduler/src/__tests__/record-codec.test.ts
@@ -9,6 +9,7 @@
   occurrencesDoneBelow: 1,
   occurrences: [],
   hasStarted: true,
+  failureReason: null,
 };
 
 describe('service records', ({ it }) => {
@@ -19,6 +20,19 @@
     t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
   });
 
+  it('keeps the reason of a failed job, and reads none from an earlier record', (t) => {
+    const progress = { ...PROGRESS, phase: 'failed' as const, failureReason: '2 runs failed' };
+    const record = { kind: 'job-progress' as const, jobId: 'a', progress };
+    const [keyed] = encodeRecord(record);
+    if (keyed === undefined) throw new Error('Expected a keyed record');
+    t.deepEqual(decodeRecord({ ...keyed, offset: 3 }), { kind: 'record', record: { offset: 3, record } });
+    const value = new Encoder({ useRecords: false }).encode(['failed', 'quotes', [], 1, [], true]);
+    t.deepEqual(decodeRecord({ ...keyed, value, offset: 3 }), {
+      kind: 'record',
+      record: { offset: 3, record: { ...record, progress: { ...progress, failureReason: null } } },
+    });
+  });
+
   it('keeps the model of interference, and reads none of another version', (t) => {
     const baseline = {
       image: 'shop',
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -207,7 +207,9 @@
     const { name, service } = queue;
     const request = { kind: 'job-status' as const, service, queue: name, jobId, workspace };
     const answer = await requestFromOwner(queue, request, remainingMilliseconds);
-    if (answer?.kind === 'job-status') return { kind: 'known', status: answer.status };
+    if (answer?.kind === 'job-status') {
+      return { kind: 'known', status: answer.status, failureReason: answer.failureReason };
+    }
     if (answer?.kind === 'unknown-job') return { kind: 'unknown-job' };
     writeEvent('statusUnavailable', { jobId, queue: queue.name });
     return { kind: 'unavailable' };
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -59,6 +59,8 @@
   occurrences: readonly (readonly [occurrence: number, steps: readonly (readonly EncodedTask[])[]])[],
   /** Absent in records of earlier versions. */
   hasStarted?: boolean,
+  /** Absent in records of earlier versions and of jobs that have not failed. */
+  failureReason?: string,
 ];
 
 /** Progress of a part: its tasks by step. */
@@ -107,18 +109,20 @@
   const occurrences = progress.occurrences.map(
     ({ occurrence, steps }) => [occurrence, steps.map((tasks) => tasks.map(encodeTask))] as const,
   );
-  const { phase, queue, occurrencesDone, occurrencesDoneBelow, hasStarted } = progress;
-  return [phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted];
+  const { phase, queue, occurrencesDone, occurrencesDoneBelow, hasStarted, failureReason } = progress;
+  const fields = [phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted] as const;
+  return failureReason === null ? fields : [...fields, failureReason];
 }
 
 function decodeProgress(encoded: EncodedProgress): JobProgress {
-  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows, recordedStart] = encoded;
+  const [phase, queue, occurrencesDone, occurrencesDoneBelow, rows] = encoded;
+  const [, , , , , recordedStart, failureReason = null] = encoded;
   const hasStarted = recordedStart ?? (rows.length > 0 || occurrencesDoneBelow > 0);
   const occurrences = rows.map(([occurrence, steps]) => ({
     occurrence,
     steps: steps.map((tasks) => tasks.map(decodeTask)),
   }));
-  return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted };
+  return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted, failureReason };
 }
 
 function partKeyOf({ jobId, occurrence, part }: JobPart): string {
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -126,7 +126,12 @@
 
 /** The response to a request or notice. */
 export type PeerResponse =
-  | { readonly kind: 'job-status'; readonly status: JobStatus }
+  | {
+      readonly kind: 'job-status';
+      readonly status: JobStatus;
+      /** Why the job has failed; null if it has not, or if that is not known. */
+      readonly failureReason: string | null;
+    }
   | { readonly kind: 'unknown-job' }
   | { readonly kind: 'cancel-noted' }
   | { readonly kind: 'pending-count'; readonly pending: number }
@@ -152,6 +157,7 @@
   z.object({
     kind: z.literal('job-status'),
     status: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled']),
+    failureReason: z.string().nullable().default(null),
   }),
   z.object({ kind: z.literal('unknown-job') }),
   z.object({ kind: z.literal('cancel-noted') }),
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -1,6 +1,7 @@
 /** Answers requests from other processes about the services and the fleet that this process owns. */
 import {
   isJobOfOtherWorkspace,
+  selectFailureReason,
   selectJobStatus,
   selectPendingCount,
   selectServiceReport,
@@ -52,19 +53,28 @@
   return { kind: 'cancel-noted' };
 }
 
+/** Returns the status of a job as far as it is known without a read; null if the job is unknown. */
+function findJobStatus(
+  state: ServiceState,
+  { queue, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
+): PeerResponse | null {
+  const status = selectJobStatus(state, queue, jobId, workspace);
+  if (status === null) return null;
+  return { kind: 'job-status', status, failureReason: selectFailureReason(state, jobId) };
+}
+
 /** Returns the status of a job. Reads the log to its end for an unknown job, which may just have been accepted. */
 async function answerJobStatus(
   owner: ServiceOwner,
   state: ServiceState,
-  { queue, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
+  request: Extract<PeerRequest, { readonly kind: 'job-status' }>,
 ): Promise<PeerResponse> {
-  const knownStatus = selectJobStatus(state, queue, jobId, workspace);
-  if (knownStatus !== null) return { kind: 'job-status', status: knownStatus };
+  const known = findJobStatus(state, request);
+  if (known !== null) return known;
   const isCaughtUp = await owner.catchUp();
   const caughtUp = owner.state();
   if (!isCaughtUp || caughtUp === null) return NOT_OWNER;
-  const status = selectJobStatus(caughtUp, queue, jobId, workspace);
-  return status === null ? { kind: 'unknown-job' } : { kind: 'job-status', status };
+  return findJobStatus(caughtUp, request) ?? { kind: 'unknown-job' };
 }
 
 /** Creates the request handler. */
--- a/packages/scheduler/src/ports/callers.ts
+++ b/packages/scheduler/src/ports/callers.ts
@@ -28,7 +28,12 @@
 
 /** The result of a job status query. */
 export type JobStatusResult =
-  | { readonly kind: 'known'; readonly status: JobStatus }
+  | {
+      readonly kind: 'known';
+      readonly status: JobStatus;
+      /** Why the job has failed; null if it has not, or if that is not known. */
+      readonly failureReason: string | null;
+    }
   | { readonly kind: 'unknown-job' }
   | { readonly kind: 'unavailable' };
 
--- a/packages/scheduling/src/__tests__/crashing-tasks.test.ts
+++ b/packages/scheduling/src/__tests__/crashing-tasks.test.ts
@@ -141,6 +141,7 @@
         },
       ],
       hasStarted: true,
+      failureReason: null,
     });
     const startsAfter = (workerCrashes: number): number => {
       const harness = createServiceHarness([
--- a/packages/scheduling/src/__tests__/quarantine-scene.ts
+++ b/packages/scheduling/src/__tests__/quarantine-scene.ts
@@ -31,6 +31,7 @@
     occurrencesDoneBelow: 0,
     occurrences: [{ occurrence: 0, steps: [tasks] }],
     hasStarted: true,
+    failureReason: null,
   };
   return [
     { offset, record: { kind: 'job-accepted', request } },
--- a/packages/scheduling/src/__tests__/wide-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/wide-jobs.test.ts
@@ -172,6 +172,7 @@
     occurrencesDoneBelow: 0,
     occurrences: [{ occurrence: 0, steps: [[{ ...task, ...sound }]] }],
     hasStarted: true,
+    failureReason: null,
   };
   const records: readonly StoredServiceRecord[] = [
     { offset: 1, record: { kind: 'job-accepted', request: wideJob() } },
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -23,7 +23,12 @@
 export { reduceService } from './service/reduce.js';
 export { restoreService, type RestoreInput } from './service/restore.js';
 export { selectQueueStatistics, type QueueStatistics } from './service/queue-statistics.js';
-export { isJobOfOtherWorkspace, selectJobStatus, selectPendingCount } from './service/selectors.js';
+export {
+  isJobOfOtherWorkspace,
+  selectFailureReason,
+  selectJobStatus,
+  selectPendingCount,
+} from './service/selectors.js';
 export type { Instant } from './model/instant.js';
 export { stepRequestOf } from './model/step-needs.js';
 export type { JobState, ServiceState, StepState, TaskState } from './state/service-state.js';
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -44,6 +44,8 @@
   readonly occurrences: readonly OccurrenceProgress[];
   /** Whether a worker was known to have started a run of the job. */
   readonly hasStarted: boolean;
+  /** Why the job has failed; null if it has not, or was ended by an earlier version. */
+  readonly failureReason: string | null;
 }
 
 /** Identifies a part of a job: a fixed range of the tasks of one occurrence, counted through its steps. */
--- a/packages/scheduling/src/service/crash-verdicts.ts
+++ b/packages/scheduling/src/service/crash-verdicts.ts
@@ -2,7 +2,7 @@
 import { taskIdOf, type TaskKey } from '../model/job.js';
 import { forgetOldCrashes, hasSurvived } from '../decide/quarantine/crash-evidence.js';
 import type { ServiceStep } from '../state/effect.js';
-import { endJob } from './jobs.js';
+import { failJob } from './job-failures.js';
 import { excuseMassEnds, MASS_END_MILLISECONDS } from './mass-ends.js';
 import {
   isExcused,
@@ -31,17 +31,18 @@
 }
 
 function* decide(state: ServiceState, taskId: string, verdict: PendingVerdict): ServiceStep<ServiceState> {
-  const { key } = verdict;
+  const { key, evidence } = verdict;
   const decided = updateService(state, {
     quarantine: updateQuarantine(state.quarantine, {
       verdicts: state.quarantine.verdicts.remove(taskId),
       isStale: true,
     }),
   });
-  const crashes = findTask(state, key)?.workerCrashes ?? 0;
-  const isVoid = isExcused(state.quarantine, verdict.evidence, taskId);
-  if (isVoid || crashes < limitOf(state, verdict)) return decided;
-  return yield* endJob(decided, key.jobId, 'failed', `${crashes} workers crashed under a task`);
+  const workerCrashes = findTask(state, key)?.workerCrashes ?? 0;
+  const limit = limitOf(state, verdict);
+  const isVoid = isExcused(state.quarantine, evidence, taskId);
+  if (isVoid || workerCrashes < limit) return decided;
+  return yield* failJob(decided, { kind: 'workers-crashed', key, workerCrashes, limit, evidence });
 }
 
 function* decideDueVerdicts(state: ServiceState): ServiceStep<ServiceState> {
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -116,6 +116,7 @@
     phase: 'active',
     recordedPhase: 'active',
     cancelRequested: false,
+    failureReason: null,
     occurrences: PersistentMap(begun.map((occurrence) => [occurrence.occurrence, occurrence])),
     occurrencesDone: PersistentSet(),
     occurrencesDoneBelow: 0,
@@ -215,7 +216,9 @@
   if (job === undefined || job.phase !== 'active') return state;
   const milliseconds = Math.round(state.now - job.arrivedAt);
   yield { kind: 'log', decision: 'jobEnded', fields: { jobId, phase, reason, milliseconds } };
-  let next = markJobChanged(state, updateJob(job, { phase, endedInVersion: job.version + 1 }));
+  const failureReason = phase === 'failed' ? reason : null;
+  const ended = updateJob(job, { phase, failureReason, endedInVersion: job.version + 1 });
+  let next = markJobChanged(state, ended);
   for (const [key, run] of runsOfJob(job)) {
     next = run.phase === 'recording' ? removeRun(next, key, run) : yield* orderStop(next, key, run, reason);
   }
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -36,6 +36,7 @@
     occurrencesDoneBelow: job.occurrencesDoneBelow,
     occurrences,
     hasStarted: job.hasStarted,
+    failureReason: job.failureReason,
   };
 }
 
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -208,6 +208,7 @@
     phase: progress.phase,
     recordedPhase: progress.phase,
     cancelRequested: progress.phase === 'cancelled',
+    failureReason: progress.failureReason,
     occurrences,
     occurrencesDone: PersistentSet(progress.occurrencesDone),
     occurrencesDoneBelow: progress.occurrencesDoneBelow,
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -2,7 +2,8 @@
 import type { RunEnd, TaskKey } from '../model/job.js';
 import type { ServiceStep } from '../state/effect.js';
 import { learnFromEnd } from './interference.js';
-import { endJob, finishOccurrence, markReadySteps } from './jobs.js';
+import { failJob } from './job-failures.js';
+import { finishOccurrence, markReadySteps } from './jobs.js';
 import { orderStop } from './runs.js';
 import { runLogFields } from '../state/run-log-fields.js';
 import type { JobState, Run, ServiceState, TaskState } from '../state/service-state.js';
@@ -102,10 +103,16 @@
   const task = findTask(removed, key);
   if (job === undefined || task === null || task.isDone) return removed;
   const request = stepRequestOf(job.request, key.step);
-  if (request.isLasting || failedRunsOf(job, key, request.isGang) < job.request.maximumFailedRuns) {
-    return removed;
-  }
-  return yield* endJob(removed, key.jobId, 'failed', `a task failed ${job.request.maximumFailedRuns} times`);
+  const failedRuns = failedRunsOf(job, key, request.isGang);
+  const limit = job.request.maximumFailedRuns;
+  if (request.isLasting || failedRuns < limit) return removed;
+  return yield* failJob(removed, {
+    kind: 'runs-failed',
+    key,
+    failedRuns,
+    limit,
+    lastWorkerId: run.workerId,
+  });
 }
 
 function failedRunsOf(job: JobState, key: TaskKey, isGang: boolean): number {
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -31,6 +31,12 @@
   return isJobOfOtherWorkspace(state, jobId, workspace) ? null : statusOf(job);
 }
 
+/** Returns why a job has failed, once its end is stored; null if it has not, or if that is not known. */
+export function selectFailureReason(state: ServiceState, jobId: string): string | null {
+  const job = state.jobs.get(jobId);
+  return job?.recordedPhase === 'failed' ? job.failureReason : null;
+}
+
 /**
  * Counts the active jobs of a queue of which no worker has started a task; null if the inbox was last read too long
  * before `now` to know.
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -6,6 +6,7 @@
 export type SchedulingDecision =
   | 'jobQueued'
   | 'jobEnded'
+  | 'jobFailed'
   | 'jobForgotten'
   | 'taskPlaced'
   | 'taskEnded'
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -130,6 +130,8 @@
   /** The phase that is stored. Callers see only this one. */
   readonly recordedPhase: JobPhase;
   readonly cancelRequested: boolean;
+  /** Why the job has failed, for its caller; null if it has not, or was ended by an earlier version. */
+  readonly failureReason: string | null;
   /** Occurrences that have begun and are not done, by number. */
   readonly occurrences: PersistentMap<number, OccurrenceState>;
   /** Finished occurrences at or above `occurrencesDoneBelow`. */
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -70,6 +70,7 @@
     phase: job.phase,
     recordedPhase: job.recordedPhase,
     cancelRequested: job.cancelRequested,
+    failureReason: job.failureReason,
     occurrences: job.occurrences,
     occurrencesDone: job.occurrencesDone,
     occurrencesDoneBelow: job.occurrencesDoneBelow,
