Count no task as present that a former owner may have stopped

Cause: orders to stop are not recorded, and a run is listed at full speed until it has ended. A new owner counted the tasks that the former one had just stopped as present and stopped as many again.

Change: a run of an earlier owner counts as present only by a report that was asked for after its worker refused that owner's orders and the longest time of a stop had passed. stopMs of the settings is read for that.

--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -90,6 +90,7 @@
   silenceMilliseconds: 500,
   statusRetentionMilliseconds: 120_000,
   gangTimeoutMilliseconds: 3_000,
+  stopMilliseconds: 200,
   remoteFactor: 2,
   absenceNoticeMilliseconds: 4_500,
 };
--- a/packages/scheduler/src/__tests__/scheduling-parameters.ts
+++ b/packages/scheduler/src/__tests__/scheduling-parameters.ts
@@ -8,6 +8,7 @@
   silenceMilliseconds: 500,
   statusRetentionMilliseconds: 120_000,
   gangTimeoutMilliseconds: 3_000,
+  stopMilliseconds: 400,
   remoteFactor: 2,
   absenceNoticeMilliseconds: 4_500,
 };
--- a/packages/scheduler/src/warm-up/__tests__/warm-up.test.ts
+++ b/packages/scheduler/src/warm-up/__tests__/warm-up.test.ts
@@ -11,6 +11,7 @@
   silenceMilliseconds: 500,
   statusRetentionMilliseconds: 120_000,
   gangTimeoutMilliseconds: 3_000,
+  stopMilliseconds: 400,
   remoteFactor: 2,
   absenceNoticeMilliseconds: 4_500,
 };
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -128,6 +128,7 @@
       silenceMilliseconds: 500,
       statusRetentionMilliseconds: 120_000,
       gangTimeoutMilliseconds: 3_000,
+      stopMilliseconds: 400,
       remoteFactor: 2,
       absenceNoticeMilliseconds: 4_500,
     },
--- a/packages/scheduling/src/decide/quarantine/crash-evidence.ts
+++ b/packages/scheduling/src/decide/quarantine/crash-evidence.ts
@@ -9,21 +9,18 @@
   type CrashEvidence,
   type WorkerCrash,
 } from '../../state/quarantine-state.js';
+import { isPlacedByEarlierOwner } from '../../state/former-stops.js';
 import type { Run, ServiceState, WorkerState } from '../../state/service-state.js';
 import { changeRun, findTask, runsOnWorker } from '../../state/tasks.js';
 import { updateRun, updateService } from '../../state/update.js';
 
 type RunOfTask = readonly [key: TaskKey, run: Run];
 
-/** Returns whether a run was started by an earlier owner, so that it is older than its first report to this one. */
-function isInherited({ placedInVersion }: Run): boolean {
-  return placedInVersion === 0;
-}
-
 /** Returns whether a run was at work for `SURVIVAL_MILLISECONDS` by the last report of its worker. */
 export function hasSurvived({ lastReportAt }: WorkerState, run: Run): boolean {
   if (run.startedAt === null || lastReportAt === null) return false;
-  return isInherited(run) || lastReportAt - run.startedAt >= SURVIVAL_MILLISECONDS;
+  // A run of an earlier owner is older than its first report to this one.
+  return isPlacedByEarlierOwner(run) || lastReportAt - run.startedAt >= SURVIVAL_MILLISECONDS;
 }
 
 function requestOf(state: ServiceState, key: TaskKey): StepRequest | null {
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -10,6 +10,7 @@
 import type { ReleaseProgress } from '../model/service-report.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { HostReleaseRequest, ServiceEventOf } from '../state/event.js';
+import { mayBeStoppedByEarlierOwner } from '../state/former-stops.js';
 import { mayIssueOrders } from '../state/lease.js';
 import { orderStop } from './runs.js';
 import { pacedPercentOf } from '../state/run-pace.js';
@@ -33,11 +34,15 @@
 /** Time after which a request for a host expires unless it is repeated. */
 const REQUEST_TTL_MILLISECONDS = 2_000;
 
-/** Returns whether a run is known to run on a worker that answers, at full speed unless a pace was ordered for it. */
+/**
+ * Returns whether a run is known to run on a worker that answers, at full speed unless a pace was ordered for it, and
+ * cannot be ending by a stop that an earlier owner ordered.
+ */
 function isRunningAtFullSpeed(state: ServiceState, run: Run): boolean {
   const FULL_SPEED_PERCENT = 100;
   const worker = state.workers.get(run.workerId);
-  const isAnswering = worker !== undefined && !worker.isTerminated && worker.silentSince === null;
+  if (worker === undefined || mayBeStoppedByEarlierOwner(worker, run)) return false;
+  const isAnswering = !worker.isTerminated && worker.silentSince === null;
   const isKnown = run.phase === 'running' && run.startedAt !== null;
   const isSlowedDown = pacedPercentOf(run) < FULL_SPEED_PERCENT;
   return isAnswering && isKnown && (run.speedPercent === FULL_SPEED_PERCENT || isSlowedDown);
--- a/packages/scheduling/src/service/reports.ts
+++ b/packages/scheduling/src/service/reports.ts
@@ -7,6 +7,7 @@
 import type { ServiceStep } from '../state/effect.js';
 import { handleRunEnd } from './run-ends.js';
 import type { ServiceEventOf } from '../state/event.js';
+import { advanceFormerStops } from '../state/former-stops.js';
 import { recordClockReading } from '../state/lease.js';
 import { retryStop } from './runs.js';
 import { runLogFields } from '../state/run-log-fields.js';
@@ -145,6 +146,7 @@
     updateWorker(worker, {
       reportPending: false,
       hasAcknowledgedEpoch: true,
+      formerStops: advanceFormerStops(worker.formerStops, before.parameters, before.now, askedAt),
       silentSince: null,
       lastReportAt: before.now,
     }),
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -37,6 +37,7 @@
     isListed: true,
     isTerminated: false,
     hasAcknowledgedEpoch: false,
+    formerStops: { kind: 'possible' },
     reportPending: false,
     lastReportAt: null,
     silentSince: null,
--- a/packages/scheduling/src/state/parameters.ts
+++ b/packages/scheduling/src/state/parameters.ts
@@ -14,6 +14,8 @@
   readonly statusRetentionMilliseconds: number;
   /** Time within which all members of a gang must have started. */
   readonly gangTimeoutMilliseconds: number;
+  /** Longest time from an order to stop a run to its end, on the worker's clock. */
+  readonly stopMilliseconds: number;
   /** Factor by which a task takes longer away from its data or its rack. */
   readonly remoteFactor: number;
   /** Time for which a running task may be away before it counts as absent. */
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -195,6 +195,14 @@
   readonly fillingRuns: number;
 }
 
+/** Whether stops that an earlier owner ordered may still take effect on a worker. */
+export type FormerStops =
+  /** The worker may still accept orders of an earlier owner. */
+  | { readonly kind: 'possible' }
+  /** The worker accepts no more of them; those that it has accepted take effect before `until`. */
+  | { readonly kind: 'ending'; readonly until: Instant }
+  | { readonly kind: 'over' };
+
 /** State of one worker. */
 export interface WorkerState {
   readonly listing: WorkerListing;
@@ -205,6 +213,7 @@
   readonly isTerminated: boolean;
   /** Whether this incarnation has answered under our fencing epoch, so that it refuses earlier owners. */
   readonly hasAcknowledgedEpoch: boolean;
+  readonly formerStops: FormerStops;
   /** Whether a renewal is in flight. */
   readonly reportPending: boolean;
   readonly lastReportAt: Instant | null;
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -154,6 +154,7 @@
     isListed: worker.isListed,
     isTerminated: worker.isTerminated,
     hasAcknowledgedEpoch: worker.hasAcknowledgedEpoch,
+    formerStops: worker.formerStops,
     reportPending: worker.reportPending,
     lastReportAt: worker.lastReportAt,
     silentSince: worker.silentSince,
