Test that an error in any kind of effect costs that effect alone

Change: a test for each of the 11 kinds of effect of services and the fleet, from a table that does not compile if a kind is missing: all other effects of the event and the next event are performed, and one line names the kind and the owner.

--- a/packages/scheduler/src/__tests__/unexpected-errors.test.ts
+++ b/packages/scheduler/src/__tests__/unexpected-errors.test.ts
@@ -1,6 +1,7 @@
 /** Guards against an error in one effect that ends the process, stops a repeated activity or goes unnoticed. */
 import { describe } from '@baobabdeck/test-tools';
 import type { LogFields } from '@baobabdeck/observability';
+import type { FleetEffect, ServiceEffect } from '@baobabdeck/scheduling';
 import { NO_MEASURES } from '../measure/no-measures.js';
 import { createOwnerLoad } from '../measure/owner-load.js';
 import { createReducerLoop } from '../owner/reducer-loop.js';
@@ -202,6 +203,78 @@
   });
 });
 
+/** Every kind of effect; a kind that is missing does not compile. */
+const EFFECT_KINDS: Readonly<Record<ServiceEffect['kind'] | FleetEffect['kind'], true>> = {
+  'store-records': true,
+  'renew-lease': true,
+  'start-run': true,
+  'stop-run': true,
+  'pace-run': true,
+  'list-hosts': true,
+  'store-fleet-records': true,
+  'order-host': true,
+  'tell-wave-status': true,
+  'give-up-ownership': true,
+  log: true,
+};
+
+interface LoopRun {
+  readonly performed: readonly string[];
+  readonly processedEvents: number;
+  readonly lines: readonly Line[];
+}
+
+/** Processes two events, each with an effect of every kind. The effect of one kind fails in the first event. */
+function runWithFailingEffect(failingKind: string): LoopRun {
+  const { lines, write, report } = createRecorder();
+  const clock = createManualClock();
+  const performed: string[] = [];
+  const logFields = { service: 'quotes' };
+  const loop = createReducerLoop({
+    initial: 0,
+    *reduce(state: number, { kind: event }: { readonly kind: string }) {
+      for (const kind of Object.keys(EFFECT_KINDS)) yield { kind, event };
+      return state + 1;
+    },
+    perform: ({ kind, event }: { readonly kind: string; readonly event: string }) => {
+      if (kind === failingKind && event === 'first') throwAtOnce();
+      performed.push(`${event} ${kind}`);
+    },
+    clock,
+    reportError: report,
+    load: createOwnerLoad({
+      clock,
+      writeEvent: write,
+      measures: NO_MEASURES,
+      logFields,
+      queueStatistics: () => ({}),
+    }),
+    logFields,
+  });
+  loop.dispatch({ kind: 'first' });
+  loop.dispatch({ kind: 'second' });
+  return { performed, processedEvents: loop.state(), lines };
+}
+
+describe('an effect of each kind that fails unexpectedly', ({ it }) => {
+  const kinds = Object.keys(EFFECT_KINDS);
+
+  kinds.forEach((failingKind) => {
+    it(`costs ${failingKind} alone, and is logged once with its kind and its owner`, (t) => {
+      const { performed, processedEvents, lines } = runWithFailingEffect(failingKind);
+      const expected = ['first', 'second'].flatMap((event) => kinds.map((kind) => `${event} ${kind}`));
+      t.deepEqual(
+        performed,
+        expected.filter((one) => one !== `first ${failingKind}`),
+      );
+      t.is(processedEvents, 2);
+      t.deepEqual(lines, [
+        { event: 'unexpectedError', activity: failingKind, err: BROKEN, service: 'quotes' },
+      ]);
+    });
+  });
+});
+
 describe('an effect of an owner that fails unexpectedly', ({ it }) => {
   it('performs the other effects and the next events when one effect fails', (t) => {
     const { lines, write, report } = createRecorder();
