Measure what one wide job costs its owner

The scene keeps nothing that the service stores; event-cost and weight share the measurement of single events.

--- a/packages/bench/src/experiments/event-cost.ts
+++ b/packages/bench/src/experiments/event-cost.ts
@@ -3,6 +3,7 @@
   createCrowdedService,
   CROWDED_EVENTS,
   type CrowdedEvent,
+  type CrowdedService,
 } from '@baobabdeck/scheduling/crowded-service';
 import { figure, selectPolicies, type Experiment, type PolicyResult } from '../experiment.js';
 import { quantilesOf } from '../quantiles.js';
@@ -16,8 +17,8 @@
 /** The cost with many waiting tasks beside that with few. */
 const LARGEST_RATIO = 1.2;
 
-function medianMicroseconds(waitingTasks: number, event: CrowdedEvent): number {
-  const service = createCrowdedService(waitingTasks);
+/** Returns the median time of one kind of event on a crowded service. */
+export function measureEventMicroseconds(service: CrowdedService, event: CrowdedEvent): number {
   const times: number[] = [];
   for (let number = 0; number < WARM_UP_EVENTS + EVENTS; number += 1) {
     const happen = service.prepare(event);
@@ -31,7 +32,7 @@
 
 /** Measures one kind of event; its row is compared with the bound on the ratio. */
 function measureEvent(event: CrowdedEvent): PolicyResult {
-  const medians = WAITING_TASKS.map((tasks) => medianMicroseconds(tasks, event));
+  const medians = WAITING_TASKS.map((tasks) => measureEventMicroseconds(createCrowdedService(tasks), event));
   const [few = 0] = medians;
   return {
     user: '50 workers of 16 cores, all full',
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -11,6 +11,7 @@
 import { shortWork } from './experiments/short-work.js';
 import { slopes } from './experiments/slopes.js';
 import { urgent } from './experiments/urgent.js';
+import { weight } from './experiments/weight.js';
 
 /** Every experiment. */
 export const EXPERIMENTS: readonly Experiment[] = [
@@ -25,4 +26,5 @@
   urgent,
   eventCost,
   ownerBurst,
+  weight,
 ];
--- a/packages/scheduling/src/__tests__/crowded-service.ts
+++ b/packages/scheduling/src/__tests__/crowded-service.ts
@@ -50,8 +50,8 @@
 
 type Start = EffectOf<'start-run'>['address'];
 
-/** Creates a service with full workers and a number of waiting tasks, in jobs of eight tasks. */
-export function createCrowdedService(waitingTasks: number): CrowdedService {
+/** Creates a service with full workers and a number of waiting tasks, in jobs of eight tasks unless said otherwise. */
+export function createCrowdedService(waitingTasks: number, tasksPerJob = TASKS_PER_JOB): CrowdedService {
   const harness: ServiceHarness = createServiceHarness();
   const running = new Map<string, Map<string, RunningReport>>();
   const endsByWorker = new Map<string, number>();
@@ -69,9 +69,9 @@
     });
   };
 
-  const createJobs = (taskCount: number): readonly JobRequest[] =>
-    Array.from({ length: Math.ceil(taskCount / TASKS_PER_JOB) }, (_, index) =>
-      createJob(Math.min(TASKS_PER_JOB, taskCount - index * TASKS_PER_JOB)),
+  const createJobs = (taskCount: number, width: number): readonly JobRequest[] =>
+    Array.from({ length: Math.ceil(taskCount / width) }, (_, index) =>
+      createJob(Math.min(width, taskCount - index * width)),
     );
 
   const recordStarts = (effects: readonly ServiceEffect[]): void => {
@@ -115,9 +115,9 @@
   const workerIds = Array.from({ length: CROWDED_WORKERS }, (_, index) => nameOf('worker', index));
   workerIds.forEach((workerId) => running.set(workerId, new Map()));
   recordStarts(harness.addWorkers(workerIds, { capacity: WORKER_CAPACITY }));
-  recordStarts(harness.accept(...createJobs(CROWDED_WORKERS * CORES_PER_WORKER)));
+  recordStarts(harness.accept(...createJobs(CROWDED_WORKERS * CORES_PER_WORKER, TASKS_PER_JOB)));
   confirmAllStarts();
-  recordStarts(harness.accept(...createJobs(waitingTasks)));
+  recordStarts(harness.accept(...createJobs(waitingTasks, tasksPerJob)));
   workerIds.forEach((workerId) => recordStarts(report(workerId, false)));
 
   /** Restores the number of waiting tasks after an event. */
