--- a/packages/scheduler/src/__tests__/failing-ports.ts
+++ b/packages/scheduler/src/__tests__/failing-ports.ts
@@ -4,16 +4,19 @@
 import { createErrorReporter, type ReportUnexpectedError } from '../unexpected-errors/index.js';
 import { PUBLISHED_LIMITS } from './published-limits.js';
 
+/** A log line: its event and its fields. */
 export interface Line extends LogFields {
   readonly event: string;
 }
 
+/** Records log lines, and the errors that are reported as such. */
 export interface Recorder {
   readonly lines: readonly Line[];
   readonly write: (event: string, fields?: LogFields) => void;
   readonly report: ReportUnexpectedError;
 }
 
+/** Creates a recorder without lines. */
 export function createRecorder(): Recorder {
   const lines: Line[] = [];
   const write = (event: string, fields: LogFields = {}): void => {
@@ -22,6 +25,7 @@
   return { lines, write, report: createErrorReporter(write) };
 }
 
+/** The error of every call that fails. */
 export const BROKEN = new Error('broken');
 
 /** Throws at once, as a library does on a malformed argument. */
@@ -29,16 +33,20 @@
   throw BROKEN;
 }
 
+/** Rejects, as a call does whose error comes only after it has begun. */
 export function rejectLater(): Promise<never> {
   return Promise.reject(BROKEN);
 }
 
+/** The inbox of the service under test. */
 export const PARTITION: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
 
+/** Creates a port to workers on which every order fails. */
 export function workersFailingWith(fail: () => never | Promise<never>): WorkerOrders {
   return { renewLease: fail, startRun: fail, stopRun: fail, paceRun: fail, closeConnections: throwAtOnce };
 }
 
+/** Creates a store on which every call fails. */
 export function storeFailingWith(fail: () => never | Promise<never>): Store {
   return {
     append: fail,
