Show that a gang is given up after one failed run

Cause: the failed runs of all members of a gang are added up, so that one run in which several members fail reaches the limit of failed runs.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -81,12 +81,23 @@
  * Starts a deployment, plays a case on it and ends it. The process ends with the code that `play` returns, and with
  * `NOT_RUN` if it fails.
  */
-export async function playCase({ processes, services, workersPerService, record, play, logFolder = null }) {
+export async function playCase({
+  processes,
+  services,
+  workersPerService,
+  record,
+  play,
+  observe = () => undefined,
+  logFolder = process.env.LOGS ?? null,
+}) {
   const store = await startStore();
   const machines = await startMachines({
     store,
     services: services.map((service) => ({ service, count: workersPerService, capacity: CAPACITY })),
-    seen: (event) => record.write(JSON.stringify(event)),
+    seen: (event) => {
+      record.write(JSON.stringify(event));
+      observe(event);
+    },
   });
   store.put('keyed.op', 'config', configurationOf(services));
   const system = await prepareSystem({
--- a/review/lib-2/workers.mjs
+++ b/review/lib-2/workers.mjs
@@ -12,15 +12,53 @@
 const FULL_PERCENT = 100;
 const STOP_MILLISECONDS = 50;
 const ENDS_PER_LIST = 500;
+const GANG_TIMEOUT_MILLISECONDS = 3_000;
+/** Time until the members of a gang on other workers notice that one has failed. */
+const GANG_NOTICE_MILLISECONDS = 30;
+const FAILURE_MILLISECONDS = 100;
 const DEFAULT_RUN_MILLISECONDS = 500;
 
-/** How long a task works, by its specification: `work=MILLISECONDS`. */
+/** How long a task works, by its specification: `work=MILLISECONDS`, or `lasts`. */
 function workOf(specification) {
+  if (specification.includes('lasts')) return Infinity;
   return Number(/work=(\d+)/.exec(specification)?.[1] ?? DEFAULT_RUN_MILLISECONDS);
 }
 
+/** The size of the gang that a task belongs to, by its specification: `gang=MEMBERS`; 1 for no gang. */
+function gangSizeOf(specification) {
+  return Number(/gang=(\d+)/.exec(specification)?.[1] ?? 1);
+}
+
+/** Where the members of gangs meet: they work from the moment when all are present, and end together. */
+function createGangs() {
+  const gangs = new Map();
+  const idOf = (task, run) => `${task.slice(0, task.lastIndexOf('.'))}/${run}`;
+  return {
+    enter: (task, run, size, member) => {
+      const id = idOf(task, run);
+      const members = gangs.get(id) ?? new Map();
+      gangs.set(id, members.set(task, member));
+      if (members.size === size) [...members.values()].forEach(({ begin }) => begin());
+    },
+    leave: (task, run, how) => {
+      const members = gangs.get(idOf(task, run));
+      if (members === undefined) return;
+      members.delete(task);
+      if (how === 'failed') {
+        setTimeout(
+          () => [...members.values()].forEach(({ breakOff }) => breakOff('broken')),
+          GANG_NOTICE_MILLISECONDS,
+        );
+      } else {
+        const next = how === 'done' ? 'done' : 'broken';
+        [...members.values()].forEach(({ breakOff }) => breakOff(next));
+      }
+    },
+  };
+}
+
 /** One life of a worker. `seen` receives what it starts and how that ends. */
-async function startLife({ id, service, machine, zone, rack, capacity, store, seen }) {
+async function startLife({ id, service, machine, zone, rack, capacity, isFailing, store, seen, gangs }) {
   const born = Date.now();
   const beganAt = performance.now();
   const running = new Map();
@@ -44,19 +82,22 @@
     floors.set(task, Math.max(floors.get(task) ?? 0, run.run));
     seen({ event: 'end', worker: id, born, task, run: run.run, how });
     [...waiting].forEach((wake) => wake());
+    if (run.gangSize > 1) gangs.leave(task, run.run, how);
   };
 
   const tick = () => {
     const now = performance.now();
     if (clock() > leaseUntil) [...running.keys()].forEach((task) => end(task, 'lapsed'));
     for (const [task, run] of [...running]) {
-      const worked = now - run.startedAt + run.resumedAt;
+      const worked = run.beganAt === null ? 0 : now - run.beganAt + run.resumedAt;
       if (worked - run.savedAt >= CHECKPOINT_MILLISECONDS) {
         run.savedAt += CHECKPOINT_MILLISECONDS;
         run.saved = String(run.savedAt);
       }
       if (run.stopAt !== null && now >= run.stopAt) end(task, 'stopped');
-      else if (now - run.startedAt + run.resumedAt >= run.work) end(task, 'done');
+      else if (run.beganAt === null && now - run.startedAt > GANG_TIMEOUT_MILLISECONDS) end(task, 'alone');
+      else if (isFailing() && now - (run.beganAt ?? now) > FAILURE_MILLISECONDS) end(task, 'failed');
+      else if (worked >= run.work) end(task, 'done');
     }
   };
 
@@ -94,17 +135,28 @@
       return { status: 409, body: { clockMs: clock(), reason: 'room' } };
     }
     const saved = Number(checkpoint === '' ? 0 : checkpoint);
-    running.set(task, {
+    const gangSize = gangSizeOf(spec);
+    const startedAt = performance.now();
+    const row = {
       run,
+      gangSize,
       work: workOf(spec) + (saved > 0 ? RESTORE_MILLISECONDS : 0),
       needs,
-      startedAt: performance.now(),
+      startedAt,
+      beganAt: gangSize > 1 ? null : startedAt,
       resumedAt: saved,
       savedAt: saved,
       saved: checkpoint,
       stopAt: null,
-    });
+    };
+    running.set(task, row);
     seen({ event: 'start', worker: id, born, task, run, checkpoint });
+    if (gangSize > 1) {
+      const begin = () => {
+        row.beganAt = performance.now();
+      };
+      gangs.enter(task, run, gangSize, { begin, breakOff: (how) => end(task, how) });
+    }
     return { status: 200, body: { clockMs: clock() } };
   };
 
@@ -198,12 +250,16 @@
     id,
     born,
     running: () => [...running.keys()],
+    /** Ends a run by itself, as `done` or `failed`. */
+    finish: end,
     /** Ends without a word; what ran there is gone. */
     crash: () => {
-      [...running].forEach(([task, { run }]) =>
-        seen({ event: 'end', worker: id, born, task, run, how: 'lost' }),
-      );
+      const lost = [...running];
       running.clear();
+      lost.forEach(([task, { run, gangSize }]) => {
+        seen({ event: 'end', worker: id, born, task, run, how: 'lost' });
+        if (gangSize > 1) gangs.leave(task, run, 'lost');
+      });
       close();
       setTimeout(() => store.put('keyed.servers', id, null), 3 * HEARTBEAT_MILLISECONDS);
     },
@@ -214,12 +270,13 @@
 /** Starts the machines of a pool, each with a worker, and the platform's list of machines. */
 export async function startMachines({ store, services, seen }) {
   const machines = new Map();
+  const gangs = createGangs();
   let lives = 0;
 
   const open = async (machine) => {
     lives += 1;
     const id = `i-${String(lives).padStart(8, '0')}`;
-    machine.life = await startLife({ ...machine, id, store, seen });
+    machine.life = await startLife({ ...machine, id, isFailing: () => machine.failsAll, store, seen, gangs });
     machine.state = 'up';
   };
 
@@ -232,6 +289,7 @@
         rack: `r-${Math.floor(index / 4)}`,
         capacity,
         state: 'up',
+        failsAll: false,
         life: null,
       };
       machines.set(machine.machine, machine);
