--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A worker crashes under one member of a gang that saves checkpoints. The members of its next run must all be started from
- * the same checkpoint.
+ * One task of a lasting job fails soon after each of its starts. It must be started again in time, since workers have
+ * room for it.
  */
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
@@ -9,98 +9,98 @@
 import { call } from '../lib-2/http.mjs';
 
 const PROCESSES = 2;
-const SERVICE = 'desk';
-const JOB_ID = '00000000000000d1';
 
-/** One worker of eight crashes: a share of 0.125, below the 0.14 of the site's `srv_crash`. */
-const WORKERS = 8;
-const DOWN_MILLISECONDS = 1_500;
-const CRASH_AFTER_MILLISECONDS = 5_500;
+/** The pool and the job of the site: six workers, five tasks that last, at most one on each worker. */
+const SERVICE = 'desk';
+const WORKERS = 6;
+const TASKS = 5;
+const TASK_MILLICORES = 1_300;
+const TASK_MEGABYTES = 4_000;
+const JOB_ID = '00000000000000f1';
 
-const MEMBERS = 4;
-const MEMBER_MILLICORES = 2_000;
-const MEMBER_MEGABYTES = 1_000;
-const WORK_MILLISECONDS = 9_000;
+const START_MILLISECONDS = 4_000;
+const RUN_MILLISECONDS = 300;
+const PLAY_MILLISECONDS = 75_000;
+const LOOK_MILLISECONDS = 50;
 
-const PLAY_MILLISECONDS = 30_000;
-const QUESTION_INTERVAL_MILLISECONDS = 500;
+/** The rule: no run for 3 s, from 6 s after the last run. */
+const LONGEST_GAP_MILLISECONDS = 9_000;
+/** Gaps from which on the record tells them. */
+const TOLD_GAP_MILLISECONDS = 1_000;
 
 const record = openRecord(import.meta.dirname);
 
-/** The checkpoints that the members of each run were started from, by run. */
-const checkpoints = new Map();
+const startedTasks = new Set();
 
-function observe({ event, run, checkpoint }) {
-  if (event === 'start') checkpoints.set(run, [...(checkpoints.get(run) ?? []), checkpoint]);
+function observe({ event, task }) {
+  if (event === 'start') startedTasks.add(task);
 }
 
 async function submit(node) {
-  const needs = { cpu: MEMBER_MILLICORES, memMb: MEMBER_MEGABYTES };
+  const needs = { cpu: TASK_MILLICORES, memMb: TASK_MEGABYTES };
   const answer = await call({
     port: node.frontend,
     method: 'POST',
     path: `/${SERVICE}/${JOB_ID}`,
     headers: { host: HOST_NAME, 'content-type': 'application/json' },
     body: JSON.stringify({
-      spec: `work=${WORK_MILLISECONDS} gang=${MEMBERS} cpu=${needs.cpu} mem=${needs.memMb}`,
-      // One member a worker, so that a crash takes one of them.
-      steps: [
-        {
-          count: MEMBERS,
-          ...needs,
-          estimateMs: WORK_MILLISECONDS,
-          gang: true,
-          checkpointing: true,
-          maxPerServer: 1,
-        },
-      ],
+      spec: `lasts cpu=${needs.cpu} mem=${needs.memMb}`,
+      steps: [{ count: TASKS, ...needs, estimateMs: 700, longRunning: true, maxPerServer: 1, mayMiss: 1 }],
     }),
   });
   record.write(`submitted: ${JSON.stringify(answer)}`);
   if (answer.status !== 200) throw new Error('the job was not accepted');
 }
 
-async function askState(node) {
-  const answer = await call({
-    port: node.frontend,
-    method: 'GET',
-    path: `/${SERVICE}/${JOB_ID}`,
-    headers: { host: HOST_NAME, deadline: '3000' },
-  });
-  record.write(`state: ${JSON.stringify(answer)}`);
-  return answer.body?.state ?? null;
+function lifeOf(machines, task) {
+  return machines.workers(SERVICE).find(({ life }) => life.running().includes(task))?.life ?? null;
 }
 
-function crashOne(machines) {
-  const machine = machines.workers(SERVICE).find(({ life }) => life.running().length > 0);
-  if (machine === undefined) throw new Error('no worker runs a member');
-  record.write(`crash of ${machine.life.id} with ${machine.life.running().join()}`);
-  machines.crash(machine, DOWN_MILLISECONDS);
+/** Yields the time without a run after each failure of a task, and ends its next run soon. */
+async function* failAgainAndAgain(machines, task, until) {
+  let endedAt = null;
+  while (performance.now() < until) {
+    const life = lifeOf(machines, task);
+    if (life !== null) {
+      if (endedAt !== null) yield performance.now() - endedAt;
+      await sleep(RUN_MILLISECONDS);
+      life.finish(task, 'failed');
+      endedAt = performance.now();
+    }
+    await sleep(LOOK_MILLISECONDS);
+  }
 }
 
 async function play({ machines, system }) {
-  const [node] = system.nodes;
-  await submit(node);
-  await sleep(CRASH_AFTER_MILLISECONDS);
-  if (hasTrouble) crashOne(machines);
-  const beganAt = performance.now();
-  let state = null;
-  while (!['completed', 'failed'].includes(state) && performance.now() < beganAt + PLAY_MILLISECONDS) {
-    await sleep(QUESTION_INTERVAL_MILLISECONDS);
-    state = await askState(node);
+  await submit(system.nodes[0]);
+  await sleep(START_MILLISECONDS);
+  if (startedTasks.size < TASKS) throw new Error('not all tasks have started');
+  const [task] = startedTasks;
+  const gaps = [];
+  if (hasTrouble) {
+    for await (const gap of failAgainAndAgain(machines, task, performance.now() + PLAY_MILLISECONDS)) {
+      gaps.push(gap);
+      if (gap > TOLD_GAP_MILLISECONDS) {
+        record.write(`no run for ${Math.round(gap)} ms after ${gaps.length} failures`);
+      }
+    }
+  } else {
+    await sleep(PLAY_MILLISECONDS);
+    gaps.push(lifeOf(machines, task) === null ? PLAY_MILLISECONDS : 0);
   }
-  const mixed = [...checkpoints].filter(([, values]) => new Set(values).size > 1);
-  mixed.forEach(([run, values]) => record.write(`run ${run} starts from ${JSON.stringify(values)}`));
-  const summary = `${mixed.length} of ${checkpoints.size} runs of the gang are started from different checkpoints`;
-  record.write(`${summary}; state ${state}`);
+  const broken = gaps.filter((gap) => gap > LONGEST_GAP_MILLISECONDS);
+  const longest = Math.round(Math.max(...gaps));
+  const summary = `${broken.length} times no run for over ${LONGEST_GAP_MILLISECONDS} ms, the longest ${longest} ms`;
+  record.write(summary);
   process.stdout.write(`${summary}\n`);
-  return mixed.length > 0 ? BROKEN : HELD;
+  return broken.length > 0 ? BROKEN : HELD;
 }
 
 await playCase({
   processes: PROCESSES,
   services: [SERVICE],
   workersPerService: WORKERS,
+  bounds: { stopMs: 400, remoteFactor: 1.5, restoreMs: 250 },
   record,
   observe,
   play,
