--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -100,7 +100,6 @@
   processes: PROCESSES,
   services: [SERVICE],
   workersPerService: WORKERS,
-  bounds: { stopMs: 400, remoteFactor: 1.5, restoreMs: 250 },
   record,
   observe,
   play,
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -16,9 +16,6 @@
 const DOWN_MILLISECONDS = 1_500;
 const CRASH_AFTER_MILLISECONDS = 400;
 
-/** The capacity of the site's workers in `tbilisi-social`. */
-const CAPACITY = { cpu: 32_000, memMb: 65_536, gpu: 0 };
-
 /** Jobs of four tasks with the needs and the duration of the examples in PROTOCOL.md; all tasks fit on one worker. */
 const JOBS = 15;
 const TASKS_PER_JOB = 4;
@@ -134,8 +131,6 @@
   processes: PROCESSES,
   services: [SERVICE],
   workersPerService: WORKERS,
-  capacity: CAPACITY,
-  bounds: { stopMs: 400, remoteFactor: 1.5, restoreMs: 250 },
   record,
   observe,
   play,
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -11,7 +11,8 @@
 
 export const HOST_NAME = 'orders.example';
 
-const CAPACITY = { cpu: 16_000, memMb: 65_536, gpu: 0 };
+/** The capacity of the site's workers. */
+const CAPACITY = { cpu: 32_000, memMb: 65_536, gpu: 0 };
 const START_TIMEOUT_MILLISECONDS = 20_000;
 const READY_CHECK_MILLISECONDS = 200;
 /** Time after which every process takes part in the group and each service has an owner. */
@@ -87,15 +88,13 @@
   workersPerService,
   record,
   play,
-  bounds = {},
-  capacity = CAPACITY,
   observe = () => undefined,
   logFolder = process.env.LOGS ?? null,
 }) {
   const store = await startStore();
   const machines = await startMachines({
     store,
-    services: services.map((service) => ({ service, count: workersPerService, capacity })),
+    services: services.map((service) => ({ service, count: workersPerService, capacity: CAPACITY })),
     seen: (event) => {
       record.write(JSON.stringify(event));
       observe(event);
@@ -104,7 +103,6 @@
   store.put('keyed.op', 'config', configurationOf(services));
   const system = await prepareSystem({
     count: processes,
-    bounds,
     store: store.address,
     cloud: machines.address,
     logFolder,
--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -1,5 +1,6 @@
 /** Small helpers for HTTP on loopback, shared by the stand-ins and the clients. */
 import { Buffer } from 'node:buffer';
+import { randomInt } from 'node:crypto';
 import { createServer, request as sendRequest } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { clearTimeout, setTimeout } from 'node:timers';
@@ -28,24 +29,43 @@
   response.end(JSON.stringify(body));
 }
 
-/** Starts a server on a free port and returns its address. */
-export async function listen(handle) {
+/** Starts a server on a port, by default on any free one, and returns its address. */
+export async function listen(handle, port = 0) {
   const server = createServer({ keepAliveTimeout: 60_000, requestTimeout: 0 }, (request, response) => {
     handle(request, response).catch(() => response.destroy());
   });
-  await new Promise((resolve) => {
-    server.listen(0, LOOPBACK, resolve);
+  await new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, LOOPBACK, resolve);
   });
   return { address: `${LOOPBACK}:${server.address().port}`, server };
 }
 
+/**
+ * Range of the ports for the processes. It lies below the ports that the system gives to connections and to other
+ * servers, so that none of these takes a port before its process listens, also after a restart.
+ */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 30_000;
+
+async function isFree(port) {
+  try {
+    const { server } = await listen(async () => undefined, port);
+    await promisify(server.close.bind(server))();
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /** Returns free ports, none of which is given out twice. */
 export async function freePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index += 1) servers.push(await listen(async () => undefined));
-  const ports = servers.map(({ server }) => server.address().port);
-  await Promise.all(servers.map(({ server }) => promisify(server.close.bind(server))()));
-  return ports;
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = randomInt(LOWEST_PORT, HIGHEST_PORT);
+    if (!ports.has(port) && (await isFree(port))) ports.add(port);
+  }
+  return [...ports];
 }
 
 /**
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -9,7 +9,7 @@
 
 const ROOT = resolve(import.meta.dirname, '..', '..');
 
-/** Bounds of colla-brianza; those of another site are given by the case. */
+/** Bounds of skami-deck, the site that the claims name. */
 const BOUNDS = {
   seedLagS: 3,
   reuseAfterS: 2,
@@ -24,16 +24,16 @@
   outerMs: 5000,
   recoveryS: 12,
   maxHoldMs: 10000,
-  stopMs: 200,
+  stopMs: 400,
   gangTimeoutMs: 3000,
   cancel_ms: 3000,
   visible_ms: 3000,
   early_ms: 250,
   finish_s: 14,
   status_s: 120,
-  remoteFactor: 2,
+  remoteFactor: 1.5,
   checkpointIntervalS: 2,
-  restoreMs: 100,
+  restoreMs: 250,
   noticeMs: 4500,
   moveS: 1.5,
   upkeepS: 2,
@@ -50,7 +50,7 @@
   return command.split(' ');
 }
 
-function settingsOf(index, [frontend, readiness, peer, metrics], { store, cloud, bounds }) {
+function settingsOf(index, [frontend, readiness, peer, metrics], { store, cloud }) {
   return {
     nodeName: `frontend-${index + 1}`,
     role: 'scheduler',
@@ -83,7 +83,7 @@
       'sharing',
     ],
     faultTolerance: { machines: 2, zones: 0, regions: 0 },
-    bounds: { ...BOUNDS, ...bounds },
+    bounds: BOUNDS,
     orders: 'invocation',
     advice: null,
     platform: {
@@ -106,14 +106,14 @@
 }
 
 /** Prepares `count` processes in a temporary folder; `start` starts one, `signal` sends a signal to it. */
-export async function prepareSystem({ count, bounds = {}, store, cloud, logFolder = null }) {
+export async function prepareSystem({ count, store, cloud, logFolder = null }) {
   const folder = mkdtempSync(join(tmpdir(), 'case-'));
   const ports = await freePorts(count * 4);
   const [program, ...parameters] = commandOfDeployFile();
   const nodes = Array.from({ length: count }, (_, index) => {
     const own = ports.slice(index * 4, index * 4 + 4);
     const path = join(folder, `node-${index}.json`);
-    writeFileSync(path, JSON.stringify(settingsOf(index, own, { store, cloud, bounds })));
+    writeFileSync(path, JSON.stringify(settingsOf(index, own, { store, cloud })));
     const [frontend, readiness] = own;
     return { index, name: `frontend-${index + 1}`, path, frontend, readiness, child: null };
   });
