Start lasting tasks again that have ended as done

Cause: an end as done marked the task of any step as done for good; only the branch for failed runs knew lasting tasks. With all of its tasks ended so, the job was shown as completed. A record of such an end also outlived the owner.

Change: a lasting task whose run ends as done waits again with its checkpoint, and a new owner takes no record of an earlier version for the end of a lasting task.

--- a/packages/scheduling/src/__tests__/quarantine-scene.ts
+++ b/packages/scheduling/src/__tests__/quarantine-scene.ts
@@ -1,6 +1,6 @@
 /** Helpers of the tests of quarantined tasks: workers that confirm their starts and report that their runs go on. */
 import type { HostListing, RunningReport } from '../model/worker.js';
-import type { StoredServiceRecord } from '../model/records.js';
+import type { StoredServiceRecord, TaskProgress } from '../model/records.js';
 import type { JobRequest } from '../model/job.js';
 import { runsOnWorker } from '../state/tasks.js';
 import { CAPACITY, type ServiceHarness } from './service-harness.js';
@@ -8,21 +8,22 @@
 export const ROUND_MILLISECONDS = 100;
 export const NEEDS = { milliCores: 1_000, memoryMegabytes: 1, accelerators: 0 };
 
-/** Returns the records of a job whose first step waits in quarantine. */
-export function recordsOfSuspect(
+/** Returns the records of a job of which each task of the first step has the given progress. */
+export function recordsOfTask(
   offset: number,
   request: JobRequest,
-  workerCrashes: number,
+  fields: Partial<TaskProgress>,
 ): readonly StoredServiceRecord[] {
   const tasks = Array.from({ length: request.steps[0]?.taskCount ?? 1 }, (_, index) => ({
     index,
     isDone: false,
-    lastRun: workerCrashes,
+    lastRun: 0,
     failedRuns: 0,
-    workerCrashes,
-    isQuarantined: true,
+    workerCrashes: 0,
+    isQuarantined: false,
     checkpoint: '',
     runs: [],
+    ...fields,
   }));
   const progress = {
     phase: 'active' as const,
@@ -39,6 +40,15 @@
   ];
 }
 
+/** Returns the records of a job whose first step waits in quarantine. */
+export function recordsOfSuspect(
+  offset: number,
+  request: JobRequest,
+  workerCrashes: number,
+): readonly StoredServiceRecord[] {
+  return recordsOfTask(offset, request, { lastRun: workerCrashes, workerCrashes, isQuarantined: true });
+}
+
 export function runningOn(harness: ServiceHarness, workerId: string): readonly RunningReport[] {
   const worker = harness.state().workers.get(workerId);
   if (worker === undefined || worker.isTerminated) return [];
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -1,6 +1,6 @@
 /** Builds the state of a new owner from the records of the service. */
 import { Map as PersistentMap, OrderedSet as PersistentOrderedSet, Set as PersistentSet } from 'immutable';
-import { taskIdOf, type JobRequest } from '../model/job.js';
+import { taskIdOf, type JobRequest, type StepRequest } from '../model/job.js';
 import { restoreInterference } from '../decide/interference/record.js';
 import type {
   InterferenceRecord,
@@ -9,6 +9,7 @@
   StoredServiceRecord,
   TaskProgress,
 } from '../model/records.js';
+import { stepRequestOf } from '../model/step-needs.js';
 import { setJob } from '../state/job-index.js';
 import {
   completeWithParts,
@@ -122,9 +123,10 @@
   };
 }
 
-function restoreTask(progress: TaskProgress, now: Instant): TaskState {
+function restoreTask(progress: TaskProgress, { isLasting }: StepRequest, now: Instant): TaskState {
   return updateTask(newTask(now), {
-    isDone: progress.isDone,
+    // A record of an earlier version may say that a lasting task is done.
+    isDone: progress.isDone && !isLasting,
     lastRun: progress.lastRun,
     failedRuns: progress.failedRuns,
     workerCrashes: progress.workerCrashes,
@@ -134,13 +136,18 @@
   });
 }
 
-function restoreStep(step: StepState, recorded: readonly TaskProgress[], now: Instant): StepState {
+function restoreStep(
+  step: StepState,
+  recorded: readonly TaskProgress[],
+  request: StepRequest,
+  now: Instant,
+): StepState {
   const byIndex = new Map(recorded.map((task) => [task.index, task]));
   // Steps without progress share one list of tasks.
   if (byIndex.size === 0) return step;
   const tasks = step.tasks.map((task, index) => {
     const known = byIndex.get(index);
-    return known === undefined ? task : restoreTask(known, now);
+    return known === undefined ? task : restoreTask(known, request, now);
   });
   return updateStep(step, {
     tasks,
@@ -175,7 +182,9 @@
   const restored = progress.occurrences.flatMap(({ occurrence, steps }) => {
     const fresh = newOccurrence(request, occurrence, dueAt, now);
     const filled: OccurrenceState = updateOccurrence(fresh, {
-      steps: fresh.steps.map((step, index) => restoreStep(step, steps[index] ?? [], now)),
+      steps: fresh.steps.map((step, index) =>
+        restoreStep(step, steps[index] ?? [], stepRequestOf(request, index), now),
+      ),
     });
     const isDone = occurrence < progress.occurrencesDoneBelow || done.has(occurrence);
     if (isDone && !hasRuns(filled)) return [];
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -87,6 +87,21 @@
   );
 }
 
+/** Handles the end of a lasting task that ended as done: it runs until its job is cancelled, so that it waits again. */
+function handleLastingTaskDone(
+  state: ServiceState,
+  key: TaskKey,
+  run: Run,
+  checkpoint: string,
+): ServiceState {
+  const recorded = recordOutcome(state, run.workerId, true);
+  return removeRun(recorded, key, run, (task) => keepCheckpoint(task, checkpoint));
+}
+
+function isLasting(state: ServiceState, key: TaskKey): boolean {
+  return state.jobs.get(key.jobId)?.request.steps[key.step]?.isLasting === true;
+}
+
 function* handleTaskFailed(
   state: ServiceState,
   key: TaskKey,
@@ -138,6 +153,7 @@
   yield { kind: 'log', decision: 'taskEnded', fields: { ...runLogFields(key, run), end } };
   const started = markJobStarted(state, key.jobId);
   if (findTask(started, key)?.isDone === true) return yield* handleLateEnd(removeRun(started, key, run), key);
+  if (end === 'done' && isLasting(started, key)) return handleLastingTaskDone(started, key, run, checkpoint);
   if (end === 'done') return yield* handleTaskDone(yield* learnFromEnd(started, key, run), key, run);
   if (end === 'failed') return yield* handleTaskFailed(started, key, run, checkpoint);
   return removeRun(started, key, run, (task) => keepCheckpoint(task, checkpoint));
