Keep a failing task from closing sound workers

Cause: three failed runs in a row ejected a worker, whatever had failed there. One task that failed again and again thus closed one worker after the other, each time for twice as long, up to 12 s: only an end as done resets the count, and lasting tasks have none. Nothing bounded the number of ejected workers, and no lasting task could start on one, however long it had waited.

Change: only the first failed run of a task counts against its worker; the task avoids that worker afterwards anyway. A lasting task that has waited for 5.5 s may start on an ejected worker, as on one whose host is being drained.

--- a/packages/scheduling/src/decide/placement/eligibility.ts
+++ b/packages/scheduling/src/decide/placement/eligibility.ts
@@ -49,13 +49,9 @@
   return isLasting ? isGoing(state, worker) : isLeaving(state, worker);
 }
 
-function isReachable(state: ServiceState, worker: WorkerState): boolean {
+function isReachable(worker: WorkerState): boolean {
   return (
-    worker.isListed &&
-    worker.hasAcknowledgedEpoch &&
-    !worker.isTerminated &&
-    worker.silentSince === null &&
-    worker.cooldownUntil <= state.now
+    worker.isListed && worker.hasAcknowledgedEpoch && !worker.isTerminated && worker.silentSince === null
   );
 }
 
@@ -64,14 +60,14 @@
   return !quarantine.workers.isEmpty() && quarantine.workers.has(listing.workerId);
 }
 
-/** Returns whether a worker may get a lasting task that found no other worker for long. */
+/** Returns whether a worker may get a lasting task that found no other worker for long: also while it is ejected. */
 export function isEligibleForOverdueTask(state: ServiceState, worker: WorkerState): boolean {
-  return isReachable(state, worker) && !isGoing(state, worker) && !isIsolated(state, worker);
+  return isReachable(worker) && !isGoing(state, worker) && !isIsolated(state, worker);
 }
 
 /** Returns whether a worker may get new tasks now, were it not isolated. */
 export function mayTakeTasks(state: ServiceState, worker: WorkerState): boolean {
-  return isReachable(state, worker) && !isLeaving(state, worker);
+  return isReachable(worker) && worker.cooldownUntil <= state.now && !isLeaving(state, worker);
 }
 
 /** Returns whether a worker may get new tasks now. Isolated workers get only the quarantined tasks that isolate them. */
--- a/packages/scheduling/src/decide/placement/place-tasks.ts
+++ b/packages/scheduling/src/decide/placement/place-tasks.ts
@@ -221,12 +221,12 @@
   return next;
 }
 
-/** Time that a lasting task waits before it may start on a worker whose host is being drained. */
+/** Time that a lasting task waits before it may start on a worker whose host is being drained, or that is ejected. */
 const LASTING_TASK_PATIENCE_MILLISECONDS = 5_500;
 
 /**
- * Places lasting tasks that have waited for long on any worker that neither shuts down nor is released. Their hosts are
- * drained again once the tasks fit elsewhere.
+ * Places lasting tasks that have waited for long on any worker that neither shuts down nor is released. Hosts that are
+ * being drained are drained again once the tasks fit elsewhere.
  */
 function* placeOverdueLastingTasks(state: ServiceState): ServiceStep<ServiceState> {
   let next = state;
--- a/packages/scheduling/src/service/run-ends.ts
+++ b/packages/scheduling/src/service/run-ends.ts
@@ -1,6 +1,7 @@
 /** Applies the ends of runs to their tasks, steps and jobs. */
 import type { RunEnd, TaskKey } from '../model/job.js';
 import type { ServiceStep } from '../state/effect.js';
+import { recordFailedRun, recordSuccessfulRun } from './health.js';
 import { learnFromEnd } from './interference.js';
 import { failJob } from './job-failures.js';
 import { finishOccurrence, markReadySteps } from './jobs.js';
@@ -9,34 +10,13 @@
 import type { JobState, Run, ServiceState, TaskState } from '../state/service-state.js';
 import { avoidWorker, findTask, markJobStarted, removeRun, withStep } from '../state/tasks.js';
 import { setJob } from '../state/job-index.js';
-import { setWorker } from '../state/worker-index.js';
 import { stepRequestOf } from '../model/step-needs.js';
-import {
-  updateJob,
-  updateRun,
-  updateService,
-  updateStep,
-  updateTask,
-  updateWorker,
-} from '../state/update.js';
+import { updateJob, updateRun, updateService, updateStep, updateTask } from '../state/update.js';
 
 function keepCheckpoint(task: TaskState, checkpoint: string): TaskState {
   return checkpoint === '' ? task : updateTask(task, { checkpoint });
 }
 
-function recordOutcome(state: ServiceState, workerId: string, succeeded: boolean): ServiceState {
-  const worker = state.workers.get(workerId);
-  if (worker === undefined) return state;
-  return setWorker(
-    state,
-    updateWorker(worker, {
-      consecutiveFailures: succeeded ? 0 : worker.consecutiveFailures + 1,
-      consecutiveCooldowns: succeeded ? 0 : worker.consecutiveCooldowns,
-      lastSuccessAt: succeeded ? state.now : worker.lastSuccessAt,
-    }),
-  );
-}
-
 /** Marks the steps as ready that waited for a step which is done now. */
 function updateStepProgress(job: JobState, key: TaskKey, state: ServiceState): JobState {
   const occurrence = job.occurrences.get(key.occurrence);
@@ -73,7 +53,7 @@
 }
 
 function* handleTaskDone(state: ServiceState, key: TaskKey, run: Run): ServiceStep<ServiceState> {
-  const recorded = recordOutcome(state, run.workerId, true);
+  const recorded = recordSuccessfulRun(state, run.workerId);
   const removed = removeRun(recorded, key, run, (task) => updateTask(task, { isDone: true }));
   const job = removed.jobs.get(key.jobId);
   if (job === undefined) return removed;
@@ -94,7 +74,7 @@
   run: Run,
   checkpoint: string,
 ): ServiceState {
-  const recorded = recordOutcome(state, run.workerId, true);
+  const recorded = recordSuccessfulRun(state, run.workerId);
   return removeRun(recorded, key, run, (task) => keepCheckpoint(task, checkpoint));
 }
 
@@ -108,7 +88,7 @@
   run: Run,
   checkpoint: string,
 ): ServiceStep<ServiceState> {
-  const recorded = recordOutcome(state, run.workerId, false);
+  const recorded = recordFailedRun(state, key, run.workerId);
   const removed = removeRun(recorded, key, run, (task) =>
     updateTask(avoidWorker(keepCheckpoint(task, checkpoint), run.workerId), {
       failedRuns: task.failedRuns + 1,
