--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -232,7 +232,8 @@
       const node = running;
       const ofLife = life;
       if (node === null) return;
-      void node.stop().then(() => {
+      void node.leave().then(() => {
+        node.close();
         if (ofLife !== life) return;
         kill();
         time.after(downMilliseconds, start);
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -46,7 +46,7 @@
 import { termsOf } from './workspace-terms.js';
 import { startWorkerUpdates, type WorkerUpdates } from './worker-updates.js';
 
-/** Time for which a stopping process continues to serve, so that the load balancer notices and sends no new callers. */
+/** Time for which a stopping process continues to serve at least, so that the load balancer notices and sends no new callers. */
 const DRAIN_MILLISECONDS = 2_500;
 
 /** Dependencies of a process. */
@@ -73,7 +73,13 @@
   readonly isCandidate: () => boolean;
   /** Describes a job, worker, host or pool; null if this process does not know it. */
   readonly explain: (kind: string, name: string) => unknown;
-  readonly stop: () => Promise<void>;
+  /**
+   * Gives up what this process owns and leaves its group; resolves once callers have had time to notice that it is not ready.
+   * Requests are still answered.
+   */
+  readonly leave: () => Promise<void>;
+  /** Ends everything else that this process does. */
+  readonly close: () => void;
 }
 
 /** Passes the workspaces of the configuration to a service owner. */
@@ -291,12 +297,14 @@
     status: () => selectStatus(logs, relays.status(), clock.steadyNow()),
     isCandidate: candidacy.isCandidate,
     explain: (kind, name) => explainSubject(logs, kind, name),
-    stop: async () => {
+    leave: async () => {
       stopping = true;
       candidacy.close();
       await logs.stop();
       await membership.leave();
       await clock.sleep(DRAIN_MILLISECONDS);
+    },
+    close: () => {
       eventLoopMonitor.close();
       storeReadiness.close();
       layoutManager.close();
