Try the many suspects of one crash on all workers

Cause: each of the 60 tasks that the worker had just started became a suspect, which runs where no other task starts beside it until a report shows it at work for 0.3 s. Once the first ones were cleared no worker was idle, and suspects that share workers were held to a quarter of the workers, which protects other waiting tasks, though nothing else waited; a try took up to 1.3 s, since a worker with nothing to tell reports after 1 s. Two tasks a second were started.

Change: if one crash has made more than 16 suspects, those that may share a worker (after 2 s, under one crash) do so on any worker, one at a time on each, and these workers report every 0.35 s. What may run beside a suspect stays as it was.

--- a/packages/scheduling/src/decide/quarantine/quarantined-tasks.ts
+++ b/packages/scheduling/src/decide/quarantine/quarantined-tasks.ts
@@ -1,5 +1,5 @@
 /** Finds the quarantined tasks that run and those that wait for a worker of their own. */
-import type { StepRequest, TaskKey } from '../../model/job.js';
+import { taskIdOf, type StepRequest, type TaskKey } from '../../model/job.js';
 import { stepRequestOf } from '../../model/step-needs.js';
 import { isolationIdOf } from '../../state/quarantine-state.js';
 import type { Instant } from '../../model/instant.js';
@@ -84,6 +84,28 @@
     );
 }
 
+/** Number of suspects of one crash above which a quarter of the workers does not suffice to try them in time. */
+const MAXIMUM_SUSPECTS_OF_A_CRASH = 16;
+
+/** Yields the ids of the tasks that each known crash has made suspects. */
+function* suspectsByCrash({ quarantine }: ServiceState): Generator<readonly string[], void, void> {
+  for (const { counted } of quarantine.crashes.values()) {
+    yield counted.filter(({ causedQuarantine }) => causedQuarantine).map(({ key }) => taskIdOf(key));
+  }
+}
+
+/**
+ * Returns the ids of the tasks that one crash has made suspects together with many others. It is weak evidence against each of
+ * them. Suspects whose crashes are not known, since an earlier owner saw them, count as those of one crash.
+ */
+export function findMassSuspects(state: ServiceState): ReadonlySet<string> {
+  if (state.quarantine.tasks.isEmpty()) return new Set();
+  const groups = [...suspectsByCrash(state)];
+  const known = new Set(groups.flat());
+  const unknown = [...state.quarantine.tasks.keys()].filter((taskId) => !known.has(taskId));
+  return new Set([...groups, unknown].filter(({ length }) => length > MAXIMUM_SUSPECTS_OF_A_CRASH).flat());
+}
+
 /** Returns the keys of the quarantined tasks that are still to be isolated, by task id. */
 export function keepSuspectedTasks(state: ServiceState): ServiceState['quarantine']['tasks'] {
   return state.quarantine.tasks.filter((key) => suspectOf(state, key) !== null);
--- a/packages/scheduling/src/service/quarantine.ts
+++ b/packages/scheduling/src/service/quarantine.ts
@@ -4,6 +4,7 @@
  */
 import { Map as PersistentMap } from 'immutable';
 import { mayStart } from '../decide/shares/workspace-limits.js';
+import { taskIdOf } from '../model/job.js';
 import { multiplyResources } from '../model/resources.js';
 import type { ServiceStep } from '../state/effect.js';
 import { mayIssueOrders } from '../state/lease.js';
@@ -25,6 +26,7 @@
 } from '../decide/quarantine/isolation-plan.js';
 import { newRun } from '../decide/placement/new-run.js';
 import {
+  findMassSuspects,
   findSuspects,
   keepSuspectedTasks,
   orderWaitingSuspects,
@@ -53,6 +55,7 @@
   readonly limit: number;
   /** Whether other tasks wait for the workers, too. */
   readonly isContended: boolean;
+  readonly massSuspects: ReadonlySet<string>;
 }
 
 /** Returns the workers with a run of a suspect, also those that are not known yet or whose next incarnation may run it. */
@@ -87,6 +90,7 @@
     isolated: occupiedWorkers(suspects.values()),
     limit: Math.max(1, Math.floor(candidates.length * MAXIMUM_ISOLATED_SHARE)),
     isContended: state.waiting.total.tasks > countWaitingMembers(suspects.values()),
+    massSuspects: findMassSuspects(state),
   };
 }
 
@@ -94,21 +98,35 @@
   return countIsolated(isolation) >= isolation.candidates.length;
 }
 
+/**
+ * Returns whether a suspect may run beside other tasks: once each of its tasks has waited for long, and after one crash
+ * only, which may have had any cause.
+ */
+function mayShare({ now }: ServiceState, { members }: WaitingSuspect): boolean {
+  return members.every(
+    ({ task }) =>
+      task.workerCrashes < QUARANTINE_CRASHES && now - task.waitingSince >= SHARING_PATIENCE_MILLISECONDS,
+  );
+}
+
 /**
  * Returns whether a suspect may isolate the chosen workers. Idle workers are free to take if nothing else waits, and for
- * a suspect that has waited for long.
+ * a suspect that has waited for long; workers to share are for suspects that one crash has made in large number.
  */
 function mayIsolate(
+  state: ServiceState,
   isolation: Isolation,
+  suspect: WaitingSuspect,
   chosen: readonly IsolationCandidate[],
-  waitedMilliseconds: number,
 ): boolean {
-  const { limit, isContended } = isolation;
   const isolatedCount = countIsolated(isolation);
   const added = new Set(chosen.map(({ worker }) => worker.listing.workerId)).size;
-  const isFree = !isContended || waitedMilliseconds >= SUSPECT_PATIENCE_MILLISECONDS;
-  const isHarmless = isFree && chosen.every(({ isAlone }) => isAlone);
-  return isHarmless || isolatedCount === 0 || isolatedCount + added <= limit;
+  if (isolatedCount === 0 || isolatedCount + added <= isolation.limit) return true;
+  if (chosen.every(({ isAlone }) => isAlone)) {
+    return !isolation.isContended || state.now - suspect.waitingSince >= SUSPECT_PATIENCE_MILLISECONDS;
+  }
+  const isOneOfMany = suspect.members.some(({ key }) => isolation.massSuspects.has(taskIdOf(key)));
+  return isOneOfMany && mayShare(state, suspect);
 }
 
 function* startSuspect(
@@ -131,17 +149,6 @@
   return next;
 }
 
-/**
- * Returns whether a suspect may run beside other tasks: once each of its tasks has waited for long, and after one crash
- * only, which may have had any cause.
- */
-function mayShare({ now }: ServiceState, { members }: WaitingSuspect): boolean {
-  return members.every(
-    ({ task }) =>
-      task.workerCrashes < QUARANTINE_CRASHES && now - task.waitingSince >= SHARING_PATIENCE_MILLISECONDS,
-  );
-}
-
 /**
  * Returns the workers on which a suspect starts now: those planned for it if they run nothing else, or, once it has waited
  * for long, those with free capacity among its reserved and the unreserved ones; null if it waits on.
@@ -188,7 +195,7 @@
     const isWithinLimit = mayStart(next, suspect.job.request.workspace, { startNeeds, taskNeeds });
     const free = candidates.filter(({ worker }) => !isolated.has(worker.listing.workerId));
     const chosen = isWithinLimit ? planIsolation(suspect, free) : null;
-    const isAllowed = chosen !== null && mayIsolate(isolation, chosen, state.now - suspect.waitingSince);
+    const isAllowed = chosen !== null && mayIsolate(state, isolation, suspect, chosen);
     if (isAllowed) {
       isolate(isolation, suspect, chosen);
       const workers = chooseWorkers(next, suspect, chosen, isolation);
--- a/packages/scheduling/src/service/workers.ts
+++ b/packages/scheduling/src/service/workers.ts
@@ -4,6 +4,7 @@
 import { NO_RESOURCES } from '../model/resources.js';
 import type { HostListing, WorkerListing } from '../model/worker.js';
 import { recordWorkerCrash } from '../decide/quarantine/crash-evidence.js';
+import { findMassSuspects } from '../decide/quarantine/quarantined-tasks.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEventOf } from '../state/event.js';
 import { extendLease } from '../state/lease.js';
@@ -16,6 +17,7 @@
   mayRunOnNextIncarnation,
 } from './lost-runs.js';
 import { orderStop } from './runs.js';
+import { SURVIVAL_MILLISECONDS } from '../state/quarantine-state.js';
 import type { ServiceState, WorkerState } from '../state/service-state.js';
 import {
   adoptOrphans,
@@ -91,12 +93,20 @@
 /** Longest time between reports of a worker with filling tasks beside serving tasks. */
 const PACED_REPORT_WAIT_MILLISECONDS = 400;
 
+/** Longest time between reports of a worker with a suspect while many others wait until it has shown to be sound. */
+const SUSPECT_REPORT_WAIT_MILLISECONDS = SURVIVAL_MILLISECONDS + 50;
+
 /** Returns how long a worker may wait for something to report. */
-function reportWaitMilliseconds({ parameters }: ServiceState, worker: WorkerState): number {
+function reportWaitMilliseconds(state: ServiceState, worker: WorkerState): number {
   if (!worker.hasAcknowledgedEpoch) return 0;
   const isPaced = !worker.fillingTaskIds.isEmpty() && !worker.servingTaskIds.isEmpty();
-  const { reportWaitMilliseconds: longest } = parameters;
-  return isPaced ? Math.min(longest, PACED_REPORT_WAIT_MILLISECONDS) : longest;
+  const isIsolated = state.quarantine.workers.has(worker.listing.workerId);
+  const isAwaited = isIsolated && findMassSuspects(state).size > 0;
+  return Math.min(
+    state.parameters.reportWaitMilliseconds,
+    isPaced ? PACED_REPORT_WAIT_MILLISECONDS : Infinity,
+    isAwaited ? SUSPECT_REPORT_WAIT_MILLISECONDS : Infinity,
+  );
 }
 
 /** Renews a worker's lease and requests a report of its runs. */
