Count failures of other than lasting tasks against workers again

Cause: with only the first failed run of any task counted against its worker, and a third of the workers at most was ejected.

--- a/packages/scheduling/src/service/health.ts
+++ b/packages/scheduling/src/service/health.ts
@@ -13,12 +13,9 @@
 import { stepRequestOf } from '../model/step-needs.js';
 import { updateTask, updateWorker } from '../state/update.js';
 
-/** Consecutive failed runs of different tasks after which a worker is ejected. */
+/** Consecutive failed runs after which a worker is ejected. */
 const MAXIMUM_CONSECUTIVE_FAILURES = 3;
 
-/** Largest share of the workers that may be ejected at once. One may be in any case. */
-const MAXIMUM_EJECTED_SHARE = 1 / 3;
-
 /** Initial and longest cooldown of an ejected worker. */
 const INITIAL_COOLDOWN_MILLISECONDS = 1_500;
 const MAXIMUM_COOLDOWN_MILLISECONDS = 12_000;
@@ -46,13 +43,14 @@
 }
 
 /**
- * Records that a run of a task has failed on a worker. Only the first failed run of a task counts against its worker: the
- * fault of one that fails again may be its own, and it would close one worker after the other.
+ * Records that a run of a task has failed on a worker. Only the first failed run of a lasting task counts against its worker:
+ * it has no limit on failed runs, and would close one worker after the other by a fault of its own.
  */
 export function recordFailedRun(state: ServiceState, key: TaskKey, workerId: string): ServiceState {
   const worker = state.workers.get(workerId);
-  const isFirst = findTask(state, key)?.failedRuns === 0;
-  if (worker === undefined || !isFirst) return state;
+  const isLasting = state.jobs.get(key.jobId)?.request.steps[key.step]?.isLasting === true;
+  const isRepeated = isLasting && (findTask(state, key)?.failedRuns ?? 0) > 0;
+  if (worker === undefined || isRepeated) return state;
   return setWorker(state, updateWorker(worker, { consecutiveFailures: worker.consecutiveFailures + 1 }));
 }
 
@@ -110,17 +108,7 @@
   return Math.min(MAXIMUM_COOLDOWN_MILLISECONDS, INITIAL_COOLDOWN_MILLISECONDS * 2 ** consecutiveCooldowns);
 }
 
-/** Returns whether one more worker may be ejected: what fails on many workers is hardly the fault of each of them. */
-function mayEject({ workers, now }: ServiceState): boolean {
-  const present = workers.filter(({ isTerminated }) => !isTerminated);
-  const ejectedCount = present.count(
-    ({ consecutiveCooldowns, cooldownUntil }) => consecutiveCooldowns > 0 && cooldownUntil > now,
-  );
-  return ejectedCount === 0 || ejectedCount + 1 <= present.size * MAXIMUM_EJECTED_SHARE;
-}
-
 function* ejectWorker(state: ServiceState, worker: WorkerState, reason: string): ServiceStep<ServiceState> {
-  if (!mayEject(state)) return state;
   const { workerId, hostId } = worker.listing;
   const milliseconds = cooldownMilliseconds(worker.consecutiveCooldowns);
   yield { kind: 'log', decision: 'workerEjected', fields: { workerId, hostId, reason, milliseconds } };
