Show that members of a gang start with different checkpoints

Cause: each task of a gang keeps and sends its own checkpoint, though all members of one run must carry the same value.

--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -12,6 +12,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 import { startCloud } from './cloud.mjs';
+import { createGangs } from './gangs.mjs';
 import { startStore } from './store.mjs';
 import { startWorker } from './worker.mjs';
 
@@ -117,6 +118,8 @@
     return jobs.get(jobId)?.steps[Number(step)] ?? {};
   };
 
+  const gangs = createGangs((task) => needsOf(task).count, BOUNDS.gangTimeoutMs);
+
   const beat = (machine, worker, sequence, state = 'ready') =>
     store.put('keyed.servers', worker.id, {
       service: machine.pool,
@@ -141,6 +144,8 @@
       capacity: machine.capacity,
       stopMs: BOUNDS.stopMs,
       needsOf,
+      gangs,
+      checkpointMs: BOUNDS.checkpointIntervalS * 1_000,
       note,
       meddle: (...call) => meddle(machine, ...call),
     });
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -1,6 +1,6 @@
 /**
  * Stand-in for one life of a worker: runs work units, holds them under a lease, refuses lower fencing tokens and lists
- * what runs and what has ended. A work unit's `spec` is JSON with `ms`, its duration, or `lasts` for one that lasts.
+ * what runs and what has ended. A work unit's `spec` is JSON with `ms`, its duration; one without it lasts.
  */
 import { Buffer } from 'node:buffer';
 import { createServer } from 'node:http';
@@ -20,14 +20,17 @@
 }
 
 /**
- * Starts a worker. `needsOf(task)` returns the `cpu` and `memMb` of a work unit. `meddle(path, body)` may return `'silent'`
- * (nothing is done, no answer) or a promise to wait for before the order is carried out without an answer.
+ * Starts a worker. `needsOf(task)` returns the step of a work unit, and `gangs` tells when a gang is present. `meddle(path,
+ * body)` may return `'silent'` (nothing is done, no answer) or a promise to wait for before the order is carried out
+ * without an answer.
  */
 export async function startWorker({
   id,
   capacity,
   stopMs,
   needsOf,
+  gangs,
+  checkpointMs,
   note,
   meddle = () => null,
   host = '127.0.0.1',
@@ -47,14 +50,26 @@
 
   const clockMs = () => Math.round(performance.now() - beganAt);
 
+  /** Work of a unit in ms, from its checkpoint on. */
+  const workedMs = ({ beganWorkAt, resumedMs }) =>
+    beganWorkAt === null ? resumedMs : resumedMs + (performance.now() - beganWorkAt);
+
+  /** The newest checkpoint of a unit, as the work that it holds; empty for none. */
+  const savedOf = (unit) => {
+    if (!unit.savesCheckpoints) return '';
+    const intervals = Math.floor(workedMs(unit) / checkpointMs);
+    return intervals === 0 ? '' : (intervals * checkpointMs).toString(16).padStart(16, '0');
+  };
+
   const end = (task, how) => {
     const unit = running.get(task);
     if (unit === undefined) return;
     running.delete(task);
     clearTimeout(unit.timer);
+    if (unit.leaveGang !== null) unit.leaveGang(how);
     highest.set(task, Math.max(highest.get(task) ?? 0, unit.run));
     lastNumber += 1;
-    ended.push([lastNumber, task, unit.run, how, '']);
+    ended.push([lastNumber, task, unit.run, how, how === 'done' ? '' : savedOf(unit)]);
     note('ended', { worker: id, task, run: unit.run, how });
     const woken = waiting;
     waiting = [];
@@ -91,7 +106,7 @@
 
   const startRun = (order) => {
     if (isFenced(order)) return conflict('fence');
-    const { task, run, spec, untilMs } = order;
+    const { task, run, spec, untilMs, checkpoint = '' } = order;
     const unit = running.get(task);
     if (unit?.run === run) return done();
     if (run <= (highest.get(task) ?? 0)) {
@@ -102,9 +117,25 @@
     extendLease(untilMs);
     if (unit !== undefined || !hasRoom(task)) return conflict('room');
     const { ms = null } = JSON.parse(spec);
-    const timer = ms === null ? null : setTimeout(() => end(task, 'done'), ms);
-    running.set(task, { run, timer, isStopping: false });
-    note('started', { worker: id, task, run, spec, fence });
+    const { checkpointing: savesCheckpoints = false, gang: isGang = false } = needsOf(task);
+    const resumedMs = checkpoint === '' ? 0 : Number.parseInt(checkpoint, 16);
+    const begun = {
+      run,
+      timer: null,
+      isStopping: false,
+      savesCheckpoints,
+      resumedMs,
+      beganWorkAt: null,
+      leaveGang: null,
+    };
+    const work = () => {
+      begun.beganWorkAt = performance.now();
+      if (ms !== null) begun.timer = setTimeout(() => end(task, 'done'), ms - resumedMs);
+    };
+    running.set(task, begun);
+    if (isGang) begun.leaveGang = gangs.join(task, run, work, (how) => end(task, how));
+    else work();
+    note('started', { worker: id, task, run, spec, checkpoint, fence });
     return done();
   };
 
@@ -138,7 +169,7 @@
       .forEach(([, task, run, how]) => note('seen', { task, run, how }));
     ended = ended.filter(([number]) => number > lastSeen);
     await waitForEnd(waitMs);
-    const rows = [...running].map(([task, { run }]) => [task, run, '', FULL_SPEED]);
+    const rows = [...running].map(([task, unit]) => [task, unit.run, savedOf(unit), FULL_SPEED]);
     return done({ born, running: rows, ended: ended.slice(0, ENDS_PER_ANSWER) });
   };
 
@@ -187,8 +218,9 @@
     /** Ends this life; everything that runs on it ends unlisted. */
     end: async () => {
       isUp = false;
-      running.forEach(({ timer, run }, task) => {
+      running.forEach(({ timer, run, leaveGang }, task) => {
         clearTimeout(timer);
+        if (leaveGang !== null) leaveGang('died');
         note('died', { worker: id, task, run });
       });
       running.clear();
