Show that a job runs twice after its queue was given to another service

Cause: a submission is known only by the service that its route named when it arrived; a repeated request reaches the service that the route names now.

--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -207,26 +207,29 @@
     before: cloudBefore,
   });
 
-  const configure = (version) => {
-    const names = Object.keys(services);
+  /** Writes a config; `routes` gives the name, the path and the service of each queue, one for each service if left out. */
+  const configure = (
+    version,
+    routes = Object.keys(services).map((service) => ({ name: `route-${service}`, path: service, service })),
+  ) => {
     store.put('keyed.op', 'config', {
       version,
-      routes: names.map((name) => ({
-        name: `route-${name}`,
+      routes: routes.map(({ name, path: prefix, service }) => ({
+        name,
         host: HOST_NAME,
-        pathPrefix: `/${name}/`,
+        pathPrefix: `/${prefix}/`,
         type: 'unsafe',
         timeoutMs: TIMEOUT_MS,
         targetRuntimeMs: 2_500,
         priority: 0,
-        service: name,
+        service,
         maxAttempts: 2,
         stretch: 2.2,
       })),
-      services: names.map((name) => ({ name, enforcesCapacity: true })),
+      services: Object.keys(services).map((name) => ({ name, enforcesCapacity: true })),
       limits: {},
     });
-    note('config', { version });
+    note('config', { version, routes });
   };
 
   const processes = [];
