--- a/review/lib-3/cloud.mjs
+++ b/review/lib-3/cloud.mjs
@@ -13,51 +13,37 @@
 
 /**
  * Starts the machines' API. A machine has `machine`, `pool`, `state`, `zone`, `labels`, `capacity` and `worker`, which is
- * null while it is not up. `begin(machine)` starts a new worker on a machine and returns it. `waves` holds the machines
- * of each wave. `before(path)` may return `'silent'` or a status in place of an answer.
+ * null while it is not up. `begin(machine)` starts a new worker on a machine and returns it, `retire(worker)` ends one. No
+ * wave of upkeep is known.
  */
-export async function startCloud({
-  machines,
-  begin,
-  retire,
-  moveS,
-  upkeepS,
-  waves,
-  note,
-  before = () => null,
-}) {
+export async function startCloud({ machines, begin, retire, moveS, note }) {
   const highest = new Map();
 
-  const takeDown = async (machine, state, seconds) => {
-    machine.state = state;
+  const move = async (machine, pool) => {
+    machine.state = 'moving';
+    machine.pool = pool;
     const { worker } = machine;
     machine.worker = null;
     if (worker !== null) await retire(worker);
-    await sleep(seconds * MS_PER_S);
+    await sleep(moveS * MS_PER_S);
     machine.state = 'up';
     machine.worker = await begin(machine);
   };
 
   const refuse = (reason) => ({ status: 409, body: { reason } });
 
-  const order = (path, headers, { machine: name, pool, wave }) => {
+  const order = (path, headers, { machine: name, pool }) => {
     const machine = machines.find((one) => one.machine === name);
     if (machine === undefined) return { status: 400, body: {} };
     const token = Number(headers['fencing-token'] ?? 0);
     const holder = headers['duty-holder'];
     if (token < (highest.get(name)?.token ?? 0)) return refuse('fence');
     highest.set(name, { token, holder });
-    const isMove = path === '/machine-move';
-    if (isMove && machine.pool === pool) return { status: 200, body: {} };
-    if (!isMove && !(waves.get(wave) ?? []).includes(name)) return refuse('wave');
-    if (!isMove && machine.upkeptFor?.has(wave)) return { status: 200, body: {} };
+    if (path !== '/machine-move') return refuse('wave');
+    if (machine.pool === pool) return { status: 200, body: {} };
     if (machine.state !== 'up') return refuse('busy');
-    note('machine', { machine: name, path, pool, wave, token, holder });
-    if (isMove) machine.pool = pool;
-    else machine.upkeptFor = new Set([...(machine.upkeptFor ?? []), wave]);
-    takeDown(machine, isMove ? 'moving' : 'upkeep', isMove ? moveS : upkeepS).catch((error) =>
-      note('fault', { error: String(error) }),
-    );
+    note('move', { machine: name, pool, token, holder });
+    move(machine, pool).catch((error) => note('fault', { error: String(error) }));
     return { status: 200, body: {} };
   };
 
@@ -79,10 +65,8 @@
 
   const handle = async (request, response) => {
     const body = await readBody(request);
-    const instead = before(request.url);
-    if (instead === 'silent') return;
     const { status, body: answer } =
-      instead ?? (request.method === 'GET' ? list() : order(request.url, request.headers, JSON.parse(body)));
+      request.method === 'GET' ? list() : order(request.url, request.headers, JSON.parse(body));
     await sleep(2);
     response.writeHead(status, { 'content-type': 'application/json' });
     response.end(JSON.stringify(answer));
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -27,11 +27,8 @@
   return { status, body: Buffer.from(JSON.stringify(body)) };
 }
 
-/**
- * Starts the store. `before(call)` may return an answer, `'reset'` or `'silent'` in place of the store's own; `after(call)`
- * may withhold the answer of a call that was carried out, by `'reset'` or `'silent'`.
- */
-export async function startStore({ parts, before = () => null, after = () => null }) {
+/** Starts the store; each topic has `parts` partitions. */
+export async function startStore({ parts }) {
   const partitions = new Map();
   const lastAppend = new Map();
   const groups = createGroups(parts, () => performance.now());
@@ -118,7 +115,6 @@
   };
 
   const send = (request, response, outcome) => {
-    if (outcome === 'silent') return;
     if (outcome === 'reset') {
       request.socket.resetAndDestroy();
       return;
@@ -130,15 +126,9 @@
   const handle = async (request, response) => {
     const body = await readBody(request);
     const { pathname, searchParams } = new URL(request.url, 'http://store');
-    const call = { path: pathname, query: searchParams, body, port: request.socket.remotePort };
-    const instead = before(call);
-    if (instead !== null) {
-      send(request, response, instead);
-      return;
-    }
     const outcome = await answer(pathname, searchParams, body);
     await sleep(ANSWER_MS);
-    send(request, response, after(call) ?? outcome);
+    send(request, response, outcome);
   };
 
   const server = createServer((request, response) => {
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -9,21 +9,18 @@
 import { performance } from 'node:perf_hooks';
 import process from 'node:process';
 import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 import { startCloud } from './cloud.mjs';
-import { createGangs } from './gangs.mjs';
 import { startStore } from './store.mjs';
 import { startWorker } from './worker.mjs';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const HEARTBEAT_MS = 1_500;
 
-/** Heartbeats of silence after which the platform removes the entry of a worker. */
-const BEATS_UNTIL_REMOVED = 3;
-
 const TIMEOUT_MS = 3_000;
 const HOST_NAME = 'calls.example';
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
 
 /** The figures of `sites/colla-brianza.toml`. */
 const BOUNDS = {
@@ -60,16 +57,27 @@
   harmMs: 4_000,
 };
 
+const givenPorts = new Set();
+
+/** Returns a free port below the range from which the system takes the ports of outgoing connections. */
 async function freePort() {
-  const server = createServer();
-  await new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    const server = createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (isFree) {
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+    }
+    if (isFree && !givenPorts.has(port)) {
+      givenPorts.add(port);
+      return port;
+    }
+  }
 }
 
 /** The command of the deploy file. */
@@ -95,19 +103,9 @@
  * Starts the platform and `nodes` processes of the program. `services` names the pools and their machines; each service
  * has one queue with the path `/NAME/`.
  */
-export async function startSystem({
-  note,
-  nodes = 3,
-  services = { orders: 4 },
-  parts = 12,
-  storeBefore,
-  storeAfter,
-  cloudBefore,
-  meddle = () => null,
-}) {
+export async function startSystem({ note, nodes = 3, services = { orders: 4 }, parts = 12 }) {
   const folder = mkdtempSync(path.join(tmpdir(), 'case-'));
-  const store = await startStore({ parts, before: storeBefore, after: storeAfter });
-  const waves = new Map();
+  const store = await startStore({ parts });
   const workers = new Map();
   const beats = new Map();
   const jobs = new Map();
@@ -118,8 +116,6 @@
     return jobs.get(jobId)?.steps[Number(step)] ?? {};
   };
 
-  const gangs = createGangs((task) => needsOf(task).count, BOUNDS.gangTimeoutMs);
-
   const beat = (machine, worker, sequence, state = 'ready') =>
     store.put('keyed.servers', worker.id, {
       service: machine.pool,
@@ -144,10 +140,7 @@
       capacity: machine.capacity,
       stopMs: BOUNDS.stopMs,
       needsOf,
-      gangs,
-      checkpointMs: BOUNDS.checkpointIntervalS * 1_000,
       note,
-      meddle: (...call) => meddle(machine, ...call),
     });
     workers.set(worker.id, worker);
     note('worker', { worker: worker.id, machine: machine.machine, pool: machine.pool });
@@ -168,21 +161,6 @@
     store.put('keyed.servers', worker.id, null);
   };
 
-  /** Crashes the worker of a machine, which is down for some time; its entry stays for three heartbeats. */
-  const crash = async (machine, downS) => {
-    const { worker } = machine;
-    machine.state = 'down';
-    machine.worker = null;
-    note('crash', { machine: machine.machine, worker: worker.id, downS });
-    clearInterval(beats.get(worker.id));
-    workers.delete(worker.id);
-    setTimeout(() => store.put('keyed.servers', worker.id, null), BEATS_UNTIL_REMOVED * HEARTBEAT_MS);
-    await worker.end();
-    await sleep(downS * 1_000);
-    machine.state = 'up';
-    machine.worker = await begin(machine);
-  };
-
   const machines = Object.entries(services).flatMap(([pool, count]) =>
     Array.from({ length: count }, (_, index) => ({
       machine: `m-${pool}-${index}`,
@@ -195,16 +173,13 @@
     })),
   );
   for (const machine of machines) machine.worker = await begin(machine);
-  const { moveS, upkeepS } = BOUNDS;
+  const { moveS } = BOUNDS;
   const cloud = await startCloud({
     machines,
     begin,
     retire,
     moveS,
-    upkeepS,
-    waves,
     note,
-    before: cloudBefore,
   });
 
   /** Writes a config; `routes` gives the name, the path and the service of each queue, one for each service if left out. */
@@ -364,7 +339,6 @@
     store,
     machines,
     workers,
-    waves,
     processes,
     bounds: BOUNDS,
     configure,
@@ -372,7 +346,6 @@
     addNode,
     call,
     isReady,
-    crash,
     /** Remembers what a job needs, so that workers can tell whether it fits. */
     describe: (jobId, job) => jobs.set(jobId, job),
     /** Ends every process and stand-in of this deployment, and removes its folder. */
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -8,6 +8,7 @@
 import { clearTimeout, setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 
+const HOST = '127.0.0.1';
 const LONGEST_HOLD_MS = 10_000;
 const LONGEST_WAIT_MS = 2_000;
 const ENDS_PER_ANSWER = 500;
@@ -19,24 +20,9 @@
   return Buffer.concat(chunks).toString();
 }
 
-/**
- * Starts a worker. `needsOf(task)` returns the step of a work unit, and `gangs` tells when a gang is present. `meddle(path,
- * body)` may return `'silent'` (nothing is done, no answer) or a promise to wait for before the order is carried out
- * without an answer.
- */
-export async function startWorker({
-  id,
-  capacity,
-  stopMs,
-  needsOf,
-  gangs,
-  checkpointMs,
-  note,
-  meddle = () => null,
-  host = '127.0.0.1',
-  port = 0,
-  born = Date.now(),
-}) {
+/** Starts a worker. `needsOf(task)` returns the `cpu` and `memMb` of a work unit. */
+export async function startWorker({ id, capacity, stopMs, needsOf, note }) {
+  const born = Date.now();
   const beganAt = performance.now();
   const running = new Map();
   const highest = new Map();
@@ -50,26 +36,14 @@
 
   const clockMs = () => Math.round(performance.now() - beganAt);
 
-  /** Work of a unit in ms, from its checkpoint on. */
-  const workedMs = ({ beganWorkAt, resumedMs }) =>
-    beganWorkAt === null ? resumedMs : resumedMs + (performance.now() - beganWorkAt);
-
-  /** The newest checkpoint of a unit, as the work that it holds; empty for none. */
-  const savedOf = (unit) => {
-    if (!unit.savesCheckpoints) return '';
-    const intervals = Math.floor(workedMs(unit) / checkpointMs);
-    return intervals === 0 ? '' : (intervals * checkpointMs).toString(16).padStart(16, '0');
-  };
-
   const end = (task, how) => {
     const unit = running.get(task);
     if (unit === undefined) return;
     running.delete(task);
     clearTimeout(unit.timer);
-    if (unit.leaveGang !== null) unit.leaveGang(how);
     highest.set(task, Math.max(highest.get(task) ?? 0, unit.run));
     lastNumber += 1;
-    ended.push([lastNumber, task, unit.run, how, how === 'done' ? '' : savedOf(unit)]);
+    ended.push([lastNumber, task, unit.run, how, '']);
     note('ended', { worker: id, task, run: unit.run, how });
     const woken = waiting;
     waiting = [];
@@ -106,7 +80,7 @@
 
   const startRun = (order) => {
     if (isFenced(order)) return conflict('fence');
-    const { task, run, spec, untilMs, checkpoint = '' } = order;
+    const { task, run, spec, untilMs } = order;
     const unit = running.get(task);
     if (unit?.run === run) return done();
     if (run <= (highest.get(task) ?? 0)) {
@@ -117,25 +91,9 @@
     extendLease(untilMs);
     if (unit !== undefined || !hasRoom(task)) return conflict('room');
     const { ms = null } = JSON.parse(spec);
-    const { checkpointing: savesCheckpoints = false, gang: isGang = false } = needsOf(task);
-    const resumedMs = checkpoint === '' ? 0 : Number.parseInt(checkpoint, 16);
-    const begun = {
-      run,
-      timer: null,
-      isStopping: false,
-      savesCheckpoints,
-      resumedMs,
-      beganWorkAt: null,
-      leaveGang: null,
-    };
-    const work = () => {
-      begun.beganWorkAt = performance.now();
-      if (ms !== null) begun.timer = setTimeout(() => end(task, 'done'), ms - resumedMs);
-    };
-    running.set(task, begun);
-    if (isGang) begun.leaveGang = gangs.join(task, run, work, (how) => end(task, how));
-    else work();
-    note('started', { worker: id, task, run, spec, checkpoint, fence });
+    const timer = ms === null ? null : setTimeout(() => end(task, 'done'), ms);
+    running.set(task, { run, timer, isStopping: false });
+    note('started', { worker: id, task, run, spec, fence });
     return done();
   };
 
@@ -169,7 +127,7 @@
       .forEach(([, task, run, how]) => note('seen', { task, run, how }));
     ended = ended.filter(([number]) => number > lastSeen);
     await waitForEnd(waitMs);
-    const rows = [...running].map(([task, unit]) => [task, unit.run, savedOf(unit), FULL_SPEED]);
+    const rows = [...running].map(([task, { run }]) => [task, run, '', FULL_SPEED]);
     return done({ born, running: rows, ended: ended.slice(0, ENDS_PER_ANSWER) });
   };
 
@@ -187,13 +145,6 @@
       response.end('{}');
       return;
     }
-    const meddled = meddle(request.url, order);
-    if (meddled === 'silent') return;
-    if (meddled !== null) {
-      await meddled;
-      if (isUp) await carryOut(request.url, order);
-      return;
-    }
     const { status, body } = await carryOut(request.url, order);
     if (!isUp) return;
     response.writeHead(status, { 'content-type': 'application/json' });
@@ -205,22 +156,21 @@
   });
   server.keepAliveTimeout = 0;
   await new Promise((resolve) => {
-    server.listen(port, host, resolve);
+    server.listen(0, HOST, resolve);
   });
 
   return {
     id,
     born,
     capacity,
-    address: `${host}:${server.address().port}`,
+    address: `${HOST}:${server.address().port}`,
     clockMs,
     running: () => [...running].map(([task, { run }]) => ({ task, run })),
     /** Ends this life; everything that runs on it ends unlisted. */
     end: async () => {
       isUp = false;
-      running.forEach(({ timer, run, leaveGang }, task) => {
+      running.forEach(({ timer, run }, task) => {
         clearTimeout(timer);
-        if (leaveGang !== null) leaveGang('died');
         note('died', { worker: id, task, run });
       });
       running.clear();
