Find the jobs of a queue by its address instead of its name

Cause: the owner compared the queue's name at the acceptance of a job with its name now. Callers select a queue by host name and path.

Change: a job is stored with this address.

--- a/packages/scheduler/src/__tests__/inbox-pages.test.ts
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -66,7 +66,10 @@
     const owner = await claimService(clock, createPagedStore(clock, ['a', 'b', 'c']));
     t.true(await owner.catchUp());
     const state = owner.state();
-    t.is(state === null ? null : selectJobStatus(state, 'quotes', 'c', null), 'queued');
+    t.is(
+      state === null ? null : selectJobStatus(state, { name: 'quotes', address: 'quotes' }, 'c', null),
+      'queued',
+    );
     await owner.stop();
   });
 
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -138,6 +138,7 @@
   jobId: 'a',
   service: 'quotes',
   queue: 'quotes',
+  queueAddress: 'example/quotes/',
   workspace: 'red',
   specification: 's',
   steps: [PLAIN_STEP],
@@ -193,16 +194,17 @@
     return [(await handle(request)).kind, dispatched];
   };
   const subject = { service: 'quotes', jobId: 'a' };
+  const queue = { queue: 'quotes', queueAddress: 'example/quotes/' };
 
   it('tells the status of a job to its workspace and to calls that need no key', async (t) => {
     for (const workspace of ['red', null]) {
-      const request = { kind: 'job-status' as const, ...subject, queue: 'quotes', workspace };
+      const request = { kind: 'job-status' as const, ...subject, ...queue, workspace };
       t.deepEqual(await ask(request), ['job-status', 0]);
     }
   });
 
   it('does not know the job when another workspace asks for it', async (t) => {
-    const request = { kind: 'job-status' as const, ...subject, queue: 'quotes', workspace: 'blue' };
+    const request = { kind: 'job-status' as const, ...subject, ...queue, workspace: 'blue' };
     t.deepEqual(await ask(request), ['unknown-job', 0]);
   });
 
@@ -217,4 +219,9 @@
     const request = { kind: 'job-status', service: 'quotes', queue: 'quotes', jobId: 'a' };
     t.like(parsePeerRequest(request), { workspace: null });
   });
+
+  it('without the address of the queue is read as one that names the queue', (t) => {
+    const request = { kind: 'pending-count', service: 'quotes', queue: 'quotes' };
+    t.like(parsePeerRequest(request), { queue: 'quotes', queueAddress: null });
+  });
 });
--- a/packages/scheduler/src/__tests__/job-request.ts
+++ b/packages/scheduler/src/__tests__/job-request.ts
@@ -7,6 +7,7 @@
     jobId,
     service: 'quotes',
     queue: 'quotes',
+    queueAddress: 'quotes',
     workspace: null,
     specification: 'work',
     steps: [PLAIN_STEP],
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -20,6 +20,7 @@
   SubmitResult,
   SubmittedJob,
 } from '../ports/index.js';
+import { queueAddressOf } from './queue-address.js';
 import type { SubmissionWriter } from './submission-writer.js';
 
 /** Time reserved for the answer to reach the caller before the caller times out. */
@@ -85,6 +86,7 @@
     ...job,
     service: queue.service,
     queue: queue.name,
+    queueAddress: queueAddressOf(queue),
     workspace,
     priority: queue.priority,
     maximumFailedRuns: queue.maximumFailedRuns,
@@ -205,7 +207,14 @@
     workspace: string | null,
   ): Promise<JobStatusResult> => {
     const { name, service } = queue;
-    const request = { kind: 'job-status' as const, service, queue: name, jobId, workspace };
+    const request = {
+      kind: 'job-status' as const,
+      service,
+      queue: name,
+      queueAddress: queueAddressOf(queue),
+      jobId,
+      workspace,
+    };
     const answer = await requestFromOwner(queue, request, remainingMilliseconds);
     if (answer?.kind === 'job-status') {
       return { kind: 'known', status: answer.status, failureReason: answer.failureReason };
@@ -247,7 +256,12 @@
   };
 
   const countPending = async (queue: Queue, remainingMilliseconds: number): Promise<PendingCountResult> => {
-    const request = { kind: 'pending-count' as const, service: queue.service, queue: queue.name };
+    const request = {
+      kind: 'pending-count' as const,
+      service: queue.service,
+      queue: queue.name,
+      queueAddress: queueAddressOf(queue),
+    };
     const answer = await requestFromOwner(queue, request, remainingMilliseconds);
     return answer?.kind === 'pending-count'
       ? { kind: 'counted', pending: answer.pending }
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -27,9 +27,11 @@
 const INTERFERENCE_KEY = `${INTERFERENCE_PREFIX}model`;
 
 /** Job request whose times are milliseconds since 1970. */
-type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition' | 'workspace'> & {
+type EncodedRequest = Omit<JobRequest, 'acceptedAt' | 'repetition' | 'workspace' | 'queueAddress'> & {
   /** Absent in records of earlier versions. */
   readonly workspace?: string | null;
+  /** Absent in records of earlier versions. */
+  readonly queueAddress?: string | null;
   readonly acceptedAt: number;
   readonly repetition: {
     readonly times: number;
@@ -86,6 +88,7 @@
   return {
     ...encoded,
     workspace: encoded.workspace ?? null,
+    queueAddress: encoded.queueAddress ?? null,
     acceptedAt: new Date(acceptedAt),
     repetition: repetition === null ? null : { ...repetition, firstDueAt: new Date(repetition.firstDueAt) },
   };
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -5,11 +5,15 @@
 /** The workspace of the caller's key; null if the call needed none. Absent in messages of earlier versions. */
 const callerWorkspace = z.string().nullable().default(null);
 
+/** Host name and path prefix of a queue. Absent in messages of earlier versions. */
+const queueAddress = z.string().nullable().default(null);
+
 /** Requests the status of a job. */
 const jobStatusRequest = z.object({
   kind: z.literal('job-status'),
   service: z.string(),
   queue: z.string(),
+  queueAddress,
   jobId: z.string(),
   workspace: callerWorkspace,
 });
@@ -19,6 +23,7 @@
   kind: z.literal('pending-count'),
   service: z.string(),
   queue: z.string(),
+  queueAddress,
 });
 
 /** Notifies a service owner of a stored cancellation before its next read finds it. */
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -56,9 +56,9 @@
 /** Returns the status of a job as far as it is known without a read; null if the job is unknown. */
 function findJobStatus(
   state: ServiceState,
-  { queue, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
+  { queue, queueAddress, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
 ): PeerResponse | null {
-  const status = selectJobStatus(state, queue, jobId, workspace);
+  const status = selectJobStatus(state, { name: queue, address: queueAddress }, jobId, workspace);
   if (status === null) return null;
   return { kind: 'job-status', status, failureReason: selectFailureReason(state, jobId) };
 }
@@ -123,7 +123,8 @@
     if (request.kind === 'service-report') return answerServiceReport(owner, request);
     if (request.kind === 'job-cancelled') return recordCancellation(owner, state, request);
     if (request.kind === 'pending-count') {
-      const pending = selectPendingCount(state, request.queue, clock.steadyNow());
+      const queue = { name: request.queue, address: request.queueAddress };
+      const pending = selectPendingCount(state, queue, clock.steadyNow());
       return pending === null ? NOT_OWNER : { kind: 'pending-count', pending };
     }
     return answerJobStatus(owner, state, request);
--- a/packages/scheduler/src/warm-up/model-jobs.ts
+++ b/packages/scheduler/src/warm-up/model-jobs.ts
@@ -23,6 +23,7 @@
     jobId: number.toString(16).padStart(16, '0'),
     service: WARM_UP_SERVICE,
     queue: WARM_UP_SERVICE,
+    queueAddress: null,
     workspace: null,
     specification: WARM_UP_SERVICE,
     steps: number % 2 === 0 ? [STEP, { ...STEP, after: [0] }] : [STEP],
--- a/packages/scheduling/src/__tests__/crashing-tasks-random.test.ts
+++ b/packages/scheduling/src/__tests__/crashing-tasks-random.test.ts
@@ -2,7 +2,7 @@
 import type { TaskKey } from '../model/job.js';
 import { selectJobStatus } from '../service/selectors.js';
 import { createCrashingWorkers, type CrashingWorkers } from './crashing-workers.js';
-import { createServiceHarness, jobOf } from './service-harness.js';
+import { QUOTES, createServiceHarness, jobOf } from './service-harness.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
 
@@ -89,7 +89,7 @@
   SEEDS.forEach((seed) => {
     it(`gives up each such task in time and no task without two crashes, seed ${seed}`, (t) => {
       const { workers, jobIds, violations } = playSeed(seed);
-      const statusOf = (jobId: string) => selectJobStatus(workers.harness().state(), 'quotes', jobId);
+      const statusOf = (jobId: string) => selectJobStatus(workers.harness().state(), QUOTES, jobId);
       t.is(violations, 0);
       for (const jobId of jobIds) {
         const isDeadly = jobId.startsWith('deadly');
--- a/packages/scheduling/src/__tests__/crashing-tasks.test.ts
+++ b/packages/scheduling/src/__tests__/crashing-tasks.test.ts
@@ -2,7 +2,7 @@
 import { taskIdOf, type TaskKey } from '../model/job.js';
 import { selectJobStatus } from '../service/selectors.js';
 import { createCrashingWorkers, type CrashingWorkers, type CrashTerms } from './crashing-workers.js';
-import { createServiceHarness, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
+import { QUOTES, createServiceHarness, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
 
 /** Starts that the most crashes before a verdict allow: the rule on attempts allows five. */
 const MAXIMUM_STARTS = 4;
@@ -29,7 +29,7 @@
   return {
     harness,
     workers,
-    statusOf: (jobId) => selectJobStatus(harness.state(), 'quotes', jobId),
+    statusOf: (jobId) => selectJobStatus(harness.state(), QUOTES, jobId),
   };
 }
 
@@ -111,7 +111,7 @@
       durationOf: () => 500,
     });
     workers.play(3 * TEN_SECONDS);
-    t.is(selectJobStatus(harness.state(), 'quotes', 'deadly'), 'failed');
+    t.is(selectJobStatus(harness.state(), QUOTES, 'deadly'), 'failed');
     t.is(workers.starts.length, 2);
   });
 
--- a/packages/scheduling/src/__tests__/job-failures.test.ts
+++ b/packages/scheduling/src/__tests__/job-failures.test.ts
@@ -2,7 +2,14 @@
 import type { StepRequest } from '../model/job.js';
 import type { StoredServiceRecord } from '../model/records.js';
 import { selectFailureReason, selectJobStatus } from '../service/selectors.js';
-import { createServiceHarness, effectsOf, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
+import {
+  QUOTES,
+  createServiceHarness,
+  effectsOf,
+  jobOf,
+  keyOf,
+  type ServiceHarness,
+} from './service-harness.js';
 import type { ServiceEffect } from '../state/effect.js';
 
 const WORKSPACE = 'north';
@@ -112,7 +119,7 @@
     const harness = harnessWithJob();
     t.is(selectFailureReason(harness.state(), 'a'), null);
     failRuns(harness, 'a');
-    t.is(selectJobStatus(harness.state(), 'quotes', 'a'), 'failed');
+    t.is(selectJobStatus(harness.state(), QUOTES, 'a'), 'failed');
     t.is(selectFailureReason(harness.state(), 'a'), '2 runs failed: task 0 of step 0');
   });
 
@@ -133,7 +140,7 @@
   it('shows no reason to callers of a job that was cancelled', (t) => {
     const harness = harnessWithJob();
     harness.cancel('a');
-    t.is(selectJobStatus(harness.state(), 'quotes', 'a'), 'cancelled');
+    t.is(selectJobStatus(harness.state(), QUOTES, 'a'), 'cancelled');
     t.is(selectFailureReason(harness.state(), 'a'), null);
   });
 });
--- a/packages/scheduling/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduling/src/__tests__/job-ownership.test.ts
@@ -1,12 +1,12 @@
 import { describe } from '@baobabdeck/test-tools';
 import { isJobOfOtherWorkspace, selectJobStatus } from '../service/selectors.js';
-import { createServiceHarness, jobOf } from './service-harness.js';
+import { QUOTES, createServiceHarness, jobOf } from './service-harness.js';
 
 describe('the status of a job', ({ it }) => {
   const harness = createServiceHarness();
   harness.accept(jobOf('of-red', [{}], { workspace: 'red' }), jobOf('of-nobody', [{}]));
   const statusOf = (jobId: string, workspace: string | null) =>
-    selectJobStatus(harness.state(), 'quotes', jobId, workspace);
+    selectJobStatus(harness.state(), QUOTES, jobId, workspace);
 
   it('is shown to the workspace of the job, and to no other', (t) => {
     t.is(statusOf('of-red', 'red'), 'queued');
--- a/packages/scheduling/src/__tests__/lasting-ends.test.ts
+++ b/packages/scheduling/src/__tests__/lasting-ends.test.ts
@@ -4,6 +4,7 @@
 import { selectJobStatus } from '../service/selectors.js';
 import { recordsOfTask, taskOf } from './quarantine-scene.js';
 import {
+  QUOTES,
   createServiceHarness,
   effectsOf,
   jobOf,
@@ -25,7 +26,7 @@
 }
 
 function statusOf(harness: ServiceHarness): string | null {
-  return selectJobStatus(harness.state(), 'quotes', 'a');
+  return selectJobStatus(harness.state(), QUOTES, 'a');
 }
 
 describe('a lasting task', ({ describe: within, it }) => {
--- a/packages/scheduling/src/__tests__/many-suspects.test.ts
+++ b/packages/scheduling/src/__tests__/many-suspects.test.ts
@@ -5,7 +5,14 @@
 import { selectJobStatus } from '../service/selectors.js';
 import { createCrashingWorkers } from './crashing-workers.js';
 import { countRuns, play, recordsOfSuspect, runningOn } from './quarantine-scene.js';
-import { createServiceHarness, effectsOf, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
+import {
+  QUOTES,
+  createServiceHarness,
+  effectsOf,
+  jobOf,
+  keyOf,
+  type ServiceHarness,
+} from './service-harness.js';
 
 const JOBS = 15;
 const TASKS_PER_JOB = 4;
@@ -75,10 +82,10 @@
       const sound = jobIds.map((jobId) => jobOf(jobId, [{ taskCount: TASKS_PER_JOB, needs: NEEDS }]));
       harness.accept(...sound, jobOf('deadly', [{ needs: NEEDS }]));
       workers.play(900);
-      t.is(selectJobStatus(harness.state(), 'quotes', 'deadly'), 'failed');
+      t.is(selectJobStatus(harness.state(), QUOTES, 'deadly'), 'failed');
       t.true(workers.countStarts(taskIdOf(keyOf('deadly'))) <= 4);
       t.deepEqual(
-        jobIds.map((jobId) => selectJobStatus(harness.state(), 'quotes', jobId)),
+        jobIds.map((jobId) => selectJobStatus(harness.state(), QUOTES, jobId)),
         jobIds.map(() => 'completed'),
       );
       t.deepEqual(harness.violations(), []);
--- a/packages/scheduling/src/__tests__/pending-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/pending-jobs.test.ts
@@ -3,14 +3,21 @@
 import { restoreService } from '../service/restore.js';
 import { selectJobStatus, selectPendingCount } from '../service/selectors.js';
 import type { ServiceState } from '../state/service-state.js';
-import { createServiceHarness, effectsOf, jobOf, keyOf, type ServiceHarness } from './service-harness.js';
+import {
+  QUOTES,
+  createServiceHarness,
+  effectsOf,
+  jobOf,
+  keyOf,
+  type ServiceHarness,
+} from './service-harness.js';
 
 function countPending(harness: ServiceHarness): number | null {
-  return selectPendingCount(harness.state(), 'quotes', harness.state().now);
+  return selectPendingCount(harness.state(), QUOTES, harness.state().now);
 }
 
 function statusOf(harness: ServiceHarness): string | null {
-  return selectJobStatus(harness.state(), 'quotes', 'a');
+  return selectJobStatus(harness.state(), QUOTES, 'a');
 }
 
 /** Restores the state of the next owner from the records of a job. */
@@ -85,8 +92,8 @@
     const harness = createServiceHarness();
     harness.accept(jobOf('a', [{}]));
     const { now } = harness.state();
-    t.is(selectPendingCount(harness.state(), 'quotes', now + 2_000), 1);
-    t.is(selectPendingCount(harness.state(), 'quotes', now + 2_001), null);
+    t.is(selectPendingCount(harness.state(), QUOTES, now + 2_000), 1);
+    t.is(selectPendingCount(harness.state(), QUOTES, now + 2_001), null);
   });
 
   within('after a change of owner', ({ it: itAfterChange }) => {
@@ -99,7 +106,7 @@
         { kind: 'job-accepted', request: jobOf('a', [{}]) },
         ...records,
       ]);
-      t.is(selectPendingCount(next, 'quotes', next.now), 1);
+      t.is(selectPendingCount(next, QUOTES, next.now), 1);
     });
 
     itAfterChange('keeps a job running that had started', (t) => {
@@ -112,8 +119,8 @@
       const records = effectsOf(effects, 'store-records').flatMap((effect) => effect.records);
       t.is(records.length, 1);
       const next = restoreFrom(harness.state(), [{ kind: 'job-accepted', request }, ...records]);
-      t.is(selectJobStatus(next, 'quotes', 'a'), 'running');
-      t.is(selectPendingCount(next, 'quotes', next.now), 0);
+      t.is(selectJobStatus(next, QUOTES, 'a'), 'running');
+      t.is(selectPendingCount(next, QUOTES, next.now), 0);
     });
   });
 });
--- a/packages/scheduling/src/__tests__/service-harness.ts
+++ b/packages/scheduling/src/__tests__/service-harness.ts
@@ -1,6 +1,7 @@
 /** Test harness that dispatches events to the scheduler of one service and answers its calls of the store. */
 import { runSteps } from '@baobabdeck/types';
 import { PLAIN_STEP, type JobRequest, type StepRequest, type TaskKey } from '../model/job.js';
+import type { QueueReference } from '../model/queue.js';
 import type { ServiceRecord, StoredServiceRecord } from '../model/records.js';
 import type { WorkerListing, WorkerReport } from '../model/worker.js';
 import type { ServiceEffect } from '../state/effect.js';
@@ -20,6 +21,9 @@
 /** Default capacity of the workers of a harness. */
 export const CAPACITY = { milliCores: 4_000, memoryMegabytes: 8_192, accelerators: 0 };
 
+/** The queue of the jobs of a harness. */
+export const QUOTES: QueueReference = { name: 'quotes', address: 'example/quotes/' };
+
 const DAY = new Date('2026-01-01T00:00:00Z').getTime();
 
 export function jobOf(
@@ -30,7 +34,8 @@
   return {
     jobId,
     service: 'quotes',
-    queue: 'quotes',
+    queue: QUOTES.name,
+    queueAddress: QUOTES.address,
     workspace: null,
     specification: 'work',
     steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
--- a/packages/scheduling/src/__tests__/service.test.ts
+++ b/packages/scheduling/src/__tests__/service.test.ts
@@ -1,6 +1,7 @@
 import { describe } from '@baobabdeck/test-tools';
 import { selectJobStatus } from '../service/selectors.js';
 import {
+  QUOTES,
   createServiceHarness,
   effectsOf,
   jobOf,
@@ -83,7 +84,7 @@
       harness.confirmStarts();
       const done = { number: 1, task: keyOf('a'), run: 1, end: 'done' as const, checkpoint: '' };
       harness.report('w1', { ended: [done] });
-      t.is(selectJobStatus(harness.state(), 'quotes', 'a'), 'completed');
+      t.is(selectJobStatus(harness.state(), QUOTES, 'a'), 'completed');
     });
 
     itEnded('acknowledges the end of a run to its worker only once it is stored', (t) => {
@@ -111,7 +112,7 @@
         starts.push(...effectsOf(harness.report(workerId, { ended: [failed] }), 'start-run'));
       }
       t.is(new Set(starts.map(({ address }) => address.workerId)).size, 3);
-      t.is(selectJobStatus(harness.state(), 'quotes', 'a'), 'failed');
+      t.is(selectJobStatus(harness.state(), QUOTES, 'a'), 'failed');
     });
   });
 
--- a/packages/scheduling/src/__tests__/wide-jobs.test.ts
+++ b/packages/scheduling/src/__tests__/wide-jobs.test.ts
@@ -4,7 +4,14 @@
 import type { JobRequest } from '../model/job.js';
 import { restoreService } from '../service/restore.js';
 import { selectJobStatus } from '../service/selectors.js';
-import { createServiceHarness, jobOf, keyOf, startsOf, type ServiceHarness } from './service-harness.js';
+import {
+  QUOTES,
+  createServiceHarness,
+  jobOf,
+  keyOf,
+  startsOf,
+  type ServiceHarness,
+} from './service-harness.js';
 
 const TASKS = 200;
 const TASKS_PER_PART = 64;
@@ -157,7 +164,7 @@
       next.addWorkers([]);
       next.cancel('a');
       t.deepEqual(partsIn(recordsOf(next, newestOf(harness.records()).length)), []);
-      t.is(selectJobStatus(next.state(), 'quotes', 'a', null), 'cancelled');
+      t.is(selectJobStatus(next.state(), QUOTES, 'a', null), 'cancelled');
     });
   });
 });
--- a/packages/scheduling/src/__tests__/worker-ends.test.ts
+++ b/packages/scheduling/src/__tests__/worker-ends.test.ts
@@ -2,7 +2,14 @@
 import { describe } from '@baobabdeck/test-tools';
 import type { EndedReport } from '../model/worker.js';
 import { selectJobStatus } from '../service/selectors.js';
-import { createServiceHarness, jobOf, keyOf, startsOf, type ServiceHarness } from './service-harness.js';
+import {
+  QUOTES,
+  createServiceHarness,
+  jobOf,
+  keyOf,
+  startsOf,
+  type ServiceHarness,
+} from './service-harness.js';
 
 function doneAt(index: number): EndedReport {
   return { number: index + 1, task: keyOf('a', index), run: 1, end: 'done', checkpoint: '' };
@@ -29,7 +36,7 @@
 }
 
 function isCompleted(harness: ServiceHarness): boolean {
-  return selectJobStatus(harness.state(), 'quotes', 'a', null) === 'completed';
+  return selectJobStatus(harness.state(), QUOTES, 'a', null) === 'completed';
 }
 
 describe('a worker that lists some of its ends', ({ describe: within, it }) => {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,6 @@
 /** The pure scheduler: placement of one service's tasks on workers, and of hosts in pools. */
 export * from './model/job.js';
+export type { QueueReference } from './model/queue.js';
 export * from './model/records.js';
 export * from './model/resources.js';
 export type * from './model/service-report.js';
--- a/packages/scheduling/src/model/job.ts
+++ b/packages/scheduling/src/model/job.ts
@@ -74,8 +74,10 @@
 export interface JobRequest {
   readonly jobId: string;
   readonly service: string;
-  /** The queue to which the job was submitted. */
+  /** Name of the queue to which the job was submitted, at that time. */
   readonly queue: string;
+  /** Address of that queue; null for a job that was accepted by an earlier version. */
+  readonly queueAddress: string | null;
   /** The workspace whose key submitted the job; null for public queues and without workspaces. */
   readonly workspace: string | null;
   /** Passed to workers unchanged. */
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -1,5 +1,6 @@
 /** Selects values for callers from a service's state. */
 import type { JobStatus } from '../model/job.js';
+import { isJobOfQueue, type QueueReference } from '../model/queue.js';
 import { statusOf } from './jobs.js';
 import type { Instant } from '../model/instant.js';
 import type { ServiceState } from '../state/service-state.js';
@@ -22,12 +23,12 @@
  */
 export function selectJobStatus(
   state: ServiceState,
-  queue: string,
+  queue: QueueReference,
   jobId: string,
   workspace: string | null = null,
 ): JobStatus | null {
   const job = state.jobs.get(jobId);
-  if (job === undefined || job.request.queue !== queue) return null;
+  if (job === undefined || !isJobOfQueue(job.request, queue)) return null;
   return isJobOfOtherWorkspace(state, jobId, workspace) ? null : statusOf(job);
 }
 
@@ -41,10 +42,10 @@
  * Counts the active jobs of a queue of which no worker has started a task; null if the inbox was last read too long
  * before `now` to know.
  */
-export function selectPendingCount(state: ServiceState, queue: string, now: Instant): number | null {
+export function selectPendingCount(state: ServiceState, queue: QueueReference, now: Instant): number | null {
   if (now - state.inboxReadAt > COUNT_VALIDITY_MILLISECONDS) return null;
   return state.activeJobIds.count((jobId) => {
     const job = state.jobs.get(jobId);
-    return job !== undefined && job.request.queue === queue && job.phase === 'active' && !job.hasStarted;
+    return job !== undefined && isJobOfQueue(job.request, queue) && job.phase === 'active' && !job.hasStarted;
   });
 }
