Accept all jobs of a queue in one inbox, whatever service it has now

By tests: its status and its cancellation were answered 410, so that a cancelled job ran on, and the count left it out.

Cause: the inbox of a job, and the owner that is asked for it, were chosen by the service that the queue has now, and only the owner of one inbox recognises a job that is submitted again.

Change: the service that a queue has first is recorded as its home, once, and the inbox of the home takes all jobs of the queue. A queue that never changes its service costs one append, and each process one read for each queue that it first accepts a job of.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -88,6 +88,11 @@
     level: 'info',
     message: 'calls refused with 401 because of their key, by queue and reason',
   },
+  queueHomeRecorded: {
+    number: 508,
+    level: 'info',
+    message: 'service recorded whose inbox takes all jobs of the queue',
+  },
   jobQueued: {
     number: 511,
     level: 'info',
@@ -100,6 +105,7 @@
     level: 'warn',
     message: 'job failed; the fields give the evidence and the limits in force',
   },
+  jobForwarded: { number: 515, level: 'info', message: 'job passed to the service that schedules it' },
   taskPlaced: {
     number: 521,
     level: 'info',
--- a/packages/scheduler/src/__tests__/failing-effects.test.ts
+++ b/packages/scheduler/src/__tests__/failing-effects.test.ts
@@ -19,6 +19,7 @@
 } from './failing-ports.js';
 import { requestOf } from './job-request.js';
 import { createManualClock } from './manual-clock.js';
+import { NO_OTHER_SERVICES } from './no-other-services.js';
 import { SCHEDULING_PARAMETERS } from './scheduling-parameters.js';
 
 /** Every kind of effect; a kind that is missing does not compile. */
@@ -28,6 +29,9 @@
   'start-run': true,
   'stop-run': true,
   'pace-run': true,
+  'forward-job': true,
+  'forward-cancellation': true,
+  'find-unknown-jobs': true,
   'list-hosts': true,
   'store-fleet-records': true,
   'order-host': true,
@@ -149,6 +153,7 @@
       clock,
       writeEvent: write,
       measures: NO_MEASURES,
+      others: NO_OTHER_SERVICES,
       requestHostList: () => undefined,
       onClaimed: () => undefined,
       onOwnershipEnded: () => t.fail('the ownership ended'),
@@ -200,6 +205,7 @@
       clock,
       writeEvent: write,
       measures: NO_MEASURES,
+      others: NO_OTHER_SERVICES,
       requestHostList: () => undefined,
       onClaimed: () => undefined,
       onOwnershipEnded: (shouldReclaim) => {
--- a/packages/scheduler/src/__tests__/inbox-pages.test.ts
+++ b/packages/scheduler/src/__tests__/inbox-pages.test.ts
@@ -8,6 +8,7 @@
 import { requestOf } from './job-request.js';
 import { createManualClock, type ManualClock } from './manual-clock.js';
 import { PUBLISHED_LIMITS } from './published-limits.js';
+import { NO_OTHER_SERVICES } from './no-other-services.js';
 import { SCHEDULING_PARAMETERS } from './scheduling-parameters.js';
 
 const INBOX: LogPartition = { topic: 'keyed.inbox.0', partition: 0 };
@@ -52,6 +53,7 @@
     clock,
     writeEvent: () => undefined,
     measures: NO_MEASURES,
+    others: NO_OTHER_SERVICES,
     requestHostList: () => undefined,
     onClaimed: () => undefined,
     onOwnershipEnded: () => undefined,
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -61,6 +61,11 @@
       requestUntil: request,
       requestFrom: () => Promise.resolve(null),
     },
+    homes: {
+      known: () => 'quotes',
+      find: () => Promise.resolve({ kind: 'found', service: 'quotes' }),
+      ensure: () => Promise.resolve('quotes'),
+    },
     isStoreLost: () => false,
     storeLimits: PUBLISHED_LIMITS,
   });
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -8,7 +8,6 @@
 import { isStorable, storedBytesOf } from '../owner/append-batches.js';
 import { encodeRecord } from '../owner/record-codec.js';
 import type { OwnerClient } from '../peers/owner-client.js';
-import type { PeerResponse, PeerRequest } from '../peers/messages.js';
 import type {
   AppendLimits,
   CancelResult,
@@ -20,7 +19,9 @@
   SubmitResult,
   SubmittedJob,
 } from '../ports/index.js';
+import { createJobLookups, type JobLookup } from './job-lookup.js';
 import { queueAddressOf } from './queue-address.js';
+import type { QueueHomes } from './queue-homes.js';
 import type { SubmissionWriter } from './submission-writer.js';
 
 /** Time reserved for the answer to reach the caller before the caller times out. */
@@ -33,6 +34,10 @@
 
 const STORE_LOST_REASON = 'the store does not answer this process';
 
+const HOME_UNKNOWN_REASON = 'the store does not tell where jobs of the queue are accepted';
+
+const NO_INBOX_REASON = 'the service has no log yet';
+
 /** Share of the caller's remaining time for which an append that the store refuses is retried. */
 const STORE_RETRY_SHARE = 0.5;
 
@@ -48,6 +53,7 @@
   readonly storeLimits: AppendLimits;
   readonly layout: () => Layout;
   readonly ownerClient: OwnerClient;
+  readonly homes: QueueHomes;
   /** Whether the store has stopped answering this process; other processes may still reach it. */
   readonly isStoreLost: () => boolean;
 }
@@ -108,10 +114,11 @@
 
 /** Creates the front end. */
 export function createFrontend(parts: FrontendParts): Frontend {
-  const { clock, background, writeEvent, writer } = parts;
+  const { clock, background, writeEvent, writer, homes } = parts;
+  const lookups = createJobLookups(parts);
 
-  const inboxOf = (queue: Queue): LogPartition | null =>
-    parts.layout().get(subjectOfService(queue.service)) ?? null;
+  const inboxOf = (service: string): LogPartition | null =>
+    parts.layout().get(subjectOfService(service)) ?? null;
 
   const deadlineOf = (remainingMilliseconds: number): number =>
     clock.steadyNow() + Math.max(0, remainingMilliseconds - ANSWER_MARGIN_MILLISECONDS);
@@ -151,7 +158,6 @@
     remainingMilliseconds: number,
     workspace: string | null,
   ): Promise<SubmitResult> => {
-    const inbox = inboxOf(queue);
     const startedAt = clock.steadyNow();
     const request = requestOf(queue, job, clock.now(), remainingMilliseconds, workspace);
     const fields = {
@@ -160,15 +166,16 @@
       service: queue.service,
       ...(workspace === null ? {} : { workspace }),
     };
-    if (inbox === null) {
-      writeEvent('jobRefused', { ...fields, reason: 'the service has no log yet' });
-      return { kind: 'refused', reason: 'the service has no log yet', retryAfterSeconds: 1 };
-    }
-    if (parts.isStoreLost()) {
-      writeEvent('jobRefused', { ...fields, reason: STORE_LOST_REASON });
-      return { kind: 'refused', reason: STORE_LOST_REASON, retryAfterSeconds: STORE_REFUSED_RETRY_SECONDS };
-    }
+    const refuse = (reason: string): SubmitResult => {
+      writeEvent('jobRefused', { ...fields, reason });
+      return { kind: 'refused', reason, retryAfterSeconds: STORE_REFUSED_RETRY_SECONDS };
+    };
+    if (parts.isStoreLost()) return refuse(STORE_LOST_REASON);
     const refuseAt = startedAt + remainingMilliseconds * STORE_RETRY_SHARE;
+    const home = await homes.ensure(queue, refuseAt);
+    if (home === null) return refuse(HOME_UNKNOWN_REASON);
+    const inbox = inboxOf(home);
+    if (inbox === null) return refuse(NO_INBOX_REASON);
     const records = encodeRecord({ kind: 'job-accepted', request });
     const excess = findExcess(records, parts.storeLimits);
     if (excess !== null) {
@@ -189,39 +196,40 @@
     return answer;
   };
 
-  const requestFromOwner = (
+  const findJob = async (
     queue: Queue,
-    request: PeerRequest,
+    jobId: string,
     remainingMilliseconds: number,
-  ): Promise<PeerResponse | null> =>
-    parts.ownerClient.requestUntil(
-      subjectOfService(queue.service),
-      request,
-      deadlineOf(remainingMilliseconds),
-    );
+    workspace: string | null,
+  ): Promise<JobLookup> => {
+    const lookup = await lookups.find(queue, jobId, deadlineOf(remainingMilliseconds), workspace);
+    if (lookup.kind === 'unavailable') writeEvent('statusUnavailable', { jobId, queue: queue.name });
+    return lookup;
+  };
 
-  const getJobStatus = async (
-    queue: Queue,
+  /** Stores a cancellation in the inboxes of services; notifies their owners once all inboxes hold it. */
+  const cancelAt = async (
+    services: readonly string[],
     jobId: string,
     remainingMilliseconds: number,
     workspace: string | null,
-  ): Promise<JobStatusResult> => {
-    const { name, service } = queue;
-    const request = {
-      kind: 'job-status' as const,
-      service,
-      queue: name,
-      queueAddress: queueAddressOf(queue),
-      jobId,
-      workspace,
-    };
-    const answer = await requestFromOwner(queue, request, remainingMilliseconds);
-    if (answer?.kind === 'job-status') {
-      return { kind: 'known', status: answer.status, failureReason: answer.failureReason };
+  ): Promise<SubmitResult['kind'] | 'no-inbox'> => {
+    const deadline = deadlineOf(remainingMilliseconds);
+    const records = encodeRecord({ kind: 'job-cancelled', jobId });
+    for (const service of services) {
+      const inbox = inboxOf(service);
+      if (inbox === null) return 'no-inbox';
+      const { kind } = await appendUntilStored(inbox, records, deadline, deadline);
+      if (kind !== 'accepted') return kind;
     }
-    if (answer?.kind === 'unknown-job') return { kind: 'unknown-job' };
-    writeEvent('statusUnavailable', { jobId, queue: queue.name });
-    return { kind: 'unavailable' };
+    services.forEach((service) => {
+      const notice = { kind: 'job-cancelled' as const, service, jobId, workspace };
+      const until = deadlineOf(CANCEL_NOTICE_TIMEOUT_MILLISECONDS);
+      background.start('notify-of-cancellation', async () => {
+        await parts.ownerClient.requestUntil(subjectOfService(service), notice, until);
+      });
+    });
+    return 'accepted';
   };
 
   const cancel = async (
@@ -231,42 +239,24 @@
     workspace: string | null,
   ): Promise<CancelResult> => {
     const startedAt = clock.steadyNow();
-    const status = await getJobStatus(queue, jobId, remainingMilliseconds / 2, workspace);
-    if (status.kind === 'unknown-job') return { kind: 'unknown-job' };
+    const found = await findJob(queue, jobId, remainingMilliseconds / 2, workspace);
+    if (found.kind === 'unknown-job') return { kind: 'unknown-job' };
     // A stored cancellation takes effect, so that none may be stored before the owner has confirmed the workspace.
-    if (status.kind === 'unavailable' && workspace !== null) return { kind: 'unavailable' };
-    const inbox = inboxOf(queue);
-    if (inbox === null) return { kind: 'unavailable' };
-    const remainingForAppend = remainingMilliseconds - (clock.steadyNow() - startedAt);
-    const deadline = deadlineOf(remainingForAppend);
-    const stored = await appendUntilStored(
-      inbox,
-      encodeRecord({ kind: 'job-cancelled', jobId }),
-      deadline,
-      deadline,
-    );
-    writeEvent('cancelTaken', { jobId, queue: queue.name, outcome: stored.kind });
-    if (stored.kind === 'accepted') {
-      const notice = { kind: 'job-cancelled' as const, service: queue.service, jobId, workspace };
-      background.start('notify-of-cancellation', async () => {
-        await requestFromOwner(queue, notice, CANCEL_NOTICE_TIMEOUT_MILLISECONDS);
-      });
-    }
-    return { kind: stored.kind === 'accepted' ? 'cancelled' : 'unavailable' };
+    if (found.kind === 'unavailable' && workspace !== null) return { kind: 'unavailable' };
+    const services =
+      found.kind === 'known'
+        ? [found.service]
+        : [...new Set([homes.known(queue) ?? queue.service, queue.service])];
+    const remaining = remainingMilliseconds - (clock.steadyNow() - startedAt);
+    const outcome = await cancelAt(services, jobId, remaining, workspace);
+    writeEvent('cancelTaken', { jobId, queue: queue.name, outcome });
+    return { kind: outcome === 'accepted' ? 'cancelled' : 'unavailable' };
   };
 
   const countPending = async (queue: Queue, remainingMilliseconds: number): Promise<PendingCountResult> => {
-    const request = {
-      kind: 'pending-count' as const,
-      service: queue.service,
-      queue: queue.name,
-      queueAddress: queueAddressOf(queue),
-    };
-    const answer = await requestFromOwner(queue, request, remainingMilliseconds);
-    return answer?.kind === 'pending-count'
-      ? { kind: 'counted', pending: answer.pending }
-      : { kind: 'unavailable' };
+    const pending = await lookups.countPending(queue, deadlineOf(remainingMilliseconds));
+    return pending === null ? { kind: 'unavailable' } : { kind: 'counted', pending };
   };
 
-  return { submit, getJobStatus, cancel, countPending };
+  return { submit, getJobStatus: findJob, cancel, countPending };
 }
--- a/packages/scheduler/src/node/explain.ts
+++ b/packages/scheduler/src/node/explain.ts
@@ -134,6 +134,11 @@
         })),
       };
     }
+    const forwarded = state.forwarding.jobs.get(jobId);
+    if (forwarded !== undefined) {
+      const { queue, service, sentAt } = forwarded;
+      return { service: state.service, queue: queue.name, forwardedTo: service, isSent: sentAt !== null };
+    }
   }
   return null;
 }
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -5,6 +5,7 @@
 import { authenticateCallers } from '../frontend/caller-authentication.js';
 import { findQueue } from '../frontend/find-queue.js';
 import { createFrontend } from '../frontend/frontend.js';
+import { createQueueHomes } from '../frontend/queue-homes.js';
 import { createSubmissionWriter } from '../frontend/submission-writer.js';
 import { monitorEventLoop } from '../measure/event-loop-monitor.js';
 import { createServiceOwner, type ServiceOwner } from '../owner/service-owner.js';
@@ -30,6 +31,7 @@
 import { createLayoutManager } from './layout-manager.js';
 import { formatMember, type GroupMember } from './group-member.js';
 import { startMembership } from './membership.js';
+import { createOtherServices } from './other-services.js';
 import { createOwnedLogs } from './owned-logs.js';
 import type { SchedulerSettings } from './settings.js';
 import { watchStoreReadiness } from './store-readiness.js';
@@ -163,6 +165,13 @@
     isStoreLost,
   });
 
+  const submissionWriter = createSubmissionWriter(store, background);
+  const otherServices = createOtherServices({
+    layout: layoutManager.layout,
+    append: submissionWriter.append,
+    requestOnce: ownerClient.requestOnce,
+  });
+
   const storeReadiness = watchStoreReadiness({
     clock,
     background,
@@ -192,6 +201,7 @@
         parameters: settings.scheduling,
         store,
         workers: relays.workers,
+        others: otherServices,
         clock,
         writeEvent,
         measures,
@@ -263,7 +273,8 @@
     clock,
     background,
     writeEvent,
-    writer: createSubmissionWriter(store, background),
+    writer: submissionWriter,
+    homes: createQueueHomes({ store, clock, writeEvent, isStoreLost }),
     storeLimits: store.limits,
     isStoreLost,
     layout: layoutManager.layout,
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -65,9 +65,14 @@
   failureReason?: string,
 ];
 
+/** Mark of a forwarded job, in the place of its progress. */
+type EncodedForward = readonly [phase: 'forwarded', service: string, isSent: boolean];
+
 /** Progress of a part: its tasks by step. */
 type EncodedPart = readonly (readonly [step: number, tasks: readonly EncodedTask[]])[];
 
+type ForwardRecord = Extract<ServiceRecord, { readonly kind: 'job-forwarded' }>;
+
 /** Model of interference with its time in milliseconds since 1970. */
 type EncodedInterference = Omit<InterferenceRecord, 'recordedAt'> & {
   readonly version: number;
@@ -128,6 +133,18 @@
   return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted, failureReason };
 }
 
+function encodeForward({ service, isSent }: ForwardRecord): EncodedForward {
+  return ['forwarded', service, isSent];
+}
+
+function decodeForward(jobId: string, [, service, isSent]: EncodedForward): ForwardRecord {
+  return { kind: 'job-forwarded', jobId, service, isSent };
+}
+
+function isForward(encoded: EncodedProgress | EncodedForward): encoded is EncodedForward {
+  return encoded[0] === 'forwarded';
+}
+
 function partKeyOf({ jobId, occurrence, part }: JobPart): string {
   return `${PART_PREFIX}${jobId}/${occurrence}/${part}`;
 }
@@ -172,6 +189,8 @@
       ];
     case 'job-forgotten':
       return [{ key: PROGRESS_PREFIX + record.jobId, value: null }];
+    case 'job-forwarded':
+      return [{ key: PROGRESS_PREFIX + record.jobId, value: encoder.encode(encodeForward(record)) }];
     case 'job-part-progress':
       return [{ key: partKeyOf(record.part), value: encoder.encode(encodePart(record.part)) }];
     case 'job-part-forgotten':
@@ -206,7 +225,9 @@
     case CANCEL_PREFIX:
       return { kind: 'job-cancelled', jobId: subject };
     case PROGRESS_PREFIX:
-      return { kind: 'job-progress', jobId: subject, progress: decodeProgress(content as EncodedProgress) };
+      return isForward(content as EncodedProgress | EncodedForward)
+        ? decodeForward(subject, content as EncodedForward)
+        : { kind: 'job-progress', jobId: subject, progress: decodeProgress(content as EncodedProgress) };
     case PART_PREFIX:
       return { kind: 'job-part-progress', part: decodePart(subject, content as EncodedPart) };
     case RELEASE_PREFIX:
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -18,6 +18,7 @@
 import type { SteadyClock } from '../node/steady-clock.js';
 import { claimService, type ClaimedService } from './claim.js';
 import { decodeReadable } from './decoded-record.js';
+import { performForwardingEffect, type OtherServices } from './forwarding-effects.js';
 import { createLargeRecordReporter } from './large-records.js';
 import { openJournal, type OwnedJournal } from './owned-journal.js';
 import { decodeRecord, encodeRequestTombstones, encodeRecord } from './record-codec.js';
@@ -43,6 +44,8 @@
   readonly clock: SteadyClock;
   readonly writeEvent: WriteEvent;
   readonly measures: ProcessMeasures;
+  /** The services to which jobs are forwarded. */
+  readonly others: OtherServices;
   /** Requests a new list of hosts, which shows whether the incarnation of a silent worker has ended. */
   readonly requestHostList: () => void;
   /** Called once the claim has succeeded and the state is restored. */
@@ -144,6 +147,13 @@
         closed = true;
         parts.onOwnershipEnded(effect.claimsAgain);
         break;
+      case 'forward-job':
+      case 'forward-cancellation':
+      case 'find-unknown-jobs':
+        background.start(effect.kind, () =>
+          performForwardingEffect(effect, { others: parts.others, clock, writeEvent, dispatch, isOpen }),
+        );
+        break;
       default:
         background.start(effect.kind, () =>
           performWorkerEffect(effect, parts.workers, clock, dispatch, isOpen),
--- a/packages/scheduler/src/peers/messages.ts
+++ b/packages/scheduler/src/peers/messages.ts
@@ -26,6 +26,13 @@
   queueAddress,
 });
 
+/** Asks the owner of a service which of some forwarded jobs it does not know. */
+const unknownJobsRequest = z.object({
+  kind: z.literal('unknown-jobs'),
+  service: z.string(),
+  jobIds: z.array(z.string()).readonly(),
+});
+
 /** Notifies a service owner of a stored cancellation before its next read finds it. */
 const jobCancelledNotice = z.object({
   kind: z.literal('job-cancelled'),
@@ -117,6 +124,7 @@
 const requestSchema = z.discriminatedUnion('kind', [
   jobStatusRequest,
   pendingCountRequest,
+  unknownJobsRequest,
   jobCancelledNotice,
   serviceReportRequest,
   hostsOfPoolRequest,
@@ -138,8 +146,16 @@
       readonly failureReason: string | null;
     }
   | { readonly kind: 'unknown-job' }
+  /** The job was forwarded to another service, whose inbox holds it. */
+  | { readonly kind: 'job-forwarded'; readonly service: string }
+  | { readonly kind: 'unknown-jobs'; readonly jobIds: readonly string[] }
   | { readonly kind: 'cancel-noted' }
-  | { readonly kind: 'pending-count'; readonly pending: number }
+  | {
+      readonly kind: 'pending-count';
+      readonly pending: number;
+      /** Other services that may have jobs of the queue. */
+      readonly forwardedTo: readonly string[];
+    }
   | { readonly kind: 'service-report'; readonly report: ServiceReport }
   | {
       readonly kind: 'hosts-of-pool';
@@ -165,8 +181,15 @@
     failureReason: z.string().nullable().default(null),
   }),
   z.object({ kind: z.literal('unknown-job') }),
+  z.object({ kind: z.literal('job-forwarded'), service: z.string() }),
+  z.object({ kind: z.literal('unknown-jobs'), jobIds: z.array(z.string()) }),
   z.object({ kind: z.literal('cancel-noted') }),
-  z.object({ kind: z.literal('pending-count'), pending: z.number() }),
+  z.object({
+    kind: z.literal('pending-count'),
+    pending: z.number(),
+    // Earlier versions forward no jobs.
+    forwardedTo: z.array(z.string()).default([]),
+  }),
   z.object({
     kind: z.literal('service-report'),
     report: z.object({
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -2,6 +2,8 @@
 import {
   isJobOfOtherWorkspace,
   selectFailureReason,
+  selectForwardedTo,
+  selectForwardingTargets,
   selectJobStatus,
   selectPendingCount,
   selectServiceReport,
@@ -58,7 +60,12 @@
   state: ServiceState,
   { queue, queueAddress, jobId, workspace }: Extract<PeerRequest, { readonly kind: 'job-status' }>,
 ): PeerResponse | null {
-  const status = selectJobStatus(state, { name: queue, address: queueAddress }, jobId, workspace);
+  const reference = { name: queue, address: queueAddress };
+  const forwardedTo = selectForwardedTo(state, reference, jobId, workspace);
+  if (forwardedTo?.kind === 'sent') return { kind: 'job-forwarded', service: forwardedTo.service };
+  // The request is repeated until the other service can answer.
+  if (forwardedTo?.kind === 'sending') return NOT_OWNER;
+  const status = selectJobStatus(state, reference, jobId, workspace);
   if (status === null) return null;
   return { kind: 'job-status', status, failureReason: selectFailureReason(state, jobId) };
 }
@@ -77,6 +84,14 @@
   return findJobStatus(caughtUp, request) ?? { kind: 'unknown-job' };
 }
 
+/** Returns which jobs are unknown after all that was accepted so far has been read. */
+async function answerUnknownJobs(owner: ServiceOwner, jobIds: readonly string[]): Promise<PeerResponse> {
+  const isCaughtUp = await owner.catchUp();
+  const state = owner.state();
+  if (!isCaughtUp || state === null) return NOT_OWNER;
+  return { kind: 'unknown-jobs', jobIds: jobIds.filter((jobId) => !state.jobs.has(jobId)) };
+}
+
 /** Creates the request handler. */
 export function createPeerRequestHandler({
   clock,
@@ -125,8 +140,10 @@
     if (request.kind === 'pending-count') {
       const queue = { name: request.queue, address: request.queueAddress };
       const pending = selectPendingCount(state, queue, clock.steadyNow());
-      return pending === null ? NOT_OWNER : { kind: 'pending-count', pending };
+      const forwardedTo = selectForwardingTargets(state, queue);
+      return pending === null ? NOT_OWNER : { kind: 'pending-count', pending, forwardedTo };
     }
+    if (request.kind === 'unknown-jobs') return answerUnknownJobs(owner, request.jobIds);
     return answerJobStatus(owner, state, request);
   };
 }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -26,6 +26,8 @@
 export { selectQueueStatistics, type QueueStatistics } from './service/queue-statistics.js';
 export {
   isJobOfOtherWorkspace,
+  selectForwardedTo,
+  selectForwardingTargets,
   selectFailureReason,
   selectJobStatus,
   selectPendingCount,
--- a/packages/scheduling/src/model/queue.ts
+++ b/packages/scheduling/src/model/queue.ts
@@ -8,9 +8,14 @@
   readonly address: string | null;
 }
 
-/** Whether a job was submitted to a queue. Names are compared only where an address is unknown. */
-export function isJobOfQueue(request: JobRequest, queue: QueueReference): boolean {
-  return request.queueAddress === null || queue.address === null
-    ? request.queue === queue.name
-    : request.queueAddress === queue.address;
+/** Whether two references are to the same queue. Names are compared only where an address is unknown. */
+export function isSameQueue(left: QueueReference, right: QueueReference): boolean {
+  return left.address === null || right.address === null
+    ? left.name === right.name
+    : left.address === right.address;
+}
+
+/** Whether a job was submitted to a queue. */
+export function isJobOfQueue({ queue, queueAddress }: JobRequest, reference: QueueReference): boolean {
+  return isSameQueue({ name: queue, address: queueAddress }, reference);
 }
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -91,6 +91,14 @@
   | { readonly kind: 'job-cancelled'; readonly jobId: string }
   | { readonly kind: 'job-progress'; readonly jobId: string; readonly progress: JobProgress }
   | { readonly kind: 'job-forgotten'; readonly jobId: string }
+  | {
+      /** Another service schedules the job. */
+      readonly kind: 'job-forwarded';
+      readonly jobId: string;
+      readonly service: string;
+      /** Whether the inbox of that service was known to hold the job. */
+      readonly isSent: boolean;
+    }
   | { readonly kind: 'job-part-progress'; readonly part: JobPartProgress }
   | { readonly kind: 'job-part-forgotten'; readonly part: JobPart }
   | { readonly kind: 'worker-released'; readonly workerId: string; readonly incarnation: number }
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -170,7 +170,7 @@
 /** Adds an accepted job. A second acceptance of the same job is ignored. */
 export function* acceptJob(state: ServiceState, request: JobRequest): ServiceStep<ServiceState> {
   const { jobId } = request;
-  if (state.jobs.has(jobId)) return state;
+  if (state.jobs.has(jobId) || state.forwarding.jobs.has(jobId)) return state;
   yield {
     kind: 'log',
     decision: 'jobQueued',
--- a/packages/scheduling/src/service/outbox.ts
+++ b/packages/scheduling/src/service/outbox.ts
@@ -7,6 +7,7 @@
 import { recordOf } from '../decide/interference/record.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEventOf } from '../state/event.js';
+import { markForwardsInFlight, nextForwardBatch, sendRecordedJobs } from './forward-jobs.js';
 import { runsOfJob } from './jobs.js';
 import { orderStart } from './runs.js';
 import { findPartChanges, hasProgress, isRecordedInParts, taskProgressOf } from '../state/recorded-parts.js';
@@ -113,6 +114,7 @@
   const hasNothing =
     state.dirtyJobIds.isEmpty() &&
     state.forgottenJobs.isEmpty() &&
+    state.forwarding.unrecordedJobIds.isEmpty() &&
     !state.recordedInterference.isDue &&
     state.pendingReleaseRecords.length === 0;
   if (hasNothing) return markEndsStored(state, unstoredEndsOf(state));
@@ -121,8 +123,10 @@
     const job = state.jobs.get(jobId);
     return job === undefined ? [] : [recordsOfJob(job)];
   });
+  const forwards = nextForwardBatch(state);
   const records: readonly ServiceRecord[] = [
     ...recorded.flatMap((one) => one.records),
+    ...forwards.records,
     ...state.pendingReleaseRecords,
     ...interferenceRecords(state),
     ...recordsOfForgottenJobs(state),
@@ -135,9 +139,10 @@
     jobVersions: PersistentMap(recorded.map(({ job }) => [job.request.jobId, job.version])),
     taskKeys: recorded.flatMap(({ taskKeys }) => taskKeys),
     releasedWorkerIds: new Set(state.pendingReleaseRecords.map((record) => record.workerId)),
+    forwardedJobIds: forwards.jobIds,
     processedEnds: includesAllJobs ? unstoredEndsOf(state) : PersistentMap(),
   };
-  return updateService(state, {
+  return updateService(markForwardsInFlight(state, forwards.jobIds), {
     appendInFlight,
     nextAppendId: appendId + 1,
     dirtyJobIds: state.dirtyJobIds.subtract(jobIds),
@@ -202,5 +207,6 @@
     stored.jobVersions,
   );
   const renewed = yield* renewLeases(phasesRecorded, stored.processedEnds.keys());
+  yield* sendRecordedJobs(renewed, stored.forwardedJobIds);
   return yield* startRecordedRuns(renewed, stored);
 }
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -12,6 +12,13 @@
 import { acceptJob, beginDueOccurrences, cancelJob, runsOfJob } from './jobs.js';
 import { settleWorkerCrashes } from './crash-verdicts.js';
 import { forgetJobs } from './forget-jobs.js';
+import {
+  cancelForwardedJob,
+  forwardJob,
+  handleJobForwarded,
+  handleJobsUnknown,
+  reviewForwardedJobs,
+} from './forward-jobs.js';
 import { flushOutbox, handleRecordsStored } from './outbox.js';
 import { considerEveryWorker } from '../state/placement-changes.js';
 import { drainLeavingWorkers, handleHostRequests } from './release.js';
@@ -56,10 +63,13 @@
 ): ServiceStep<ServiceState> {
   switch (record.kind) {
     case 'job-accepted':
-      if (record.request.service !== state.service) return state;
-      return yield* acceptJob(state, record.request);
+      return record.request.service === state.service
+        ? yield* acceptJob(state, record.request)
+        : yield* forwardJob(state, record.request);
     case 'job-cancelled':
-      return yield* cancelJob(state, record.jobId);
+      return state.forwarding.jobs.has(record.jobId)
+        ? yield* cancelForwardedJob(state, record.jobId)
+        : yield* cancelJob(state, record.jobId);
     case 'ownership-claimed':
       return offset > state.fencingEpoch ? yield* giveUpOwnership(state, 'a newer claim was read') : state;
     default:
@@ -134,6 +144,7 @@
   next = beginDueJobs(yield* drainLeavingWorkers(next));
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
   if (isFullScanDue(next)) next = yield* reviewInterference(next);
+  if (isFullScanDue(next)) next = yield* reviewForwardedJobs(next);
   const remembered = markQuarantineStale(yield* forgetJobs(next));
   return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
@@ -146,6 +157,10 @@
       return yield* handleRecords(state, event.records, event.askedAt);
     case 'records-stored':
       return yield* handleRecordsStored(state, event);
+    case 'job-forwarded':
+      return handleJobForwarded(state, event);
+    case 'jobs-unknown':
+      return yield* handleJobsUnknown(state, event);
     case 'ownership-lost':
       return yield* giveUpOwnership(state, 'the store has seen a newer owner');
     case 'workers-listed':
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -18,6 +18,7 @@
   type PartRecords,
 } from './restore-parts.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
+import { noForwardedJobs, unsentJob, type ForwardedJob } from '../state/forwarding-state.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
 import { fullPaceBudget } from '../state/pace-budget.js';
 import { inheritedPace } from '../state/run-pace.js';
@@ -91,6 +92,7 @@
     ticks: { count: 0, lastAt: now },
     dirtyJobIds: PersistentOrderedSet(),
     forgottenJobs: PersistentMap(),
+    forwarding: noForwardedJobs(now),
     lastFleetMessage: { epoch: 0, sequence: 0 },
     pendingReleaseRecords: [],
     appendInFlight: null,
@@ -231,9 +233,12 @@
   });
 }
 
+type ForwardRecord = Extract<StoredServiceRecord['record'], { readonly kind: 'job-forwarded' }>;
+
 interface RecordsByKind {
   readonly requests: Map<string, JobRequest>;
   readonly progress: Map<string, JobProgress>;
+  readonly forwarded: Map<string, ForwardRecord>;
   readonly parts: PartRecords;
   readonly cancelled: Set<string>;
   readonly released: Map<string, number>;
@@ -243,6 +248,7 @@
 function groupRecords(records: readonly StoredServiceRecord[]): RecordsByKind {
   const requests = new Map<string, JobRequest>();
   const progress = new Map<string, JobProgress>();
+  const forwarded = new Map<string, ForwardRecord>();
   const parts = createPartRecords();
   const cancelled = new Set<string>();
   const released = new Map<string, number>();
@@ -251,6 +257,7 @@
     if (record.kind === 'job-accepted' && !requests.has(record.request.jobId)) {
       requests.set(record.request.jobId, record.request);
     }
+    if (record.kind === 'job-forwarded') forwarded.set(record.jobId, record);
     if (record.kind === 'job-progress') progress.set(record.jobId, record.progress);
     if (record.kind === 'job-part-progress') parts.add(record.part);
     if (record.kind === 'job-part-forgotten') parts.remove(record.part);
@@ -259,7 +266,7 @@
     if (record.kind === 'worker-returned') released.delete(record.workerId);
     if (record.kind === 'interference-learned') interference = record.model;
   }
-  return { requests, progress, parts, cancelled, released, interference };
+  return { requests, progress, forwarded, parts, cancelled, released, interference };
 }
 
 /** Restores the quarantine. A task at the limit is given up: the verdict of the former owner was not stored in time. */
@@ -282,16 +289,41 @@
   return updateService(state, { interference, recordedInterference });
 }
 
+/** Restores a forwarded job. One that may not have been sent is recorded and sent again; its service ignores a repeat. */
+function restoreForwardedJob(
+  state: ServiceState,
+  request: JobRequest,
+  service: string,
+  isSent: boolean,
+): ServiceState {
+  const { jobId } = request;
+  const { forwarding } = state;
+  const unsent = unsentJob(request, service);
+  const job: ForwardedJob = isSent ? { ...unsent, request: null, sentAt: state.now } : unsent;
+  const unrecordedJobIds = isSent ? forwarding.unrecordedJobIds : forwarding.unrecordedJobIds.add(jobId);
+  return updateService(state, {
+    forwarding: { ...forwarding, jobs: forwarding.jobs.set(jobId, job), unrecordedJobIds },
+  });
+}
+
 /** Builds the state of a new owner. The caller still has to apply the returned cancellations. */
 export function restoreService(input: RestoreInput): {
   readonly state: ServiceState;
   readonly cancelledJobIds: readonly string[];
 } {
-  const { requests, progress, parts, cancelled, released, interference } = groupRecords(input.records);
+  const { requests, progress, forwarded, parts, cancelled, released, interference } = groupRecords(
+    input.records,
+  );
   let state = updateService(emptyState(input), { releasedWorkers: PersistentMap(released) });
   if (interference !== null) state = withRestoredInterference(state, interference);
   for (const [jobId, request] of requests) {
-    const job = restoreJob(state, request, progress.get(jobId), parts.ofJob(jobId));
+    // The journal decides where a job is: a later submission for another service replaces the request of an earlier one.
+    const service = forwarded.get(jobId)?.service ?? (progress.has(jobId) ? input.service : request.service);
+    if (service !== input.service) {
+      state = restoreForwardedJob(state, request, service, forwarded.get(jobId)?.isSent === true);
+      continue;
+    }
+    const job = restoreJob(state, { ...request, service }, progress.get(jobId), parts.ofJob(jobId));
     state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
   for (const [key, { runs }, , { request }] of [...startedTasks(state)]) {
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -1,6 +1,6 @@
 /** Selects values for callers from a service's state. */
 import type { JobStatus } from '../model/job.js';
-import { isJobOfQueue, type QueueReference } from '../model/queue.js';
+import { isJobOfQueue, isSameQueue, type QueueReference } from '../model/queue.js';
 import { statusOf } from './jobs.js';
 import type { Instant } from '../model/instant.js';
 import type { ServiceState } from '../state/service-state.js';
@@ -13,7 +13,8 @@
  * key, and a caller whose call needs no key may see every job.
  */
 export function isJobOfOtherWorkspace(state: ServiceState, jobId: string, workspace: string | null): boolean {
-  const owner = state.jobs.get(jobId)?.request.workspace ?? null;
+  const owner =
+    state.jobs.get(jobId)?.request.workspace ?? state.forwarding.jobs.get(jobId)?.workspace ?? null;
   return workspace !== null && owner !== null && owner !== workspace;
 }
 
@@ -32,6 +33,31 @@
   return isJobOfOtherWorkspace(state, jobId, workspace) ? null : statusOf(job);
 }
 
+/** Where a job is that was submitted to this service's inbox and is scheduled by another service. */
+export type ForwardedTo =
+  | { readonly kind: 'sent'; readonly service: string }
+  /** The inbox of the other service does not hold the job yet. */
+  | { readonly kind: 'sending' };
+
+/** Returns where a forwarded job of a queue is; null if no such job was forwarded. */
+export function selectForwardedTo(
+  state: ServiceState,
+  queue: QueueReference,
+  jobId: string,
+  workspace: string | null,
+): ForwardedTo | null {
+  const job = state.forwarding.jobs.get(jobId);
+  if (job === undefined || !isSameQueue(job.queue, queue)) return null;
+  if (isJobOfOtherWorkspace(state, jobId, workspace)) return null;
+  return job.sentAt === null ? { kind: 'sending' } : { kind: 'sent', service: job.service };
+}
+
+/** Returns the services to which jobs of a queue were forwarded, as far as these may still know them. */
+export function selectForwardingTargets(state: ServiceState, queue: QueueReference): readonly string[] {
+  const ofQueue = state.forwarding.jobs.filter((job) => isSameQueue(job.queue, queue));
+  return [...new Set(ofQueue.map(({ service }) => service).values())];
+}
+
 /** Returns why a job has failed, once its end is stored; null if it has not, or if that is not known. */
 export function selectFailureReason(state: ServiceState, jobId: string): string | null {
   const job = state.jobs.get(jobId);
@@ -39,13 +65,15 @@
 }
 
 /**
- * Counts the active jobs of a queue of which no worker has started a task; null if the inbox was last read too long
+ * Counts the active jobs of a queue of which no worker has started a task, with those on their way to another service; null if the inbox was last read too long
  * before `now` to know.
  */
 export function selectPendingCount(state: ServiceState, queue: QueueReference, now: Instant): number | null {
   if (now - state.inboxReadAt > COUNT_VALIDITY_MILLISECONDS) return null;
-  return state.activeJobIds.count((jobId) => {
+  const unsent = state.forwarding.jobs.count((job) => job.sentAt === null && isSameQueue(job.queue, queue));
+  const waiting = state.activeJobIds.count((jobId) => {
     const job = state.jobs.get(jobId);
     return job !== undefined && isJobOfQueue(job.request, queue) && job.phase === 'active' && !job.hasStarted;
   });
+  return waiting + unsent;
 }
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -1,4 +1,5 @@
 /** Effects that the reducer of a service's scheduler yields for its caller to execute. */
+import type { JobRequest } from '../model/job.js';
 import type { ServiceRecord } from '../model/records.js';
 import type { RunAddress } from './event.js';
 
@@ -8,6 +9,7 @@
   | 'jobEnded'
   | 'jobFailed'
   | 'jobForgotten'
+  | 'jobForwarded'
   | 'taskPlaced'
   | 'taskEnded'
   | 'taskStartRefused'
@@ -81,6 +83,11 @@
       readonly percent: number;
       readonly delayMilliseconds: number;
     }
+  /** Appends a job to the inbox of the service that it names; answered by 'job-forwarded'. */
+  | { readonly kind: 'forward-job'; readonly request: JobRequest }
+  | { readonly kind: 'forward-cancellation'; readonly jobId: string; readonly service: string }
+  /** Asks the owner of a service which jobs it does not know; answered by 'jobs-unknown'. */
+  | { readonly kind: 'find-unknown-jobs'; readonly service: string; readonly jobIds: readonly string[] }
   | { readonly kind: 'list-hosts' }
   /** Gives up the ownership. If `claimsAgain`, the service is claimed again at once, which raises the fencing epoch. */
   | { readonly kind: 'give-up-ownership'; readonly reason: string; readonly claimsAgain: boolean }
--- a/packages/scheduling/src/state/event.ts
+++ b/packages/scheduling/src/state/event.ts
@@ -62,6 +62,10 @@
       readonly askedAt: Instant;
     }
   | { readonly kind: 'records-stored'; readonly appendId: number; readonly askedAt: Instant }
+  /** The inbox of another service holds a forwarded job. */
+  | { readonly kind: 'job-forwarded'; readonly jobId: string }
+  /** Forwarded jobs that their service does not know. */
+  | { readonly kind: 'jobs-unknown'; readonly service: string; readonly jobIds: readonly string[] }
   /** The store has seen a newer owner of the service. */
   | { readonly kind: 'ownership-lost' }
   /** All workers of the service in the register. */
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -10,6 +10,7 @@
 import type { Resources } from '../model/resources.js';
 import type { WorkerListing } from '../model/worker.js';
 import type { Arrival } from './arrivals.js';
+import type { ForwardingState } from './forwarding-state.js';
 import type { InterferenceState } from './interference-state.js';
 import type { PaceBudget } from './pace-budget.js';
 import type { SchedulingParameters } from './parameters.js';
@@ -275,6 +276,7 @@
   /** Tasks with changed progress of the jobs that are recorded in parts. */
   readonly taskKeys: readonly TaskKey[];
   readonly releasedWorkerIds: ReadonlySet<string>;
+  readonly forwardedJobIds: readonly string[];
   /** Number of the last run end that the records cover, by worker. */
   readonly processedEnds: PersistentMap<string, number>;
 }
@@ -331,6 +333,8 @@
   readonly dirtyJobIds: PersistentOrderedSet<string>;
   /** The recorded parts of each job that is forgotten and not deleted yet, by job id. */
   readonly forgottenJobs: PersistentMap<string, readonly JobPart[]>;
+  /** Jobs that other services schedule. */
+  readonly forwarding: ForwardingState;
   /** Epoch and number of the newest message from the fleet owner that was applied. */
   readonly lastFleetMessage: { readonly epoch: number; readonly sequence: number };
   /** Releases and returns of workers that are not recorded yet. */
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -44,6 +44,7 @@
     ticks: state.ticks,
     dirtyJobIds: state.dirtyJobIds,
     forgottenJobs: state.forgottenJobs,
+    forwarding: state.forwarding,
     lastFleetMessage: state.lastFleetMessage,
     pendingReleaseRecords: state.pendingReleaseRecords,
     appendInFlight: state.appendInFlight,
