Keep a job under the terms that it was first accepted with

Cause: the inbox keeps the newest record of a job only, and an owner that takes over restores jobs from it. The running owner ignores a repeated submission, but its terms had replaced the first ones in the log.

Change: the owner appends the first submission of an active job again if a later one differs, apart from the time of its acceptance. A repeat with the same terms costs a comparison and no append.

Measured: the new test of moved-queue fails without the comparison and passes with it (3 runs, as accepted, though the limit is 9 by then). A window remains: if the owner dies between the repeat and its append, the next one restores the later terms.

--- a/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
+++ b/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
@@ -19,6 +19,9 @@
 /** Longer than a job of the scene works and its status is kept. */
 const FORGOTTEN_MILLISECONDS = 200_000;
 
+/** Time in which every allowed run of a job that fails has ended. */
+const ALL_RUNS_MILLISECONDS = 100_000;
+
 const JOB = jobIdOf(1);
 const LATER_JOB = jobIdOf(2);
 
@@ -126,6 +129,17 @@
     t.is(scene.world.referee.counts().runs, 2);
   });
 
+  it('keeps the limit of failed runs that a job was accepted with, also after a restart', async (t) => {
+    const scene = await createQueueScene();
+    await scene.submitFailing(0, JOB);
+    await scene.configure({ maximumFailedRuns: 9 });
+    await scene.submitFailing(1, JOB);
+    await scene.restartAll();
+    await scene.runFor(ALL_RUNS_MILLISECONDS);
+    t.is(await scene.statusOf(2, JOB), 'failed');
+    t.is(scene.world.referee.counts().runs, 3);
+  });
+
   group('while the route is missing', ({ it: test }) => {
     test('keeps its job running and knows it when it is back', async (t) => {
       const scene = await createQueueScene();
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -9,7 +9,7 @@
   type ServiceState,
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
-import type { LogPartition, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import type { KeyedRecord, LogPartition, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
 import { createBackgroundWork } from '../unexpected-errors/background-work.js';
 import { createErrorReporter } from '../unexpected-errors/report-unexpected-error.js';
 import { sleepAndMeasureLateness } from '../measure/event-loop-monitor.js';
@@ -107,9 +107,7 @@
     if (!closed) loop?.dispatch(event);
   };
 
-  /** Deletes forgotten jobs from the inbox: the next owner would take their requests for new jobs. */
-  const dropRequests = async (jobIds: readonly string[]): Promise<void> => {
-    const records = jobIds.flatMap(encodeRequestTombstones);
+  const appendToInbox = async (records: readonly KeyedRecord[]): Promise<void> => {
     while (isOpen()) {
       const outcome = await store.append({ partition: inbox, records, producer: null, expectedEnd: null });
       if (outcome.kind === 'stored') return;
@@ -118,6 +116,10 @@
     }
   };
 
+  /** Deletes forgotten jobs from the inbox: the next owner would take their requests for new jobs. */
+  const dropRequests = (jobIds: readonly string[]): Promise<void> =>
+    appendToInbox(jobIds.flatMap(encodeRequestTombstones));
+
   const storeRecords = async ({
     appendId,
     records,
@@ -147,6 +149,11 @@
         closed = true;
         parts.onOwnershipEnded(effect.claimsAgain);
         break;
+      case 'rewrite-request':
+        background.start('rewrite-request', () =>
+          appendToInbox(encodeRecord({ kind: 'job-accepted', request: effect.request })),
+        );
+        break;
       case 'forward-job':
       case 'forward-cancellation':
       case 'find-unknown-jobs':
--- a/packages/scheduling/src/service/forward-jobs.ts
+++ b/packages/scheduling/src/service/forward-jobs.ts
@@ -4,6 +4,7 @@
  */
 import type { JobRequest } from '../model/job.js';
 import type { ServiceRecord } from '../model/records.js';
+import { keepFirstSubmission } from './jobs.js';
 import type { ServiceStep } from '../state/effect.js';
 import type { ServiceEventOf } from '../state/event.js';
 import type { ForwardedJob, ForwardingState } from '../state/forwarding-state.js';
@@ -36,7 +37,9 @@
 /** Adds a job that names another service. A second acceptance of the same job is ignored. */
 export function* forwardJob(state: ServiceState, request: JobRequest): ServiceStep<ServiceState> {
   const { jobId, service, queue } = request;
-  if (state.jobs.has(jobId) || state.forwarding.jobs.has(jobId)) return state;
+  const known = state.jobs.get(jobId);
+  if (known !== undefined) yield* keepFirstSubmission(known, request);
+  if (known !== undefined || state.forwarding.jobs.has(jobId)) return state;
   yield { kind: 'log', decision: 'jobForwarded', fields: { jobId, queue, to: service } };
   const job = unsentJob(request, service);
   const added = setForwardedJob(state, jobId, job);
--- a/packages/scheduling/src/service/jobs.ts
+++ b/packages/scheduling/src/service/jobs.ts
@@ -1,6 +1,7 @@
 /** Life cycle of a job: acceptance, occurrences, steps that become ready, and the end. */
 import { Map as PersistentMap, Set as PersistentSet } from 'immutable';
 import type { JobRequest, JobStatus, TaskKey } from '../model/job.js';
+import { isSameSubmission } from '../model/same-submission.js';
 import type { JobPhase } from '../model/records.js';
 import { trimArrivals, estimateWork } from '../state/arrivals.js';
 import type { ServiceStep } from '../state/effect.js';
@@ -167,10 +168,21 @@
   return occurrences === job.occurrences ? state : setJob(state, updateJob(job, { occurrences }));
 }
 
+/**
+ * Keeps a job as it was first accepted: the inbox keeps only the newest submission of a job, which a next owner would
+ * restore with other terms.
+ */
+export function* keepFirstSubmission(job: JobState, later: JobRequest): ServiceStep<void> {
+  if (job.phase !== 'active' || isSameSubmission(job.request, later)) return;
+  yield { kind: 'rewrite-request', request: job.request };
+}
+
 /** Adds an accepted job. A second acceptance of the same job is ignored. */
 export function* acceptJob(state: ServiceState, request: JobRequest): ServiceStep<ServiceState> {
   const { jobId } = request;
-  if (state.jobs.has(jobId) || state.forwarding.jobs.has(jobId)) return state;
+  const known = state.jobs.get(jobId);
+  if (known !== undefined) yield* keepFirstSubmission(known, request);
+  if (known !== undefined || state.forwarding.jobs.has(jobId)) return state;
   yield {
     kind: 'log',
     decision: 'jobQueued',
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -83,6 +83,8 @@
       readonly percent: number;
       readonly delayMilliseconds: number;
     }
+  /** Appends a job again to the inbox of this service, where a later submission has replaced it. */
+  | { readonly kind: 'rewrite-request'; readonly request: JobRequest }
   /** Appends a job to the inbox of the service that it names; answered by 'job-forwarded'. */
   | { readonly kind: 'forward-job'; readonly request: JobRequest }
   | { readonly kind: 'forward-cancellation'; readonly jobId: string; readonly service: string }
