Play queues that change service and name among all other troubles

Change: two kinds of trouble give a queue another service or another name, half of the time after a version without it. Callers of the emulator select their queue by host name and path at the process that they ask, as real ones do.

--- a/packages/fleet-emulator/src/callers.ts
+++ b/packages/fleet-emulator/src/callers.ts
@@ -180,7 +180,13 @@
   }
   let isAnswered = false;
   node.receive(({ callers }) => {
-    void callers.getJobStatus(queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
+    const found = callers.findQueue(queue.hostName, queue.pathPrefix + jobId);
+    if (found.kind !== 'found') {
+      isAnswered = true;
+      again();
+      return;
+    }
+    void callers.getJobStatus(found.queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
       isAnswered = true;
       if (answer.kind !== 'unavailable') {
         world.referee.onStatusShown(jobId, answer.kind === 'known' ? answer.status : null);
@@ -204,7 +210,13 @@
   }
   let isAnswered = false;
   node.receive(({ callers }) => {
-    void callers.cancel(queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
+    const found = callers.findQueue(queue.hostName, queue.pathPrefix + jobId);
+    if (found.kind !== 'found') {
+      isAnswered = true;
+      world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
+      return;
+    }
+    void callers.cancel(found.queue, jobId, PATIENCE_MILLISECONDS, null).then((answer) => {
       isAnswered = true;
       if (answer.kind === 'unavailable') {
         world.time.after(RETRY_MILLISECONDS, () => cancel(world, jobId, queue));
--- a/packages/fleet-emulator/src/random-play.ts
+++ b/packages/fleet-emulator/src/random-play.ts
@@ -15,6 +15,7 @@
   beginTrouble,
   CAPACITY_TROUBLE_KINDS,
   LOW_CAP_TROUBLE_KINDS,
+  QUEUE_TROUBLE_KINDS,
   RELAY_TROUBLE_KINDS,
   TROUBLE_KINDS,
   type TroubleKind,
@@ -151,6 +152,14 @@
 const STRONG_MILLI_CORES = 1_350;
 const WEAK_MILLI_CORES = 324;
 
+/** The same where queues get other services and other names, among all other troubles. */
+export const MOVED_QUEUES_PLAY: Omit<PlayOptions, 'seed'> = {
+  ...SMALL_PLAY,
+  size: { ...SMALL_PLAY.size, services: 3, nodes: 4 },
+  troubleEveryMilliseconds: 1_250,
+  kinds: TROUBLE_KINDS.flatMap((kind) => [kind, ...QUEUE_TROUBLE_KINDS]),
+};
+
 /** The same with processes of unequal strength. */
 export const UNEVEN_PLAY: Omit<PlayOptions, 'seed'> = {
   ...SMALL_PLAY,
--- a/packages/fleet-emulator/src/troubles.ts
+++ b/packages/fleet-emulator/src/troubles.ts
@@ -1,4 +1,5 @@
 /** Everything that can go wrong, one by one; each ends by itself. */
+import type { Queue, QueueConfiguration } from '@baobabdeck/scheduler';
 import { HOST_SERVICE } from './model-fleet.js';
 import { STORE } from './model-store.js';
 import { changeCaps } from './workspace-play.js';
@@ -35,7 +36,9 @@
   | 'peer-answers-lost'
   | 'caps-changed'
   | 'caps-lowered'
-  | 'caps-lowered-for-some-time';
+  | 'caps-lowered-for-some-time'
+  | 'queue-moved'
+  | 'queue-renamed';
 
 /** Kinds of the plays among all troubles. One more would change what each seed plays. */
 export const TROUBLE_KINDS: readonly TroubleKind[] = [
@@ -81,6 +84,9 @@
   'peer-answers-lost',
 ];
 
+/** Kinds that remove a queue and add it again with another service, or under another name. */
+export const QUEUE_TROUBLE_KINDS: readonly TroubleKind[] = ['queue-moved', 'queue-renamed'];
+
 /** What a worker that shrinks has left of its capacity at the most. */
 const LARGEST_SHRUNK_SHARE = 0.7;
 
@@ -132,6 +138,35 @@
   });
 }
 
+function publishQueues({ operator }: World, queues: readonly Queue[]): void {
+  const { configuration } = operator;
+  operator.configuration = { ...configuration, version: configuration.version + 1, queues };
+}
+
+/** Changes a queue, half of the time by a version without it that is in force for some time. */
+function changeQueue(
+  world: World,
+  change: (configuration: QueueConfiguration) => Partial<Queue>,
+  missing: number,
+): void {
+  const { operator, random, time } = world;
+  const { queues } = operator.configuration;
+  if (queues.length === 0) return;
+  const queue = random.pick(queues);
+  const changed = { ...queue, ...change(operator.configuration) };
+  const withChanged = (): void => {
+    const others = operator.configuration.queues.filter(({ pathPrefix }) => pathPrefix !== queue.pathPrefix);
+    publishQueues(world, [...others, changed]);
+  };
+  if (random.chance(0.5)) {
+    publishQueues(
+      world,
+      queues.filter((one) => one !== queue),
+    );
+    time.after(random.uniform() * missing, withChanged);
+  } else withChanged();
+}
+
 function startWave(world: World): void {
   const { operator, random, referee, fleet } = world;
   const wave = operator.waves.length + 1;
@@ -244,6 +279,12 @@
       lowerCaps(world);
       restoreCapsAfter(world, LOW_CAPS_MILLISECONDS + lasting);
       break;
+    case 'queue-moved':
+      changeQueue(world, ({ queues }) => ({ service: random.pick(queues).service }), lasting);
+      break;
+    case 'queue-renamed':
+      changeQueue(world, ({ version }) => ({ name: `renamed-in-${version}` }), lasting);
+      break;
     case 'store-down':
       store.isDown = true;
       time.after(lasting, () => {
