--- a/packages/scheduler/src/__tests__/claim.test.ts
+++ b/packages/scheduler/src/__tests__/claim.test.ts
@@ -39,6 +39,7 @@
       inbox: INBOX,
       journal: JOURNAL,
       claimRecord: { key: 'owner', value: new Uint8Array(1) },
+      prepare: () => calls.push('prepare'),
       shouldContinue: () => true,
       writeEvent: () => undefined,
       logFields: { service: 'quotes' },
@@ -46,6 +47,7 @@
     t.deepEqual(calls, [
       'newest journal',
       'newest inbox',
+      'prepare',
       'append inbox',
       'append journal',
       'read journal from 3',
--- a/packages/scheduler/src/fleet/fleet-owner.ts
+++ b/packages/scheduler/src/fleet/fleet-owner.ts
@@ -275,6 +275,7 @@
       inbox,
       journal: journalPartition,
       claimRecord,
+      prepare: () => undefined,
       shouldContinue: isOpen,
       writeEvent,
       logFields: { subject: 'fleet' },
--- a/packages/scheduler/src/measure/__tests__/claim-delay.test.ts
+++ b/packages/scheduler/src/measure/__tests__/claim-delay.test.ts
@@ -28,6 +28,7 @@
       inbox: { topic: 'inbox', partition: 0 },
       journal: { topic: 'journal', partition: 0 },
       claimRecord: { key: 'owner', value: new Uint8Array(3) },
+      prepare: () => undefined,
       shouldContinue: () => true,
       writeEvent: (...line) => lines.push(line),
       logFields: { service: 'quotes' },
--- a/packages/scheduler/src/node/membership.ts
+++ b/packages/scheduler/src/node/membership.ts
@@ -27,9 +27,9 @@
   /** Whether this process should be in the group. */
   readonly isCandidate: () => boolean;
   readonly topics: () => readonly string[];
-  /** Applies an assignment; resolves once the revoked partitions have been given up. */
+  /** Applies an assignment; resolves once other processes may be assigned the revoked partitions. */
   readonly onAssigned: (partitions: readonly LogPartition[], generation: number) => Promise<void>;
-  /** Gives up everything that this process owns. */
+  /** Hands over everything that this process owns. */
   readonly onLeavingGroup: () => Promise<void>;
 }
 
@@ -85,7 +85,6 @@
     background.start('apply-assignment', () => applyAssignment(outcome.partitions, outcome.generation));
   };
 
-  /** Gives up all partitions before the store may assign them to other members. */
   const leaveGroup = async (): Promise<void> => {
     await parts.onLeavingGroup();
     await store.leave(SCHEDULER_GROUP, member);
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -267,7 +267,7 @@
     isCandidate: candidacy.isCandidate,
     topics: () => inboxTopicsOf(layoutManager.layout()),
     onAssigned: logs.applyAssignment,
-    onLeavingGroup: logs.giveUp,
+    onLeavingGroup: logs.handOver,
   });
   const frontend = createFrontend({
     clock,
@@ -311,9 +311,11 @@
     leave: async () => {
       stopping = true;
       candidacy.close();
-      await logs.stop();
+      const drainedAt = clock.steadyNow() + DRAIN_MILLISECONDS;
+      await logs.prepareStop();
       await membership.leave();
-      await clock.sleep(DRAIN_MILLISECONDS);
+      await logs.stop(drainedAt);
+      await clock.sleep(Math.max(0, drainedAt - clock.steadyNow()));
     },
     close: () => {
       eventLoopMonitor.close();
--- a/packages/scheduler/src/node/owned-logs.ts
+++ b/packages/scheduler/src/node/owned-logs.ts
@@ -9,6 +9,9 @@
 /** Pause before a superseded claim is made again, if the inbox is still assigned to this process. */
 const RECLAIM_PAUSE_MILLISECONDS = 1_000;
 
+/** Time between two checks whether all services have been claimed by other processes. */
+const HANDOVER_CHECK_MILLISECONDS = 50;
+
 /** Dependencies of the owned logs. */
 export interface OwnedLogsParts {
   readonly clock: SteadyClock;
@@ -30,14 +33,24 @@
   readonly serviceOf: (service: string) => ServiceOwner | null;
   readonly fleet: () => FleetOwner | null;
   readonly has: (inbox: LogPartition) => boolean;
-  /** Starts owners for newly assigned inboxes; resolves once the revoked ones have been given up. */
+  /**
+   * Starts owners for newly assigned inboxes. An owner whose inbox is revoked serves on until the next one has claimed it,
+   * so that no lease runs out in between.
+   */
   readonly applyAssignment: (inboxes: readonly LogPartition[]) => Promise<void>;
   /** Gives up the fleet if it is assigned to another process and this one also owns a service. */
   readonly handOverFleet: () => void;
-  /** Gives up all inboxes, including that of the fleet. */
-  readonly giveUp: () => Promise<void>;
-  /** Gives up all inboxes, and starts no owner any more. */
-  readonly stop: () => Promise<void>;
+  /** Gives up the fleet and all unfinished claims; owners of services serve on until the next ones have claimed them. */
+  readonly handOver: () => Promise<void>;
+  /** Starts no owner any more, and hands over what is owned. */
+  readonly prepareStop: () => Promise<void>;
+  /** Gives up the services that no other process has claimed by a time on the steady clock. */
+  readonly stop: (until: number) => Promise<void>;
+}
+
+/** Whether an owner has claimed its service and has not been superseded. */
+function isServing(owner: ServiceOwner): boolean {
+  return owner.state() !== null;
 }
 
 /** Creates the owned logs of a process, at first empty. */
@@ -96,7 +109,7 @@
       const opened = openServiceOwner(inbox, service, (claimsAgain) => {
         if (claimsAgain) forget(opened);
         else recordSuperseded(opened);
-        if (claimsAgain && !stopping) open(subject, inbox);
+        if (claimsAgain && !stopping && isAssigned(inbox)) open(subject, inbox);
       });
       owners.set(partitionKey(inbox), opened);
     }
@@ -105,19 +118,24 @@
   const applyAssignment = async (inboxes: readonly LogPartition[]): Promise<void> => {
     assigned = inboxes;
     // A revoked fleet inbox is not given up: the process it is now assigned to leaves the fleet with its current owner.
-    await giveUpServices((owner) => !isAssigned(owner.inbox));
+    await giveUpServices((owner) => !isAssigned(owner.inbox) && !isServing(owner));
     if (stopping) return;
     [...layout()]
       .filter(([, inbox]) => isAssigned(inbox))
       .forEach(([subject, inbox]) => open(subject, inbox));
   };
 
-  const giveUp = async (): Promise<void> => {
+  const handOver = async (): Promise<void> => {
     assigned = [];
-    await giveUpServices(() => true);
+    await giveUpServices((owner) => !isServing(owner));
     await giveUpFleet();
   };
 
+  const stop = async (until: number): Promise<void> => {
+    while (owners.size > 0 && clock.steadyNow() < until) await clock.sleep(HANDOVER_CHECK_MILLISECONDS);
+    await giveUpServices(() => true);
+  };
+
   return {
     services: () => [...owners.values()],
     serviceOf: (service) => [...owners.values()].find((owner) => owner.service === service) ?? null,
@@ -129,10 +147,11 @@
       if (fleet === null || owners.size === 0 || isAssigned(fleet.inbox)) return;
       background.start('give-up-fleet', giveUpFleet);
     },
-    giveUp,
-    stop: async () => {
+    handOver,
+    prepareStop: async () => {
       stopping = true;
-      await giveUp();
+      await handOver();
     },
+    stop,
   };
 }
--- a/packages/scheduler/src/owner/claim.ts
+++ b/packages/scheduler/src/owner/claim.ts
@@ -24,6 +24,8 @@
   /** Log that only the owner appends to. */
   readonly journal: LogPartition;
   readonly claimRecord: KeyedRecord;
+  /** Called with the records that are read before the claim, so that costly work on them delays no handover. */
+  readonly prepare: (records: readonly StoredKeyedRecord[]) => void;
   /** Returns false once this process no longer needs the ownership; the claim is then abandoned. */
   readonly shouldContinue: () => boolean;
   readonly writeEvent: WriteEvent;
@@ -175,6 +177,7 @@
   if (journalBeforeClaim === null) return null;
   const inboxBeforeClaim = await retry(context, () => readNewest(context, inbox));
   if (inboxBeforeClaim === null) return null;
+  claim.prepare([...inboxBeforeClaim.newestByKey.values(), ...journalBeforeClaim.newestByKey.values()]);
   const offset = await retry(context, () => appendClaim(context));
   if (offset === null) return null;
   // Orders without a fencing token count as epoch 0, so the epochs of claims start at 1.
--- a/packages/scheduler/src/owner/decoded-record.ts
+++ b/packages/scheduler/src/owner/decoded-record.ts
@@ -23,6 +23,18 @@
   }
 }
 
+/** Returns a decoder that decodes each stored record once, however often it is asked. */
+export function rememberDecoded<T>(
+  decode: (record: StoredKeyedRecord) => DecodedRecord<T>,
+): (record: StoredKeyedRecord) => DecodedRecord<T> {
+  const known = new WeakMap<StoredKeyedRecord, DecodedRecord<T>>();
+  return (record) => {
+    const decoded = known.get(record) ?? decode(record);
+    known.set(record, decoded);
+    return decoded;
+  };
+}
+
 /** Decodes records and logs those that are unreadable. */
 export function decodeReadable<T>(
   records: readonly StoredKeyedRecord[],
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -17,7 +17,7 @@
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import { claimService, type ClaimedService } from './claim.js';
-import { decodeReadable } from './decoded-record.js';
+import { decodeReadable, rememberDecoded } from './decoded-record.js';
 import { performForwardingEffect, type OtherServices } from './forwarding-effects.js';
 import { createLargeRecordReporter } from './large-records.js';
 import { openJournal, type OwnedJournal } from './owned-journal.js';
@@ -204,6 +204,7 @@
 
   const claimAndStart = async (): Promise<void> => {
     const [claimRecord] = encodeRecord({ kind: 'ownership-claimed', owner: member });
+    const decodeClaimed = rememberDecoded(decodeRecord);
     if (claimRecord === undefined) return;
     const journalPartition = journalOf(inbox);
     claimed = await claimService({
@@ -212,6 +213,7 @@
       inbox,
       journal: journalPartition,
       claimRecord,
+      prepare: (records) => records.forEach(decodeClaimed),
       shouldContinue: isOpen,
       writeEvent,
       logFields: { service },
@@ -229,7 +231,7 @@
       timeOfDay: clock.now(),
       claimedAt: claimed.claimedAt,
       provenAt: claimed.provenAt,
-      records: decodeAll(claimed.records),
+      records: decodeReadable(claimed.records, decodeClaimed, writeEvent, { service }),
     });
     writeEvent('serviceClaimed', {
       service,
