Log whether an owner has reached its workers and may give orders

The first could not be seen, nor how long a new owner needs for its workers after its claim.

Change: ownershipUnproven (562), ownershipProven (563) and workersReached (564). ownershipSuperseded (543) is info, since every planned handover ends with it now.

--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -152,7 +152,7 @@
   serviceGivenUp: { number: 542, level: 'info', message: 'this process no longer owns a service' },
   ownershipSuperseded: {
     number: 543,
-    level: 'warn',
+    level: 'info',
     message: 'ownership superseded by the claim of another process',
   },
   placesDealt: { number: 544, level: 'info', message: 'store assigned log partitions to this process' },
@@ -198,6 +198,21 @@
     message: 'relay failed or refused orders; its workers are called directly for a while',
   },
   waveAsked: { number: 561, level: 'info', message: 'operator requested a maintenance wave' },
+  ownershipUnproven: {
+    number: 562,
+    level: 'warn',
+    message: 'store has not confirmed the ownership for too long: no orders to workers',
+  },
+  ownershipProven: {
+    number: 563,
+    level: 'info',
+    message: 'ownership confirmed again: orders to workers resume',
+  },
+  workersReached: {
+    number: 564,
+    level: 'info',
+    message: 'workers that have answered the new owner, once all have or 5 s after the claim',
+  },
   releaseBegun: { number: 571, level: 'info', message: 'host release started; its worker gets no new tasks' },
   releaseWithdrawn: {
     number: 572,
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -28,6 +28,7 @@
 import type { ServiceState } from '../state/service-state.js';
 import { findTask } from '../state/tasks.js';
 import { dropLapsedRuns } from './lost-runs.js';
+import { reportOwnership } from './report-ownership.js';
 import { handleWorkerReported, handleWorkerSilent } from './reports.js';
 import { considerWorker } from '../state/worker-index.js';
 import { handleHostsListed, handleWorkersListed, renewDueLeases } from './workers.js';
@@ -145,6 +146,7 @@
   if (isFullScanDue(next)) yield* reportBlockedTasks(next);
   if (isFullScanDue(next)) next = yield* reviewInterference(next);
   if (isFullScanDue(next)) next = yield* reviewForwardedJobs(next);
+  next = yield* reportOwnership(next);
   const remembered = markQuarantineStale(yield* forgetJobs(next));
   return considerCooledDownWorkers(remembered, before.ticks.lastAt);
 }
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -70,6 +70,7 @@
     timeOfDay,
     claimedAt,
     provenAt,
+    ownershipReport: { hasReportedWorkers: false, isProven: true },
     inboxReadAt: claimedAt,
     jobs: PersistentMap(),
     activeJobIds: PersistentOrderedSet(),
--- a/packages/scheduling/src/state/effect.ts
+++ b/packages/scheduling/src/state/effect.ts
@@ -31,6 +31,9 @@
   | 'releaseWithdrawn'
   | 'hostReleased'
   | 'ownershipSuperseded'
+  | 'ownershipProven'
+  | 'ownershipUnproven'
+  | 'workersReached'
   | 'claimRenewed'
   | 'invariantViolated';
 
--- a/packages/scheduling/src/state/service-state.ts
+++ b/packages/scheduling/src/state/service-state.ts
@@ -293,6 +293,8 @@
   readonly claimedAt: Instant;
   /** When the request that last proved our ownership was sent. */
   readonly provenAt: Instant;
+  /** What was logged of the ownership. */
+  readonly ownershipReport: { readonly hasReportedWorkers: boolean; readonly isProven: boolean };
   /** When the newest answered request to read the inbox was sent; jobs accepted later may not be known yet. */
   readonly inboxReadAt: Instant;
   readonly jobs: PersistentMap<string, JobState>;
--- a/packages/scheduling/src/state/update.ts
+++ b/packages/scheduling/src/state/update.ts
@@ -22,6 +22,7 @@
     timeOfDay: state.timeOfDay,
     claimedAt: state.claimedAt,
     provenAt: state.provenAt,
+    ownershipReport: state.ownershipReport,
     inboxReadAt: state.inboxReadAt,
     jobs: state.jobs,
     activeJobIds: state.activeJobIds,
