--- a/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
+++ b/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
@@ -35,12 +35,10 @@
   return scene;
 }
 
-/** Kills the process that owns a service, without a restart. */
-function killOwnerOf(scene: QueueScene, service: string): void {
-  const owner = scene.world.nodes.find(
-    (node) => node.running()?.explain('job', JOB) !== null && node.running() !== null,
-  );
-  if (owner === undefined) throw new Error(`No process knows the job of ${service}`);
+/** Kills the process whose service runs the job, without a restart. */
+function killOwnerOfJob({ world }: QueueScene): void {
+  const owner = world.nodes.find((node) => (node.running()?.explain('job', JOB) ?? null) !== null);
+  if (owner === undefined) throw new Error('No process knows the job');
   owner.kill();
 }
 
@@ -157,7 +155,7 @@
   group('without the owner of its former service', ({ it: test }) => {
     test('accepts jobs, which start after the takeover, and runs none twice', async (t) => {
       const scene = await createMovedScene();
-      killOwnerOf(scene, FIRST_SERVICE);
+      killOwnerOfJob(scene);
       const [node = 0] = NODES.filter((index) => scene.node(index).running() !== null);
       t.is(await scene.submit(node, JOB), 'accepted');
       t.is(await scene.submit(node, LATER_JOB), 'accepted');
--- a/packages/fleet-emulator/src/__tests__/queue-scene.ts
+++ b/packages/fleet-emulator/src/__tests__/queue-scene.ts
@@ -24,13 +24,16 @@
 /** Time that a task of the scene works. */
 const WORK_MILLISECONDS = 20_000;
 
+/** Versions rise in uneven steps. */
+const VERSION_STEP = 3;
+
 const SERVICES = 3;
 const NODES = 4;
 
 /** The fields of the queue that a change of the configuration may replace. */
 export type QueueChange = Partial<Pick<Queue, 'name' | 'service' | 'maximumFailedRuns'>>;
 
-/** A submission, a query or a cancellation at one process. */
+/** The system, and the calls of its callers; `node` is the number of the process that is called. */
 export interface QueueScene {
   readonly world: World;
   readonly node: (index: number) => VirtualNode;
@@ -47,7 +50,7 @@
   readonly runFor: (milliseconds: number) => Promise<void>;
   /** Kills every process and starts them again. */
   readonly restartAll: () => Promise<void>;
-  /** Runs of a job's tasks that are at work, as the pools of their hosts. */
+  /** The pool of each host that runs a task of a job, once for each run. */
   readonly poolsAtWork: (jobId: string) => readonly string[];
 }
 
@@ -78,7 +81,7 @@
     const { configuration } = operator;
     const others = configuration.queues.filter(({ pathPrefix }) => pathPrefix !== queue.pathPrefix);
     const queues = change === null ? others : [{ ...queue, ...change }, ...others];
-    operator.configuration = { ...configuration, version: configuration.version + 3, queues };
+    operator.configuration = { ...configuration, version: configuration.version + VERSION_STEP, queues };
   };
 
   const configure = async (change: QueueChange | null): Promise<void> => {
--- a/packages/scheduler/src/owner/record-codec.ts
+++ b/packages/scheduler/src/owner/record-codec.ts
@@ -2,6 +2,7 @@
 import { Decoder, Encoder } from 'cbor-x';
 import type {
   InterferenceRecord,
+  JobForwardRecord,
   JobPart,
   JobPartProgress,
   JobProgress,
@@ -71,8 +72,6 @@
 /** Progress of a part: its tasks by step. */
 type EncodedPart = readonly (readonly [step: number, tasks: readonly EncodedTask[]])[];
 
-type ForwardRecord = Extract<ServiceRecord, { readonly kind: 'job-forwarded' }>;
-
 /** Model of interference with its time in milliseconds since 1970. */
 type EncodedInterference = Omit<InterferenceRecord, 'recordedAt'> & {
   readonly version: number;
@@ -133,11 +132,11 @@
   return { phase, queue, occurrencesDone, occurrencesDoneBelow, occurrences, hasStarted, failureReason };
 }
 
-function encodeForward({ service, isSent }: ForwardRecord): EncodedForward {
+function encodeForward({ service, isSent }: JobForwardRecord): EncodedForward {
   return ['forwarded', service, isSent];
 }
 
-function decodeForward(jobId: string, [, service, isSent]: EncodedForward): ForwardRecord {
+function decodeForward(jobId: string, [, service, isSent]: EncodedForward): JobForwardRecord {
   return { kind: 'job-forwarded', jobId, service, isSent };
 }
 
--- a/packages/scheduling/src/model/records.ts
+++ b/packages/scheduling/src/model/records.ts
@@ -85,20 +85,22 @@
   }[];
 }
 
+/** Record of a job that another service schedules. */
+export interface JobForwardRecord {
+  readonly kind: 'job-forwarded';
+  readonly jobId: string;
+  readonly service: string;
+  /** Whether the inbox of that service was known to hold the job. */
+  readonly isSent: boolean;
+}
+
 /** Content of a record, by its subject. */
 export type ServiceRecord =
   | { readonly kind: 'job-accepted'; readonly request: JobRequest }
   | { readonly kind: 'job-cancelled'; readonly jobId: string }
   | { readonly kind: 'job-progress'; readonly jobId: string; readonly progress: JobProgress }
   | { readonly kind: 'job-forgotten'; readonly jobId: string }
-  | {
-      /** Another service schedules the job. */
-      readonly kind: 'job-forwarded';
-      readonly jobId: string;
-      readonly service: string;
-      /** Whether the inbox of that service was known to hold the job. */
-      readonly isSent: boolean;
-    }
+  | JobForwardRecord
   | { readonly kind: 'job-part-progress'; readonly part: JobPartProgress }
   | { readonly kind: 'job-part-forgotten'; readonly part: JobPart }
   | { readonly kind: 'worker-released'; readonly workerId: string; readonly incarnation: number }
--- a/packages/scheduling/src/service/forward-jobs.ts
+++ b/packages/scheduling/src/service/forward-jobs.ts
@@ -129,3 +129,20 @@
   }
   return updateForwarding(state, { reviewedAt: state.now });
 }
+
+/** Restores a forwarded job. One that may not have been sent is recorded and sent again; its service ignores a repeat. */
+export function restoreForwardedJob(
+  state: ServiceState,
+  request: JobRequest,
+  service: string,
+  isSent: boolean,
+): ServiceState {
+  const { jobId } = request;
+  const { forwarding } = state;
+  const unsent = unsentJob(request, service);
+  const job: ForwardedJob = isSent ? { ...unsent, request: null, sentAt: state.now } : unsent;
+  const unrecordedJobIds = isSent ? forwarding.unrecordedJobIds : forwarding.unrecordedJobIds.add(jobId);
+  return updateService(state, {
+    forwarding: { ...forwarding, jobs: forwarding.jobs.set(jobId, job), unrecordedJobIds },
+  });
+}
--- a/packages/scheduling/src/service/restore.ts
+++ b/packages/scheduling/src/service/restore.ts
@@ -4,6 +4,7 @@
 import { restoreInterference } from '../decide/interference/record.js';
 import type {
   InterferenceRecord,
+  JobForwardRecord,
   JobPartProgress,
   JobProgress,
   StoredServiceRecord,
@@ -17,8 +18,9 @@
   restoreRecordedOccurrences,
   type PartRecords,
 } from './restore-parts.js';
+import { restoreForwardedJob } from './forward-jobs.js';
 import { markReadySteps, newJob, newOccurrence, newTask } from './jobs.js';
-import { noForwardedJobs, unsentJob, type ForwardedJob } from '../state/forwarding-state.js';
+import { noForwardedJobs } from '../state/forwarding-state.js';
 import { NO_INTERFERENCE } from '../state/interference-state.js';
 import { fullPaceBudget } from '../state/pace-budget.js';
 import { inheritedPace } from '../state/run-pace.js';
@@ -234,12 +236,10 @@
   });
 }
 
-type ForwardRecord = Extract<StoredServiceRecord['record'], { readonly kind: 'job-forwarded' }>;
-
 interface RecordsByKind {
   readonly requests: Map<string, JobRequest>;
   readonly progress: Map<string, JobProgress>;
-  readonly forwarded: Map<string, ForwardRecord>;
+  readonly forwarded: Map<string, JobForwardRecord>;
   readonly parts: PartRecords;
   readonly cancelled: Set<string>;
   readonly released: Map<string, number>;
@@ -249,7 +249,7 @@
 function groupRecords(records: readonly StoredServiceRecord[]): RecordsByKind {
   const requests = new Map<string, JobRequest>();
   const progress = new Map<string, JobProgress>();
-  const forwarded = new Map<string, ForwardRecord>();
+  const forwarded = new Map<string, JobForwardRecord>();
   const parts = createPartRecords();
   const cancelled = new Set<string>();
   const released = new Map<string, number>();
@@ -290,23 +290,6 @@
   return updateService(state, { interference, recordedInterference });
 }
 
-/** Restores a forwarded job. One that may not have been sent is recorded and sent again; its service ignores a repeat. */
-function restoreForwardedJob(
-  state: ServiceState,
-  request: JobRequest,
-  service: string,
-  isSent: boolean,
-): ServiceState {
-  const { jobId } = request;
-  const { forwarding } = state;
-  const unsent = unsentJob(request, service);
-  const job: ForwardedJob = isSent ? { ...unsent, request: null, sentAt: state.now } : unsent;
-  const unrecordedJobIds = isSent ? forwarding.unrecordedJobIds : forwarding.unrecordedJobIds.add(jobId);
-  return updateService(state, {
-    forwarding: { ...forwarding, jobs: forwarding.jobs.set(jobId, job), unrecordedJobIds },
-  });
-}
-
 /** Builds the state of a new owner. The caller still has to apply the returned cancellations. */
 export function restoreService(input: RestoreInput): {
   readonly state: ServiceState;
@@ -318,14 +301,15 @@
   let state = updateService(emptyState(input), { releasedWorkers: PersistentMap(released) });
   if (interference !== null) state = withRestoredInterference(state, interference);
   for (const [jobId, request] of requests) {
+    const forward = forwarded.get(jobId);
     // The journal decides where a job is: a later submission for another service replaces the request of an earlier one.
-    const service = forwarded.get(jobId)?.service ?? (progress.has(jobId) ? input.service : request.service);
-    if (service !== input.service) {
-      state = restoreForwardedJob(state, request, service, forwarded.get(jobId)?.isSent === true);
-      continue;
+    const service = forward?.service ?? (progress.has(jobId) ? input.service : request.service);
+    if (service === input.service) {
+      const job = restoreJob(state, { ...request, service }, progress.get(jobId), parts.ofJob(jobId));
+      state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
+    } else {
+      state = restoreForwardedJob(state, request, service, forward?.isSent === true);
     }
-    const job = restoreJob(state, { ...request, service }, progress.get(jobId), parts.ofJob(jobId));
-    state = updateService(setJob(state, job), { activeJobIds: state.activeJobIds.add(jobId) });
   }
   for (const [key, { runs }, , { request }] of [...startedTasks(state)]) {
     state = countRuns(state, request, key.step, runs.length);
--- a/packages/scheduling/src/service/selectors.ts
+++ b/packages/scheduling/src/service/selectors.ts
@@ -65,8 +65,8 @@
 }
 
 /**
- * Counts the active jobs of a queue of which no worker has started a task, with those on their way to another service; null if the inbox was last read too long
- * before `now` to know.
+ * Counts the active jobs of a queue of which no worker has started a task, and those on their way to another service;
+ * null if the inbox was last read too long before `now` to know.
  */
 export function selectPendingCount(state: ServiceState, queue: QueueReference, now: Instant): number | null {
   if (now - state.inboxReadAt > COUNT_VALIDITY_MILLISECONDS) return null;
