--- a/packages/fleet-emulator/src/virtual-node.ts
+++ b/packages/fleet-emulator/src/virtual-node.ts
@@ -21,7 +21,7 @@
 import type { VirtualTime } from './virtual-time.js';
 
 /** What the operator has published. */
-export interface OperatorDesk {
+export interface OperatorPublications {
   configuration: QueueConfiguration;
   readonly waves: WaveRequest[];
   readonly onWaveStatus: (wave: number, status: WaveStatus) => void;
@@ -33,7 +33,7 @@
   readonly network: Network;
   readonly store: ModelStore;
   readonly fleet: ModelFleet;
-  readonly operator: OperatorDesk;
+  readonly operator: OperatorPublications;
   readonly settings: SchedulerSettings;
   readonly processor: Processor;
   /** Answers of peers by their address. */
--- a/packages/fleet-emulator/src/world.ts
+++ b/packages/fleet-emulator/src/world.ts
@@ -11,7 +11,7 @@
 import type { Referee } from './referee-types.js';
 import { createReferee } from './referee.js';
 import type { Disturbance } from './tail-meter.js';
-import { createVirtualNode, type OperatorDesk, type VirtualNode } from './virtual-node.js';
+import { createVirtualNode, type OperatorPublications, type VirtualNode } from './virtual-node.js';
 import type { PlayedWorkspaces } from './workspace-play.js';
 import { createVirtualTime, type VirtualTime } from './virtual-time.js';
 
@@ -55,7 +55,7 @@
   readonly random: RandomSource;
   readonly store: ModelStore;
   readonly fleet: ModelFleet;
-  readonly operator: OperatorDesk;
+  readonly operator: OperatorPublications;
   readonly nodes: readonly VirtualNode[];
   readonly processors: readonly Processor[];
   readonly plans: JobPlans;
@@ -199,7 +199,7 @@
     isStoreDown: () => store.isDown,
   });
   fleet = models;
-  const operator: OperatorDesk = {
+  const operator: OperatorPublications = {
     configuration: {
       ...configurationOf(size.services, guardsCapacity),
       workspaces: size.workspaces?.workspaces ?? [],
--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -155,7 +155,11 @@
     level: 'info',
     message: 'ownership superseded by the claim of another process',
   },
-  placesDealt: { number: 544, level: 'info', message: 'store assigned log partitions to this process' },
+  partitionsAssigned: {
+    number: 544,
+    level: 'info',
+    message: 'store assigned log partitions to this process',
+  },
   claimRenewed: {
     number: 545,
     level: 'warn',
--- a/packages/scheduler/src/node/membership.ts
+++ b/packages/scheduler/src/node/membership.ts
@@ -77,9 +77,9 @@
     if (closed || isApplying || outcome.kind !== 'joined') return;
     assignedCount = outcome.partitions.length;
     if (outcome.generation !== generation) {
-      writeEvent('placesDealt', {
+      writeEvent('partitionsAssigned', {
         generation: outcome.generation,
-        places: outcome.partitions.map(({ topic, partition }) => `${topic}/${partition}`),
+        partitions: outcome.partitions.map(({ topic, partition }) => `${topic}/${partition}`),
       });
     }
     background.start('apply-assignment', () => applyAssignment(outcome.partitions, outcome.generation));
--- a/packages/scheduler/src/peers/peer-request-handler.ts
+++ b/packages/scheduler/src/peers/peer-request-handler.ts
@@ -38,7 +38,7 @@
   owner: ServiceOwner,
   { releases, returns, epoch, sequence, grants }: Extract<PeerRequest, { readonly kind: 'service-report' }>,
 ): PeerResponse {
-  owner.dispatch({ kind: 'hosts-wished', releases, returns, epoch, sequence, grants });
+  owner.dispatch({ kind: 'host-requests-received', releases, returns, epoch, sequence, grants });
   const report = owner.select('report-asked', selectServiceReport);
   return report === null ? NOT_OWNER : { kind: 'service-report', report };
 }
--- a/packages/scheduling/src/__tests__/acting-workers.ts
+++ b/packages/scheduling/src/__tests__/acting-workers.ts
@@ -94,7 +94,7 @@
       hostId: `host-of-${workerId}`,
       purpose: 'maintenance' as const,
     }));
-    return harness.dispatch({ kind: 'hosts-wished', releases, returns: [], epoch: 1, sequence });
+    return harness.dispatch({ kind: 'host-requests-received', releases, returns: [], epoch: 1, sequence });
   };
 
   const pass: ActingWorkers['pass'] = (milliseconds, requestedWorkers = []) => {
--- a/packages/scheduling/src/__tests__/fleet-play.ts
+++ b/packages/scheduling/src/__tests__/fleet-play.ts
@@ -171,7 +171,7 @@
   const exchangeReports = (service: PlayService): readonly FleetEffect[] => {
     sequence += 1;
     const requests = selectServiceHostRequests(fleet.state(), service.pool);
-    service.harness.dispatch({ kind: 'hosts-wished', ...requests, epoch: 1, sequence });
+    service.harness.dispatch({ kind: 'host-requests-received', ...requests, epoch: 1, sequence });
     const report = { ...selectServiceReport(service.harness.state()), service: service.pool };
     return perform(fleet.dispatch({ kind: 'service-reported', report }));
   };
--- a/packages/scheduling/src/__tests__/inherited-stops.test.ts
+++ b/packages/scheduling/src/__tests__/inherited-stops.test.ts
@@ -27,7 +27,13 @@
 /** Requests the host of a worker for maintenance; returns the ids of the workers on which a run is stopped. */
 function drain(harness: ServiceHarness, workerId: string, sequence: number): readonly string[] {
   const releases = [{ hostId: `host-of-${workerId}`, purpose: 'maintenance' as const }];
-  const effects = harness.dispatch({ kind: 'hosts-wished', releases, returns: [], epoch: 1, sequence });
+  const effects = harness.dispatch({
+    kind: 'host-requests-received',
+    releases,
+    returns: [],
+    epoch: 1,
+    sequence,
+  });
   return effectsOf(effects, 'stop-run').map(({ address }) => address.workerId);
 }
 
--- a/packages/scheduling/src/__tests__/job-failures.test.ts
+++ b/packages/scheduling/src/__tests__/job-failures.test.ts
@@ -38,7 +38,14 @@
   harness.dispatch({ kind: 'workspaces-configured', version: 7, workspaces });
   const granted = { workspace: WORKSPACE, limit: CAP, cap: CAP, oversizedLimit: null, weight: 1 };
   const grants = { ownerEpoch: 1, cappedVersion: 4, workspaces: [granted] };
-  harness.dispatch({ kind: 'hosts-wished', releases: [], returns: [], epoch: 1, sequence: 1, grants });
+  harness.dispatch({
+    kind: 'host-requests-received',
+    releases: [],
+    returns: [],
+    epoch: 1,
+    sequence: 1,
+    grants,
+  });
   harness.accept(jobOf('a', [step], { workspace: WORKSPACE, maximumFailedRuns: 2 }));
   return harness;
 }
--- a/packages/scheduling/src/__tests__/oversized-starts.test.ts
+++ b/packages/scheduling/src/__tests__/oversized-starts.test.ts
@@ -41,7 +41,7 @@
     weight: 1,
   };
   const grants = { ownerEpoch: 1, cappedVersion: 0, workspaces: [workspace] };
-  harness.dispatch({ kind: 'hosts-wished', releases: [], returns: [], epoch: 1, sequence, grants });
+  harness.dispatch({ kind: 'host-requests-received', releases: [], returns: [], epoch: 1, sequence, grants });
 }
 
 function endFirstRun(harness: ServiceHarness, jobId: string, index: number): void {
--- a/packages/scheduling/src/__tests__/pacing.test.ts
+++ b/packages/scheduling/src/__tests__/pacing.test.ts
@@ -313,7 +313,7 @@
       reportAll(speed);
       harness.takeStops();
       harness.dispatch({
-        kind: 'hosts-wished',
+        kind: 'host-requests-received',
         releases: [{ hostId: `host-of-${workers[0] ?? ''}`, purpose: 'move' }],
         returns: [],
         epoch: 1,
--- a/packages/scheduling/src/__tests__/service.test.ts
+++ b/packages/scheduling/src/__tests__/service.test.ts
@@ -197,7 +197,7 @@
 describe('requested host actions', ({ describe: within, it }) => {
   const requestAction = (harness: ServiceHarness, hostId: string, sequence = 1, epoch = 1) =>
     harness.dispatch({
-      kind: 'hosts-wished',
+      kind: 'host-requests-received',
       releases: [{ hostId, purpose: 'move' }],
       returns: [],
       epoch,
@@ -223,7 +223,7 @@
   it('ignores a request with an older epoch', (t) => {
     const harness = createServiceHarness();
     harness.addWorkers(['w1']);
-    harness.dispatch({ kind: 'hosts-wished', releases: [], returns: [], epoch: 2, sequence: 1 });
+    harness.dispatch({ kind: 'host-requests-received', releases: [], returns: [], epoch: 2, sequence: 1 });
     requestAction(harness, 'host-of-w1', 9, 1);
     t.deepEqual(startsOf(harness.accept(jobOf('a', [{}]))), ['w1']);
   });
@@ -276,7 +276,7 @@
       end(harness, second?.workerId ?? '');
       const releases = [{ hostId: first?.hostId ?? '', purpose: 'move' as const }];
       const effects = harness.dispatch({
-        kind: 'hosts-wished',
+        kind: 'host-requests-received',
         releases,
         returns: [],
         epoch: 1,
--- a/packages/scheduling/src/__tests__/shared-suspects.test.ts
+++ b/packages/scheduling/src/__tests__/shared-suspects.test.ts
@@ -95,7 +95,7 @@
     harness.accept(jobOf('a', [{ needs: NEEDS }]));
     harness.confirmStarts();
     harness.dispatch({
-      kind: 'hosts-wished',
+      kind: 'host-requests-received',
       releases: [{ hostId: 'host-of-w1', purpose: 'move' }],
       returns: [],
       epoch: 1,
--- a/packages/scheduling/src/__tests__/workspace-limits.test.ts
+++ b/packages/scheduling/src/__tests__/workspace-limits.test.ts
@@ -28,7 +28,7 @@
     cappedVersion: 0,
     workspaces: [{ workspace: 'north', limit, cap, oversizedLimit, weight: 1 }],
   };
-  harness.dispatch({ kind: 'hosts-wished', releases: [], returns: [], epoch, sequence, grants });
+  harness.dispatch({ kind: 'host-requests-received', releases: [], returns: [], epoch, sequence, grants });
 }
 
 /** Returns a harness with 40 cores and one job of the workspace `north`. */
--- a/packages/scheduling/src/service/reduce.ts
+++ b/packages/scheduling/src/service/reduce.ts
@@ -187,7 +187,7 @@
       return event.outcome === 'fenced'
         ? yield* giveUpOwnership(state, `worker ${event.address.workerId} has seen a newer owner`)
         : yield* handleStopSettled(state, event);
-    case 'hosts-wished':
+    case 'host-requests-received':
       return yield* handleHostRequests(state, event);
     case 'workspaces-configured':
       return handleWorkspacesConfigured(state, event);
--- a/packages/scheduling/src/service/release.ts
+++ b/packages/scheduling/src/service/release.ts
@@ -217,7 +217,10 @@
   return considerWorker(returned, workerId);
 }
 
-function isOutdated(state: ServiceState, { epoch, sequence }: ServiceEventOf<'hosts-wished'>): boolean {
+function isOutdated(
+  state: ServiceState,
+  { epoch, sequence }: ServiceEventOf<'host-requests-received'>,
+): boolean {
   const { lastFleetMessage: last } = state;
   return epoch < last.epoch || (epoch === last.epoch && sequence <= last.sequence);
 }
@@ -225,7 +228,7 @@
 /** Applies the fleet owner's requests and returns of hosts. Workers on requested hosts get no new tasks. */
 export function* handleHostRequests(
   state: ServiceState,
-  event: ServiceEventOf<'hosts-wished'>,
+  event: ServiceEventOf<'host-requests-received'>,
 ): ServiceStep<ServiceState> {
   if (isOutdated(state, event)) return state;
   const { epoch, sequence, grants } = event;
--- a/packages/scheduling/src/state/event.ts
+++ b/packages/scheduling/src/state/event.ts
@@ -98,7 +98,7 @@
     }
   | {
       /** The fleet owner requests hosts to be released, and returns hosts to the service. */
-      readonly kind: 'hosts-wished';
+      readonly kind: 'host-requests-received';
       readonly releases: readonly HostReleaseRequest[];
       readonly returns: readonly string[];
       /** Epoch of the fleet owner and number of its message. Messages older than the newest applied one are ignored. */
