Read the inboxes again for a service that this process does not know

By reading, no caller has reported it: a process that misses the version that added a service, and the one that removed it, does not know the service's inbox. If that service is the home of a queue, the process would refuse every job of the queue until it is restarted.

Cause: the inboxes were read only when a service of the configuration in force had none. Before no other service was looked up.

--- a/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
+++ b/packages/fleet-emulator/src/__tests__/moved-queue.test.ts
@@ -22,6 +22,12 @@
 /** Time in which every allowed run of a job that fails has ended. */
 const ALL_RUNS_MILLISECONDS = 100_000;
 
+/** Time in which a read of the configuration that is under way is answered. */
+const READ_MILLISECONDS = 1_000;
+
+/** Time for which a paused process misses versions. */
+const PAUSE_MILLISECONDS = 8_000;
+
 const JOB = jobIdOf(1);
 const LATER_JOB = jobIdOf(2);
 
@@ -167,6 +173,29 @@
     });
   });
 
+  group('whose home was added and removed', ({ it: test }) => {
+    test('accepts jobs at a process that was paused meanwhile', async (t) => {
+      const scene = await createQueueScene();
+      const { operator } = scene.world;
+      const { services } = operator.configuration;
+      const added = { name: 'added-and-removed', isStandby: false, refusesOverload: true };
+      scene.node(3).freeze(PAUSE_MILLISECONDS);
+      await scene.runFor(READ_MILLISECONDS);
+      operator.configuration = { ...operator.configuration, services: [...services, added] };
+      await scene.configure({ service: added.name });
+      await scene.runFor(START_MILLISECONDS);
+      t.is(await scene.submit(0, JOB), 'accepted');
+      operator.configuration = { ...operator.configuration, services };
+      await scene.configure({ service: FIRST_SERVICE });
+      await scene.runFor(PAUSE_MILLISECONDS);
+      t.is(await scene.submit(3, LATER_JOB), 'refused');
+      await scene.runFor(START_MILLISECONDS);
+      t.is(await scene.submit(3, LATER_JOB), 'accepted');
+      await scene.runFor(START_MILLISECONDS);
+      t.deepEqual(scene.poolsAtWork(LATER_JOB), [FIRST_SERVICE]);
+    });
+  });
+
   group('at processes that use different versions', ({ it: test }) => {
     test('runs a job once that is submitted at both', async (t) => {
       const scene = await createQueueScene();
--- a/packages/scheduler/src/__tests__/job-ownership.test.ts
+++ b/packages/scheduler/src/__tests__/job-ownership.test.ts
@@ -55,7 +55,7 @@
         return Promise.resolve({ kind: 'stored', firstOffset: 0, nextOffset: 1 });
       },
     },
-    layout: () => new Map([['service/quotes', { topic: 'keyed.inbox.0', partition: 0 }]]),
+    inboxOf: () => ({ topic: 'keyed.inbox.0', partition: 0 }),
     ownerClient: {
       requestOnce: request,
       requestUntil: request,
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -1,7 +1,6 @@
 /** Front end for callers: stores their jobs and cancellations, and queries the service owners for all else. */
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { JobRequest } from '@baobabdeck/scheduling';
-import type { Layout } from '../node/layout.js';
 import { subjectOfService } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { BackgroundWork } from '../unexpected-errors/background-work.js';
@@ -51,7 +50,8 @@
   readonly writeEvent: WriteEvent;
   readonly writer: SubmissionWriter;
   readonly storeLimits: AppendLimits;
-  readonly layout: () => Layout;
+  /** Returns the inbox of a service; null while this process does not know it. */
+  readonly inboxOf: (service: string) => LogPartition | null;
   readonly ownerClient: OwnerClient;
   readonly homes: QueueHomes;
   /** Whether the store has stopped answering this process; other processes may still reach it. */
@@ -114,12 +114,9 @@
 
 /** Creates the front end. */
 export function createFrontend(parts: FrontendParts): Frontend {
-  const { clock, background, writeEvent, writer, homes } = parts;
+  const { clock, background, writeEvent, writer, homes, inboxOf } = parts;
   const lookups = createJobLookups(parts);
 
-  const inboxOf = (service: string): LogPartition | null =>
-    parts.layout().get(subjectOfService(service)) ?? null;
-
   const deadlineOf = (remainingMilliseconds: number): number =>
     clock.steadyNow() + Math.max(0, remainingMilliseconds - ANSWER_MARGIN_MILLISECONDS);
 
--- a/packages/scheduler/src/node/layout.ts
+++ b/packages/scheduler/src/node/layout.ts
@@ -85,6 +85,12 @@
   return assigned;
 }
 
+/** Returns the layout as stored; null if the store fails. */
+export async function readLayout(store: Pick<Store, 'readNewest'>): Promise<Layout | null> {
+  const page = await store.readNewest(LAYOUT_PARTITION);
+  return page.kind === 'read' ? decodeLayout(page.records) : null;
+}
+
 /** Returns the layout with an inbox for each subject; null if the store fails or another process appended first. */
 export async function ensureInboxes(store: Store, subjects: readonly string[]): Promise<Layout | null> {
   const page = await store.readNewest(LAYOUT_PARTITION);
--- a/packages/scheduler/src/node/node.ts
+++ b/packages/scheduler/src/node/node.ts
@@ -16,6 +16,7 @@
 import type {
   CallerService,
   HostService,
+  LogPartition,
   OperatorFeed,
   PeerNetwork,
   QueueConfiguration,
@@ -159,15 +160,17 @@
   const ownerClient = createOwnerClient({
     clock,
     directory,
-    layout: layoutManager.layout,
+    findInbox: layoutManager.findInbox,
     isOwnedHere: (inbox) => logs.has(inbox),
     handleLocally: handlePeerRequest,
     isStoreLost,
   });
 
+  const inboxOf = (service: string): LogPartition | null =>
+    layoutManager.findInbox(subjectOfService(service));
   const submissionWriter = createSubmissionWriter(store, background);
   const otherServices = createOtherServices({
-    layout: layoutManager.layout,
+    inboxOf,
     append: submissionWriter.append,
     requestOnce: ownerClient.requestOnce,
   });
@@ -277,7 +280,7 @@
     homes: createQueueHomes({ store, clock, writeEvent, isStoreLost }),
     storeLimits: store.limits,
     isStoreLost,
-    layout: layoutManager.layout,
+    inboxOf,
     ownerClient,
   });
 
--- a/packages/scheduler/src/node/other-services.ts
+++ b/packages/scheduler/src/node/other-services.ts
@@ -2,19 +2,21 @@
 import type { SubmissionWriter } from '../frontend/submission-writer.js';
 import type { OtherServices } from '../owner/forwarding-effects.js';
 import type { OwnerClient } from '../peers/owner-client.js';
-import { subjectOfService, type Layout } from './layout.js';
+import type { LogPartition } from '../ports/index.js';
+import { subjectOfService } from './layout.js';
 
 /** Dependencies of the access to other services. */
 export interface OtherServicesParts {
-  readonly layout: () => Layout;
+  /** Returns the inbox of a service; null while this process does not know it. */
+  readonly inboxOf: (service: string) => LogPartition | null;
   readonly append: SubmissionWriter['append'];
   readonly requestOnce: OwnerClient['requestOnce'];
 }
 
 /** Creates the access to other services. */
-export function createOtherServices({ layout, append, requestOnce }: OtherServicesParts): OtherServices {
+export function createOtherServices({ inboxOf, append, requestOnce }: OtherServicesParts): OtherServices {
   return {
-    inboxOf: (service) => layout().get(subjectOfService(service)) ?? null,
+    inboxOf,
     append,
     findUnknownJobs: async (service, jobIds) => {
       const request = { kind: 'unknown-jobs' as const, service, jobIds };
--- a/packages/scheduler/src/peers/owner-client.ts
+++ b/packages/scheduler/src/peers/owner-client.ts
@@ -1,5 +1,4 @@
 /** Sends requests to the owner of a service or of the fleet, in this process or another. */
-import type { Layout } from '../node/layout.js';
 import { parseMember, type GroupMember } from '../node/group-member.js';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { LogPartition } from '../ports/index.js';
@@ -15,7 +14,8 @@
 export interface OwnerClientParts {
   readonly clock: SteadyClock;
   readonly directory: OwnerDirectory;
-  readonly layout: () => Layout;
+  /** Returns the inbox of a subject; null while this process does not know it. */
+  readonly findInbox: (subject: string) => LogPartition | null;
   /** Whether this process owns an inbox. */
   readonly isOwnedHere: (inbox: LogPartition) => boolean;
   /** Answers a request from the state of this process. */
@@ -57,8 +57,8 @@
   };
 
   const requestOnce = async (subject: string, request: PeerRequest): Promise<PeerResponse | null> => {
-    const inbox = parts.layout().get(subject);
-    if (inbox === undefined) return null;
+    const inbox = parts.findInbox(subject);
+    if (inbox === null) return null;
     const localResponse = parts.isOwnedHere(inbox) ? await parts.handleLocally(request) : null;
     if (localResponse !== null && localResponse.kind !== 'not-owner') return localResponse;
     const response = await requestFromOwner(inbox, request);
