--- a/packages/scheduler/src/node/layout-manager.ts
+++ b/packages/scheduler/src/node/layout-manager.ts
@@ -48,7 +48,8 @@
 
   const readAgain = async (): Promise<void> => {
     const found = await readLayout(store);
-    if (found !== null) layout = found;
+    // Inboxes are assigned for good; some may have been assigned since this read was sent.
+    if (found !== null) layout = new Map([...found, ...layout]);
     await clock.sleep(READ_AGAIN_MILLISECONDS);
     isReadingAgain = false;
   };
