--- a/packages/observability/src/log-events.ts
+++ b/packages/observability/src/log-events.ts
@@ -215,7 +215,7 @@
   workersReached: {
     number: 564,
     level: 'info',
-    message: 'workers that have answered the new owner, once all have or 5 s after the claim',
+    message: 'all workers have answered the new owner, or 5 s have passed since its claim',
   },
   releaseBegun: { number: 571, level: 'info', message: 'host release started; its worker gets no new tasks' },
   releaseWithdrawn: {
--- a/packages/scheduler/src/frontend/frontend.ts
+++ b/packages/scheduler/src/frontend/frontend.ts
@@ -33,7 +33,7 @@
 
 const STORE_LOST_REASON = 'the store does not answer this process';
 
-const HOME_UNKNOWN_REASON = 'the store does not tell where jobs of the queue are accepted';
+const HOME_UNKNOWN_REASON = 'home of the queue unknown: store did not respond';
 
 const NO_INBOX_REASON = 'the service has no log yet';
 
--- a/packages/scheduler/src/owner/forwarding-effects.ts
+++ b/packages/scheduler/src/owner/forwarding-effects.ts
@@ -3,11 +3,10 @@
 import type { WriteEvent } from '@baobabdeck/observability';
 import type { SteadyClock } from '../node/steady-clock.js';
 import type { AppendOutcome, KeyedRecord, LogPartition } from '../ports/index.js';
+import { appendUntilStored } from './append-until-stored.js';
 import { encodeRecord } from './record-codec.js';
 import type { ServiceEventBody } from './service-event.js';
 
-const RETRY_DELAY_MILLISECONDS = 100;
-
 type EffectOf<K extends ServiceEffect['kind']> = Extract<ServiceEffect, { readonly kind: K }>;
 type ForwardingEffect = EffectOf<'forward-job' | 'forward-cancellation' | 'find-unknown-jobs'>;
 
@@ -30,20 +29,17 @@
   readonly isOpen: () => boolean;
 }
 
-/** Appends records to the inbox of a service until they are stored; returns false if the ownership ends first. */
-async function appendUntilStored(
+/** Appends records to the inbox of another service; returns false if the ownership ends before they are stored. */
+function appendToOther(
   { others, clock, writeEvent, isOpen }: ForwardingParts,
   service: string,
   records: readonly KeyedRecord[],
 ): Promise<boolean> {
-  while (isOpen()) {
+  const appendOnce = async (): Promise<AppendOutcome | null> => {
     const inbox = others.inboxOf(service);
-    const outcome = inbox === null ? null : await others.append(inbox, records);
-    if (outcome?.kind === 'stored') return true;
-    writeEvent('appendFailed', { service, outcome: outcome ?? 'no inbox' });
-    await clock.sleep(RETRY_DELAY_MILLISECONDS);
-  }
-  return false;
+    return inbox === null ? null : others.append(inbox, records);
+  };
+  return appendUntilStored({ clock, writeEvent, isOpen, service, appendOnce });
 }
 
 /** Performs one effect. */
@@ -56,13 +52,13 @@
     case 'forward-job': {
       const { request } = effect;
       const records = encodeRecord({ kind: 'job-accepted', request });
-      const isStored = await appendUntilStored(parts, request.service, records);
+      const isStored = await appendToOther(parts, request.service, records);
       if (isStored) dispatch({ kind: 'job-forwarded', jobId: request.jobId });
       break;
     }
     case 'forward-cancellation': {
       const { service, jobId } = effect;
-      await appendUntilStored(parts, service, encodeRecord({ kind: 'job-cancelled', jobId }));
+      await appendToOther(parts, service, encodeRecord({ kind: 'job-cancelled', jobId }));
       break;
     }
     default: {
--- a/packages/scheduler/src/owner/service-owner.ts
+++ b/packages/scheduler/src/owner/service-owner.ts
@@ -9,13 +9,21 @@
   type ServiceState,
   type StoredServiceRecord,
 } from '@baobabdeck/scheduling';
-import type { KeyedRecord, LogPartition, Store, StoredKeyedRecord, WorkerOrders } from '../ports/index.js';
+import type {
+  AppendOutcome,
+  KeyedRecord,
+  LogPartition,
+  Store,
+  StoredKeyedRecord,
+  WorkerOrders,
+} from '../ports/index.js';
 import { createBackgroundWork } from '../unexpected-errors/background-work.js';
 import { createErrorReporter } from '../unexpected-errors/report-unexpected-error.js';
 import { sleepAndMeasureLateness } from '../measure/event-loop-monitor.js';
 import { createOwnerLoad } from '../measure/owner-load.js';
 import { journalOf } from '../node/layout.js';
 import type { SteadyClock } from '../node/steady-clock.js';
+import { appendUntilStored } from './append-until-stored.js';
 import { claimService, type ClaimedService } from './claim.js';
 import { decodeReadable, rememberDecoded } from './decoded-record.js';
 import { performForwardingEffect, type OtherServices } from './forwarding-effects.js';
@@ -108,12 +116,9 @@
   };
 
   const appendToInbox = async (records: readonly KeyedRecord[]): Promise<void> => {
-    while (isOpen()) {
-      const outcome = await store.append({ partition: inbox, records, producer: null, expectedEnd: null });
-      if (outcome.kind === 'stored') return;
-      writeEvent('appendFailed', { service, outcome });
-      await clock.sleep(RETRY_DELAY_MILLISECONDS);
-    }
+    const request = { partition: inbox, records, producer: null, expectedEnd: null };
+    const appendOnce = (): Promise<AppendOutcome> => store.append(request);
+    await appendUntilStored({ clock, writeEvent, isOpen, service, appendOnce });
   };
 
   /** Deletes forgotten jobs from the inbox: the next owner would take their requests for new jobs. */
